--- /dev/null
+++ b/src/acaciaferry/admission/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+struct admission_verdict;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/core/failure.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "acaciaferry/core/time.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief What a caller is told about whether its request was executed.
+ */
+enum class outcome { kRan, kNotRun, kUnknown };
+
+/**
+ * @brief Every reason for which a request is refused or fails.
+ */
+enum class failure_code {
+  kMalformedRequest,
+  kRequestTooLarge,
+  kRequestTooSlow,
+  kUnauthenticated,
+  kUnknownModel,
+  kUnknownService,
+  kPromptTooLong,
+  kDeadlineTooShort,
+  kQueueFull,
+  kShed,
+  kWorkspaceLimit,
+  kNoLiveTarget,
+  kSpanUnavailable,
+  kDraining,
+  kNoConfiguration,
+  kQuarantined,
+  kOperationKeyRequired,
+  kOperationKeyInvalid,
+  kOperationKeyExpired,
+  kOperationInProgress,
+  kOperationOwnerLost,
+  kRetryBudgetExhausted,
+  kTargetRejected,
+  kTargetLost,
+  kAnswerCorrupt,
+  kDeadlineExceeded,
+  kCallerGone,
+};
+
+inline constexpr std::size_t kFailureCodes =
+    static_cast<std::size_t>(failure_code::kCallerGone) + 1;
+
+/**
+ * @brief Fixed properties of a failure code.
+ */
+struct failure_description {
+  std::string_view code;
+  int http_status{};
+  absl::StatusCode status{};
+  bool retryable{};
+  std::string_view sentence;
+};
+
+/**
+ * @brief A refusal or failure of one request.
+ */
+struct failure {
+  failure_code code{};
+  outcome result{outcome::kNotRun};
+  std::optional<duration> retry_after;
+
+  [[nodiscard]] bool operator==(const failure&) const = default;
+};
+
+/**
+ * @brief Describes a failure code.
+ * @param code The code.
+ * @return Its name, HTTP status, canonical status and sentence.
+ */
+[[nodiscard]] const failure_description& Describe(failure_code code) noexcept;
+
+/**
+ * @brief Names an outcome as the Acaciaferry-Outcome header carries it.
+ * @param value The outcome.
+ * @return `ran`, `not-run` or `unknown`.
+ */
+[[nodiscard]] std::string_view ToString(outcome value) noexcept;
+
+/**
+ * @brief Converts a failure to a status of the canonical error space.
+ * @param value The failure.
+ * @return A status with the failure's code and sentence.
+ */
+[[nodiscard]] absl::Status ToStatus(const failure& value);
+
+/**
+ * @brief Makes a status from a standard string view.
+ *
+ * Debian's absl::string_view does not convert from std::string_view.
+ *
+ * @param code Canonical code.
+ * @param message Text of any length.
+ * @return The status.
+ */
+[[nodiscard]] absl::Status MakeStatus(absl::StatusCode code,
+                                      std::string_view message);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/core/length_class.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace acaciaferry {
+
+/**
+ * @brief Classes of prompts by their number of tokens.
+ */
+enum class length_class { kUpTo4k, kUpTo32k, kUpTo128k, kOver128k };
+
+inline constexpr std::size_t kLengthClasses = 4;
+
+/** Largest prompt, in tokens, of each class but the last. */
+inline constexpr std::array<std::uint64_t, kLengthClasses - 1>
+    kLengthClassLimits{4'096, 32'768, 131'072};
+
+/**
+ * @brief Classifies a prompt.
+ * @param prompt_tokens Number of tokens of the prompt.
+ * @return The class of the smallest limit that is not exceeded.
+ */
+[[nodiscard]] constexpr length_class ClassifyLength(
+    std::uint64_t prompt_tokens) noexcept {
+  std::size_t index = 0;
+  while (index < kLengthClassLimits.size() &&
+         prompt_tokens > kLengthClassLimits[index]) {
+    ++index;
+  }
+  return static_cast<length_class>(index);
+}
+
+/**
+ * @brief Names a class as metrics and reports print it.
+ * @param value The class.
+ * @return A static name.
+ */
+[[nodiscard]] constexpr std::string_view ToString(length_class value) noexcept {
+  constexpr std::array<std::string_view, kLengthClasses> kNames{
+      "up_to_4k", "up_to_32k", "up_to_128k", "over_128k"};
+  return kNames[static_cast<std::size_t>(value)];
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/deployment/fwd.hpp
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace acaciaferry {
+
+struct deployment;
+struct policy;
+struct pool;
+struct workload;
+struct workspace;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/operators_listener.cpp
@@ -0,0 +1,85 @@
+#include "acaciaferry/http/operators_listener.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <ostream>
+
+namespace acaciaferry {
+namespace internal {
+
+using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+class operators_handler final : public Poco::Net::HTTPRequestHandler {
+ public:
+  explicit operators_handler(operators_context& context) : context_(context) {}
+
+  void handleRequest(HTTPServerRequest& request,
+                     HTTPServerResponse& response) override {
+    const std::string& path = request.getURI();
+    if (path == "/healthz") {
+      Send(response, HTTPResponse::HTTP_OK, "ok\n");
+    } else if (path == "/readyz") {
+      context_.ready ? Send(response, HTTPResponse::HTTP_OK, "ready\n")
+                     : Send(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
+                            "not ready\n");
+    } else if (path == "/metrics") {
+      Send(response, HTTPResponse::HTTP_OK,
+           context_.metrics.ToPrometheusText());
+    } else {
+      Send(response, HTTPResponse::HTTP_NOT_FOUND, "not found\n");
+    }
+  }
+
+ private:
+  static void Send(HTTPServerResponse& response,
+                   HTTPResponse::HTTPStatus status,
+                   const std::string& body) {
+    response.setStatusAndReason(status);
+    response.setContentType("text/plain; version=0.0.4");
+    response.setContentLength(static_cast<std::streamsize>(body.size()));
+    response.send() << body;
+  }
+
+  operators_context& context_;
+};
+
+class operators_handler_factory final
+    : public Poco::Net::HTTPRequestHandlerFactory {
+ public:
+  explicit operators_handler_factory(operators_context& context)
+      : context_(context) {}
+
+  Poco::Net::HTTPRequestHandler* createRequestHandler(
+      const HTTPServerRequest& /*request*/) override {
+    return new operators_handler(context_);
+  }
+
+ private:
+  operators_context& context_;
+};
+
+}  // namespace internal
+
+operators_listener::operators_listener(const std::string& address,
+                                       operators_context& context) {
+  const Poco::Net::ServerSocket socket{Poco::Net::SocketAddress(address)};
+  server_ = std::make_unique<Poco::Net::HTTPServer>(
+      new internal::operators_handler_factory(context), socket,
+      new Poco::Net::HTTPServerParams);
+  server_->start();
+}
+
+operators_listener::~operators_listener() {
+  server_->stopAll(true);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/operators_listener.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <Poco/Net/HTTPServer.h>
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "acaciaferry/metrics/registry.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief What the handlers of operators' requests share. Outlives the listener.
+ */
+struct operators_context {
+  const metrics_registry& metrics;
+  /** Whether the balancer may send callers to this VM. */
+  std::atomic<bool> ready{};
+};
+
+/**
+ * @brief The HTTP listener for operators: /healthz, /readyz and /metrics.
+ */
+class operators_listener {
+ public:
+  /**
+   * @param address IP:PORT to listen on.
+   * @param context What the handlers need; must outlive the listener.
+   * @throws Poco::Exception when the address cannot be bound.
+   */
+  operators_listener(const std::string& address, operators_context& context);
+  ~operators_listener();
+
+  operators_listener(const operators_listener&) = delete;
+  operators_listener& operator=(const operators_listener&) = delete;
+
+ private:
+  std::unique_ptr<Poco::Net::HTTPServer> server_;
+};
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/reply_writer.cpp
@@ -0,0 +1,104 @@
+#include "acaciaferry/http/reply_writer.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <ostream>
+
+namespace acaciaferry {
+namespace internal {
+
+using nlohmann::json;
+
+json Envelope(answer_shape shape,
+              const request_id& id,
+              std::string_view model,
+              bool streamed) {
+  const std::string object =
+      shape == answer_shape::kText
+          ? "text_completion"
+          : (streamed ? "chat.completion.chunk" : "chat.completion");
+  return {{"id", ToString(id)}, {"object", object}, {"model", model}};
+}
+
+json FinishReason(std::string_view reason) {
+  return reason.empty() ? json(nullptr) : json(reason);
+}
+
+}  // namespace internal
+
+void SetOutcome(Poco::Net::HTTPServerResponse& response,
+                const request_id& id,
+                outcome result) {
+  response.set("Acaciaferry-Request-Id", ToString(id));
+  response.set("Acaciaferry-Outcome", std::string(ToString(result)));
+}
+
+std::string FailureJson(const failure& reason) {
+  const failure_description& description = Describe(reason.code);
+  internal::json error{{"code", description.code},
+                       {"message", description.sentence},
+                       {"retryable", description.retryable},
+                       {"outcome", ToString(reason.result)}};
+  if (reason.retry_after) {
+    error["retry_after_ms"] = ToMilliseconds(*reason.retry_after);
+  }
+  return internal::json{{"error", error}}.dump();
+}
+
+void SendFailure(Poco::Net::HTTPServerResponse& response,
+                 const request_id& id,
+                 const failure& reason) {
+  const std::string body = FailureJson(reason);
+  SetOutcome(response, id, reason.result);
+  response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
+      Describe(reason.code).http_status));
+  if (reason.retry_after) {
+    const double seconds = std::ceil(ToSeconds(*reason.retry_after));
+    response.set("Retry-After",
+                 std::to_string(static_cast<std::uint64_t>(seconds)));
+  }
+  response.setContentType("application/json");
+  response.setContentLength(static_cast<std::streamsize>(body.size()));
+  response.send() << body;
+}
+
+std::string StreamEvent(answer_shape shape,
+                        const request_id& id,
+                        std::string_view model,
+                        std::string_view text,
+                        std::string_view finish_reason) {
+  internal::json choice{
+      {"index", 0}, {"finish_reason", internal::FinishReason(finish_reason)}};
+  if (shape == answer_shape::kText) {
+    choice["text"] = text;
+  } else {
+    choice["delta"] = text.empty() ? internal::json::object()
+                                   : internal::json{{"content", text}};
+  }
+  internal::json body = internal::Envelope(shape, id, model, true);
+  body["choices"] = internal::json::array({std::move(choice)});
+  // A chunk may end within a character; the replacement keeps the JSON valid.
+  return "data: " +
+         body.dump(-1, ' ', false, internal::json::error_handler_t::replace) +
+         "\n\n";
+}
+
+std::string AnswerJson(answer_shape shape,
+                       const request_id& id,
+                       std::string_view model,
+                       std::string_view text,
+                       std::string_view finish_reason) {
+  internal::json choice{
+      {"index", 0}, {"finish_reason", internal::FinishReason(finish_reason)}};
+  if (shape == answer_shape::kText) {
+    choice["text"] = text;
+  } else {
+    choice["message"] = {{"role", "assistant"}, {"content", text}};
+  }
+  internal::json body = internal::Envelope(shape, id, model, false);
+  body["choices"] = internal::json::array({std::move(choice)});
+  return body.dump(-1, ' ', false, internal::json::error_handler_t::replace);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/reply_writer.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <string_view>
+
+#include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/core/request_id.hpp"
+
+namespace acaciaferry {
+
+/** The shapes in which an answer is sent. */
+enum class answer_shape { kText, kChat };
+
+/**
+ * @brief Sets the headers that every reply carries.
+ * @param response The response, not yet sent.
+ * @param id The request.
+ * @param result What may be said of its execution.
+ */
+void SetOutcome(Poco::Net::HTTPServerResponse& response,
+                const request_id& id,
+                outcome result);
+
+/**
+ * @brief Formats the JSON body of a failure.
+ * @param reason The failure.
+ * @return `{"error":{"code","message","retryable","outcome",...}}`.
+ */
+[[nodiscard]] std::string FailureJson(const failure& reason);
+
+/**
+ * @brief Sends a failure as the whole reply.
+ * @param response The response, not yet sent.
+ * @param id The request.
+ * @param reason The failure.
+ */
+void SendFailure(Poco::Net::HTTPServerResponse& response,
+                 const request_id& id,
+                 const failure& reason);
+
+/**
+ * @brief Formats one server-sent event of a streamed answer.
+ * @param shape Text completion or chat.
+ * @param id The request.
+ * @param model The model's name.
+ * @param text The text of this part.
+ * @param finish_reason Empty but in the last part.
+ * @return The event with its blank line.
+ */
+[[nodiscard]] std::string StreamEvent(answer_shape shape,
+                                      const request_id& id,
+                                      std::string_view model,
+                                      std::string_view text,
+                                      std::string_view finish_reason);
+
+/**
+ * @brief Formats a whole answer.
+ * @param shape Text completion or chat.
+ * @param id The request.
+ * @param model The model's name.
+ * @param text The whole text.
+ * @param finish_reason Why it ended.
+ * @return The JSON body.
+ */
+[[nodiscard]] std::string AnswerJson(answer_shape shape,
+                                     const request_id& id,
+                                     std::string_view model,
+                                     std::string_view text,
+                                     std::string_view finish_reason);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/workspace_directory.cpp
@@ -0,0 +1,50 @@
+#include "acaciaferry/http/workspace_directory.hpp"
+
+#include <Poco/DigestEngine.h>
+#include <Poco/SHA2Engine.h>
+
+namespace acaciaferry {
+
+void workspace_directory::Update(const deployment& config) {
+  auto next = std::make_shared<content>();
+  for (const workspace& each : config.workspaces) {
+    next->by_digest.emplace(each.token_digest, each.id);
+  }
+  for (const pool& each : config.pools) {
+    if (each.kind == request_kind::kCompletion) {
+      next->models.push_back(each.id.value);
+    }
+  }
+  const std::lock_guard lock(mutex_);
+  current_ = std::move(next);
+}
+
+// The table is searched by digest. What the search time tells about the digest
+// of a guessed token does not help to find another token.
+std::optional<workspace_id> workspace_directory::Authenticate(
+    std::string_view token) const {
+  const auto content = Current();
+  const auto found = content->by_digest.find(TokenDigest(token));
+  if (found == content->by_digest.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+std::vector<std::string> workspace_directory::Models() const {
+  return Current()->models;
+}
+
+std::shared_ptr<const workspace_directory::content>
+workspace_directory::Current() const {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::string TokenDigest(std::string_view token) {
+  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
+  engine.update(token.data(), token.size());
+  return Poco::DigestEngine::digestToHex(engine.digest());
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/http/workspace_directory.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/deployment/deployment.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief Finds a workspace by its bearer token, and lists the models.
+ * Thread-safe; replaced as a whole when a configuration comes into force.
+ */
+class workspace_directory {
+ public:
+  /** @brief Takes the workspaces and pools of a configuration. */
+  void Update(const deployment& config);
+
+  /**
+   * @brief Authenticates a caller.
+   * @param token The bearer token as presented.
+   * @return Its workspace, or nothing when the token is unknown.
+   */
+  [[nodiscard]] std::optional<workspace_id> Authenticate(
+      std::string_view token) const;
+
+  /** @return The ids of the model pools. */
+  [[nodiscard]] std::vector<std::string> Models() const;
+
+ private:
+  struct content {
+    std::unordered_map<std::string, workspace_id> by_digest;
+    std::vector<std::string> models;
+  };
+
+  [[nodiscard]] std::shared_ptr<const content> Current() const;
+
+  mutable std::mutex mutex_;
+  std::shared_ptr<const content> current_{std::make_shared<content>()};
+};
+
+/**
+ * @brief Computes the digest under which a token is kept.
+ * @param token The token.
+ * @return Its SHA-256 in lower-case hexadecimal.
+ */
+[[nodiscard]] std::string TokenDigest(std::string_view token);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/metrics/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+class metrics_registry;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/platform/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+class periodic_task;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/platform/pollers.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "acaciaferry/reducer/event.hpp"
+
+namespace acaciaferry {
+
+using event_sink = std::function<void(event)>;
+
+/**
+ * @brief Reads the platform's list of VMs once.
+ * @param address The service's address.
+ * @param sink Receives vm_list_received when the list was read.
+ */
+void PollVmList(const std::string& address, const event_sink& sink);
+
+/**
+ * @brief Reads the load reports of targets once, one after the other.
+ * @param addresses The targets' addresses.
+ * @param sink Receives load_report_received for each that answered.
+ */
+void PollLoadReports(const std::vector<std::string>& addresses,
+                     const event_sink& sink);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/core/request.hpp"
+#include "acaciaferry/targets/state.hpp"
+
+namespace acaciaferry {
+
+/** Send a request to a target. */
+struct start_attempt {
+  attempt_id attempt;
+  target_id target;
+  std::string address;
+  request_kind kind{};
+  std::uint64_t prompt_tokens{};
+  /** Time left until the request's deadline. */
+  duration remaining{};
+  std::uint32_t priority{};
+  /** Reservation ids of a span, head engine first; empty for one engine. */
+  std::vector<std::string> reservations;
+};
+
+/** Ask for a stream again, from an offset on, over a new connection. */
+struct resume_attempt {
+  attempt_id attempt;
+  std::string address;
+  std::uint64_t offset{};
+};
+
+/** Stop an attempt and release what it holds on the target. */
+struct cancel_attempt {
+  attempt_id attempt;
+  std::string address;
+  request_kind kind{};
+};
+
+/** Tell the caller the status and type of the answer. */
+struct deliver_head {
+  request_id request;
+  int http_status{};
+  std::string content_type;
+};
+
+/** Send a part of the answer to the caller. */
+struct deliver_chunk {
+  request_id request;
+  std::string text;
+};
+
+/** The answer is complete. */
+struct finish_request {
+  request_id request;
+  std::string finish_reason;
+};
+
+/** The request was refused or failed. */
+struct fail_request {
+  request_id request;
+  failure reason;
+};
+
+/** All in-flight work has ended after a drain; the process may exit. */
+struct drain_completed {};
+
+/** Something worth a counter happened. */
+struct count_refusal {
+  failure_code code{};
+};
+struct count_retry {
+  retry_reason reason{};
+};
+struct count_report {
+  report_verdict verdict{};
+};
+
+using effect = std::variant<start_attempt,
+                            resume_attempt,
+                            cancel_attempt,
+                            deliver_head,
+                            deliver_chunk,
+                            finish_request,
+                            fail_request,
+                            drain_completed,
+                            count_refusal,
+                            count_retry,
+                            count_report>;
+
+using effects = std::vector<effect>;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/event.hpp
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <variant>
+
+#include "acaciaferry/attempts/event.hpp"
+#include "acaciaferry/core/request.hpp"
+#include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/targets/state.hpp"
+
+namespace acaciaferry {
+
+/** A caller's request was received completely. */
+struct request_arrived {
+  acaciaferry::request request;
+};
+
+/** The caller closed its connection before the answer was complete. */
+struct caller_gone {
+  request_id request;
+};
+
+/** A checked configuration was read from a file or the service. */
+struct deployment_received {
+  deployment config;
+};
+
+/** The operator asked for a graceful shutdown. */
+struct drain_requested {
+  duration grace{};
+};
+
+/** The timer fired; only expired deadlines and leases are handled. */
+struct timer_expired {};
+
+using event = std::variant<request_arrived,
+                           caller_gone,
+                           deployment_received,
+                           drain_requested,
+                           timer_expired,
+                           vm_list_received,
+                           load_report_received,
+                           attempt_sent,
+                           attempt_accepted,
+                           attempt_rejected,
+                           attempt_progressed,
+                           answer_chunk,
+                           answer_ended,
+                           attempt_failed>;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace acaciaferry {
+
+struct request_record;
+struct state;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/lifecycle.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/reducer/effect.hpp"
+#include "acaciaferry/reducer/event.hpp"
+#include "acaciaferry/reducer/state.hpp"
+
+namespace acaciaferry {
+
+/** @brief Admits or refuses a request and starts its first attempt. */
+void OnRequestArrived(state& state,
+                      const request& request,
+                      time_point now,
+                      effects& out);
+
+/** @brief Ends a request whose caller has gone. */
+void OnCallerGone(state& state, const request_id& id, effects& out);
+
+/** @brief Fails every request whose deadline has passed. */
+void ExpireRequests(state& state, time_point now, effects& out);
+
+/** @brief Handle what the current attempt's connection reports. */
+void OnAttemptEvent(state& state,
+                    const attempt_sent& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const attempt_accepted& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const attempt_rejected& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const attempt_progressed& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const answer_chunk& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const answer_ended& event,
+                    time_point now,
+                    effects& out);
+void OnAttemptEvent(state& state,
+                    const attempt_failed& event,
+                    time_point now,
+                    effects& out);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -0,0 +1,83 @@
+#include "acaciaferry/reducer/reduce.hpp"
+
+#include <algorithm>
+
+#include "acaciaferry/reducer/lifecycle.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// Dispatches each event to the module that owns the decision.
+struct dispatcher {
+  acaciaferry::state& state;
+  time_point now;
+  effects& out;
+
+  void operator()(const request_arrived& event) const {
+    OnRequestArrived(state, event.request, now, out);
+  }
+
+  void operator()(const caller_gone& event) const {
+    OnCallerGone(state, event.request, out);
+  }
+
+  void operator()(const deployment_received& event) const {
+    const bool is_newer =
+        !state.config || event.config.revision > state.config->revision;
+    if (is_newer) {
+      state.config = event.config;
+    }
+  }
+
+  void operator()(const drain_requested& event) const {
+    // A second request does not shorten the first one's grace.
+    if (!state.accept_until) {
+      state.accept_until = now + event.grace;
+    }
+  }
+
+  void operator()(const timer_expired& /*event*/) const {}
+
+  void operator()(const vm_list_received& event) const {
+    ApplyVmList(state.targets, event.vms);
+  }
+
+  void operator()(const load_report_received& event) const {
+    out.push_back(
+        count_report{ApplyLoadReport(state.targets, event.report, now)});
+  }
+
+  template <typename AttemptEvent>
+  void operator()(const AttemptEvent& event) const {
+    OnAttemptEvent(state, event, now, out);
+  }
+};
+
+}  // namespace internal
+
+effects Reduce(state& state, const event& event, time_point now) {
+  effects out;
+  ExpireRequests(state, now, out);
+  state.closed = state.accept_until && now >= *state.accept_until;
+  std::visit(internal::dispatcher{state, now, out}, event);
+  if (state.closed && state.requests.empty()) {
+    out.push_back(drain_completed{});
+  }
+  return out;
+}
+
+std::optional<time_point> NextTimer(const state& state) {
+  std::optional<time_point> next;
+  const auto consider = [&next](time_point at) {
+    next = next ? std::min(*next, at) : at;
+  };
+  if (!state.deadlines.empty()) {
+    consider(state.deadlines.begin()->first);
+  }
+  if (state.accept_until && !state.closed) {
+    consider(*state.accept_until);
+  }
+  return next;
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/state.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "acaciaferry/attempts/answer_assembly.hpp"
+#include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/random.hpp"
+#include "acaciaferry/core/request.hpp"
+#include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/routing/routing.hpp"
+#include "acaciaferry/targets/state.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief Who this process is; fixed at start.
+ */
+struct identity {
+  vm_id vm;
+  failure_domain_id failure_domain;
+  region_id region;
+  /** Milliseconds since the Unix epoch at start, shifted left by 16, plus 16
+   * random bits, so that a later process has a higher one. */
+  std::uint64_t incarnation{};
+};
+
+/**
+ * @brief An admitted request that has not ended.
+ */
+struct request_record {
+  acaciaferry::request request;
+  workload work;
+  time_point deadline{};
+  std::uint32_t attempts_made{};
+  /** The attempt whose chunks count; earlier ones are superseded. */
+  std::optional<attempt> current;
+  answer_assembly answer;
+  std::string finish_reason;
+  std::vector<target_id> excluded;
+  bool head_delivered{};
+};
+
+/**
+ * @brief Everything that the decisions know.
+ */
+struct state {
+  identity self;
+  random_engine random;
+  std::optional<deployment> config;
+  targets_state targets;
+  routing_state routing;
+  std::unordered_map<request_id, request_record> requests;
+  /** Deadlines of the requests, earliest first. */
+  std::set<std::pair<time_point, request_id>> deadlines;
+  /** Set while the process drains: when it stops accepting requests. */
+  std::optional<time_point> accept_until;
+  /** Whether the drain's grace has passed, so that new requests are refused. */
+  bool closed{};
+};
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/runtime/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+class event_loop;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/settings/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+struct daemon_settings;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/target_client/fwd.hpp
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace acaciaferry {
+
+class target_client;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/target_client/target_client.cpp
@@ -0,0 +1,413 @@
+#include "acaciaferry/target_client/target_client.hpp"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Runnable.h>
+#include <Poco/StreamCopier.h>
+
+#include <algorithm>
+#include <atomic>
+#include <istream>
+#include <ostream>
+
+#include "acaciaferry/target_client/wire.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+constexpr int kMinThreads = 4;
+constexpr int kMaxThreads = 2'048;
+constexpr int kIdleThreadSeconds = 30;
+constexpr long kConnectTimeoutUs = 1'000'000;
+// Backstop for a connection that the reducer has forgotten; the reducer's own
+// progress bound is much shorter.
+constexpr int kSocketTimeoutSeconds = 30;
+constexpr std::size_t kMaxLineBytes = 1 << 20;
+constexpr std::size_t kServiceChunkBytes = 16 << 10;
+
+// Owns a function and itself, since Poco::ThreadPool takes a bare reference.
+class task final : public Poco::Runnable {
+ public:
+  explicit task(std::function<void()> function)
+      : function_(std::move(function)) {}
+
+  void run() override {
+    const std::unique_ptr<task> self(this);
+    function_();
+  }
+
+ private:
+  std::function<void()> function_;
+};
+
+// Raised before any byte of the request has been sent.
+class connect_error final : public std::exception {};
+
+Poco::Net::StreamSocket Connect(const std::string& address) {
+  try {
+    Poco::Net::StreamSocket socket;
+    socket.connect(Poco::Net::SocketAddress(address),
+                   Poco::Timespan(0, kConnectTimeoutUs));
+    socket.setNoDelay(true);
+    return socket;
+  } catch (const Poco::Exception&) {
+    throw connect_error();
+  }
+}
+
+bool IsRefusedBeforeExecution(const HTTPResponse& response) {
+  const bool refusing_status =
+      response.getStatus() == HTTPResponse::HTTP_TOO_MANY_REQUESTS ||
+      response.getStatus() == HTTPResponse::HTTP_SERVICE_UNAVAILABLE;
+  return refusing_status && response.get("Acaciaferry-Executed", "") == "no";
+}
+
+bool IsSuccess(const HTTPResponse& response) {
+  return response.getStatus() / 100 == 2;
+}
+
+void SetAttemptHeaders(HTTPRequest& request,
+                       const start_attempt& effect,
+                       const std::string& owner) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(effect.remaining);
+  request.set("Acaciaferry-Stream-Id", ToString(effect.attempt));
+  request.set("Acaciaferry-Owner", owner);
+  request.set("Acaciaferry-Deadline-Ms", std::to_string(milliseconds.count()));
+  request.set("Acaciaferry-Priority", std::to_string(effect.priority));
+  request.set("Acaciaferry-Prompt-Tokens",
+              std::to_string(effect.prompt_tokens));
+  std::string span;
+  for (const std::string& reservation : effect.reservations) {
+    span += (span.empty() ? "" : ",") + reservation;
+  }
+  if (!span.empty()) {
+    request.set("Acaciaferry-Span", span);
+  }
+}
+
+// Reads server-sent events until the end marker.
+class stream_reader {
+ public:
+  stream_reader(std::istream& stream, attempt_id id)
+      : stream_(stream), id_(id) {}
+
+  // Gives the next event, or nothing at the end of the connection.
+  std::optional<event> Next() {
+    std::string line;
+    while (std::getline(stream_, line)) {
+      if (!line.empty() && line.back() == '\r') {
+        line.pop_back();
+      }
+      if (line.size() > kMaxLineBytes) {
+        return attempt_failed{id_, transport_error::kMalformedAnswer};
+      }
+      if (line.starts_with(':')) {
+        return attempt_progressed{id_};
+      }
+      if (line.starts_with("data: ")) {
+        return ReadItem(std::string_view(line).substr(6));
+      }
+    }
+    return std::nullopt;
+  }
+
+ private:
+  [[nodiscard]] event ReadItem(std::string_view json) const {
+    auto item = ParseStreamItem(json);
+    if (!item) {
+      return attempt_failed{id_, transport_error::kMalformedAnswer};
+    }
+    if (item->end) {
+      return answer_ended{id_, item->offset, std::move(item->finish_reason)};
+    }
+    return answer_chunk{id_, item->offset, std::move(item->text)};
+  }
+
+  std::istream& stream_;
+  attempt_id id_;
+};
+
+}  // namespace internal
+
+// One connection of an attempt. Once dropped or replaced, it posts nothing.
+class target_client::connection {
+ public:
+  connection(attempt_id id, const post_event& post) : id_(id), post_(post) {}
+
+  void Open(const std::string& address) {
+    const Poco::Net::StreamSocket socket = internal::Connect(address);
+    session_ = std::make_shared<Poco::Net::HTTPClientSession>(socket);
+    session_->setTimeout(Poco::Timespan(internal::kSocketTimeoutSeconds, 0));
+    const std::lock_guard lock(mutex_);
+    open_socket_ = socket;
+    if (dropped_) {
+      throw internal::connect_error();
+    }
+  }
+
+  void Drop() {
+    const std::lock_guard lock(mutex_);
+    dropped_ = true;
+    try {
+      open_socket_.shutdown();
+    } catch (const Poco::Exception&) {
+      // The socket was never connected, or the target closed it first.
+    }
+  }
+
+  void Post(event event) const {
+    if (!dropped_) {
+      post_(std::move(event));
+    }
+  }
+
+  void Fail(transport_error error) const { Post(attempt_failed{id_, error}); }
+
+  // Runs a function and turns what it throws into an event.
+  template <typename Function>
+  void Guard(Function function) const {
+    try {
+      function();
+    } catch (const internal::connect_error&) {
+      Fail(transport_error::kConnectFailed);
+    } catch (const std::exception&) {
+      Fail(transport_error::kConnectionLost);
+    }
+  }
+
+  [[nodiscard]] Poco::Net::HTTPClientSession& Session() { return *session_; }
+
+  [[nodiscard]] const attempt_id& Id() const noexcept { return id_; }
+
+  void ReadStream(std::istream& stream) const {
+    internal::stream_reader reader(stream, id_);
+    while (auto next = reader.Next()) {
+      const bool is_last = std::holds_alternative<answer_ended>(*next) ||
+                           std::holds_alternative<attempt_failed>(*next);
+      Post(*std::move(next));
+      if (is_last) {
+        return;
+      }
+    }
+    Fail(transport_error::kConnectionLost);
+  }
+
+  // Reports the status of the response; true when its body is an answer.
+  [[nodiscard]] bool Accept(const Poco::Net::HTTPResponse& response) const {
+    if (internal::IsRefusedBeforeExecution(response)) {
+      Post(attempt_rejected{id_});
+      return false;
+    }
+    Post(attempt_accepted{id_, static_cast<int>(response.getStatus()),
+                          response.getContentType()});
+    return true;
+  }
+
+ private:
+  const attempt_id id_;
+  const post_event& post_;
+  std::shared_ptr<Poco::Net::HTTPClientSession> session_;
+  std::mutex mutex_;
+  Poco::Net::StreamSocket open_socket_;
+  std::atomic<bool> dropped_{};
+};
+
+target_client::target_client(std::string owner,
+                             exchange_registry& exchanges,
+                             post_event post)
+    : owner_(std::move(owner)),
+      exchanges_(exchanges),
+      post_(std::move(post)),
+      threads_(internal::kMinThreads,
+               internal::kMaxThreads,
+               internal::kIdleThreadSeconds) {}
+
+target_client::~target_client() {
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, link] : connections_) {
+      link->Drop();
+    }
+  }
+  threads_.joinAll();
+}
+
+void target_client::Start(const start_attempt& effect) {
+  const connection_ptr link = Replace(effect.attempt);
+  auto source = exchanges_.Find(effect.attempt.request);
+  if (source == nullptr) {
+    return;
+  }
+  SpawnConnection(link, [this, link, effect, source = std::move(source)] {
+    effect.kind == request_kind::kCompletion
+        ? RunCompletion(link, effect, *source)
+        : RunServiceCall(link, effect, *source);
+  });
+}
+
+void target_client::Resume(const resume_attempt& effect) {
+  const connection_ptr link = Replace(effect.attempt);
+  SpawnConnection(link, [this, link, effect] { RunResume(link, effect); });
+}
+
+void target_client::Cancel(const cancel_attempt& effect) {
+  Drop(effect.attempt);
+  if (effect.kind != request_kind::kCompletion) {
+    return;
+  }
+  Spawn([effect] {
+    try {
+      Poco::Net::HTTPClientSession session(internal::Connect(effect.address));
+      session.setTimeout(Poco::Timespan(internal::kSocketTimeoutSeconds, 0));
+      internal::HTTPRequest request(internal::HTTPRequest::HTTP_DELETE,
+                                    "/v1/streams/" + ToString(effect.attempt),
+                                    internal::HTTPRequest::HTTP_1_1);
+      session.sendRequest(request);
+      internal::HTTPResponse response;
+      session.receiveResponse(response);
+    } catch (const std::exception&) {
+      // Reclamation releases what a lost cancel leaves behind.
+    }
+  });
+}
+
+target_client::connection_ptr target_client::Replace(const attempt_id& id) {
+  Drop(id);
+  auto link = std::make_shared<connection>(id, post_);
+  const std::lock_guard lock(mutex_);
+  connections_[id] = link;
+  return link;
+}
+
+void target_client::Drop(const attempt_id& id) {
+  connection_ptr link;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto found = connections_.find(id);
+    if (found == connections_.end()) {
+      return;
+    }
+    link = found->second;
+    connections_.erase(found);
+  }
+  link->Drop();
+}
+
+void target_client::Forget(const connection_ptr& link) {
+  const std::lock_guard lock(mutex_);
+  const auto found = connections_.find(link->Id());
+  if (found != connections_.end() && found->second == link) {
+    connections_.erase(found);
+  }
+}
+
+void target_client::SpawnConnection(const connection_ptr& link,
+                                    std::function<void()> function) {
+  Spawn([this, link, function = std::move(function)] {
+    link->Guard(function);
+    Forget(link);
+  });
+}
+
+void target_client::Spawn(std::function<void()> function) {
+  auto task = std::make_unique<internal::task>(std::move(function));
+  // Throws when all threads are busy, which Guard's callers never see: the
+  // limit is far above the connections that the callers' listener accepts.
+  threads_.start(*task);
+  // The task deletes itself when it has run.
+  static_cast<void>(task.release());
+}
+
+void target_client::RunCompletion(const connection_ptr& link,
+                                  const start_attempt& effect,
+                                  const exchange& source) {
+  link->Open(effect.address);
+  internal::HTTPRequest request(internal::HTTPRequest::HTTP_POST, source.path,
+                                internal::HTTPRequest::HTTP_1_1);
+  request.setContentType("application/json");
+  request.setContentLength64(static_cast<Poco::Int64>(source.body.size()));
+  internal::SetAttemptHeaders(request, effect, owner_);
+  link->Post(attempt_sent{effect.attempt});
+  link->Session().sendRequest(request) << source.body << std::flush;
+  internal::HTTPResponse response;
+  std::istream& answer = link->Session().receiveResponse(response);
+  if (!internal::IsSuccess(response) &&
+      !internal::IsRefusedBeforeExecution(response)) {
+    link->Fail(transport_error::kServerError);
+    return;
+  }
+  if (link->Accept(response)) {
+    link->ReadStream(answer);
+  }
+}
+
+void target_client::RunServiceCall(const connection_ptr& link,
+                                   const start_attempt& effect,
+                                   const exchange& source) {
+  link->Open(effect.address);
+  internal::HTTPRequest request(source.method, source.path,
+                                internal::HTTPRequest::HTTP_1_1);
+  if (!source.content_type.empty()) {
+    request.setContentType(source.content_type);
+  }
+  request.setContentLength64(static_cast<Poco::Int64>(source.body.size()));
+  internal::SetAttemptHeaders(request, effect, owner_);
+  if (!source.idempotency_key.empty()) {
+    request.set("Idempotency-Key", source.idempotency_key);
+  }
+  link->Post(attempt_sent{effect.attempt});
+  link->Session().sendRequest(request) << source.body << std::flush;
+  internal::HTTPResponse response;
+  std::istream& answer = link->Session().receiveResponse(response);
+  if (!link->Accept(response)) {
+    return;
+  }
+  // POCO does not tell a truncated chunked body from a whole one.
+  if (!response.hasContentLength()) {
+    link->Fail(transport_error::kMalformedAnswer);
+    return;
+  }
+  std::uint64_t offset = 0;
+  std::string buffer(internal::kServiceChunkBytes, '\0');
+  while (
+      answer.read(buffer.data(), static_cast<std::streamsize>(buffer.size())) ||
+      answer.gcount() > 0) {
+    const auto count = static_cast<std::size_t>(answer.gcount());
+    link->Post(answer_chunk{effect.attempt, offset, buffer.substr(0, count)});
+    offset += count;
+  }
+  const auto length = static_cast<std::uint64_t>(response.getContentLength64());
+  if (offset != length) {
+    link->Fail(transport_error::kConnectionLost);
+    return;
+  }
+  link->Post(answer_ended{effect.attempt, offset, "stop"});
+}
+
+void target_client::RunResume(const connection_ptr& link,
+                              const resume_attempt& effect) {
+  link->Open(effect.address);
+  internal::HTTPRequest request(internal::HTTPRequest::HTTP_GET,
+                                "/v1/streams/" + ToString(effect.attempt) +
+                                    "?offset=" + std::to_string(effect.offset),
+                                internal::HTTPRequest::HTTP_1_1);
+  link->Session().sendRequest(request);
+  internal::HTTPResponse response;
+  std::istream& answer = link->Session().receiveResponse(response);
+  if (!internal::IsSuccess(response)) {
+    link->Fail(transport_error::kUnknownStream);
+    return;
+  }
+  link->ReadStream(answer);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/target_client/target_client.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <Poco/ThreadPool.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "acaciaferry/core/request_id.hpp"
+#include "acaciaferry/http/exchange.hpp"
+#include "acaciaferry/reducer/effect.hpp"
+#include "acaciaferry/reducer/event.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief Carries out attempts over HTTP, each on a thread and a connection of
+ * its own. Connections are not pooled, so none can go silent while idle.
+ */
+class target_client {
+ public:
+  using post_event = std::function<void(event)>;
+
+  /**
+   * @param owner Value of the Acaciaferry-Owner header.
+   * @param exchanges Where the bodies are; must outlive the client.
+   * @param post Takes the events; thread-safe.
+   */
+  target_client(std::string owner,
+                exchange_registry& exchanges,
+                post_event post);
+  ~target_client();
+
+  target_client(const target_client&) = delete;
+  target_client& operator=(const target_client&) = delete;
+
+  /** @brief Sends a request to a target. Returns at once. */
+  void Start(const start_attempt& effect);
+
+  /** @brief Asks for a stream again on a new connection. Returns at once. */
+  void Resume(const resume_attempt& effect);
+
+  /** @brief Drops the attempt's connection and cancels its stream. */
+  void Cancel(const cancel_attempt& effect);
+
+ private:
+  class connection;
+  using connection_ptr = std::shared_ptr<connection>;
+
+  [[nodiscard]] connection_ptr Replace(const attempt_id& id);
+  void Drop(const attempt_id& id);
+  void Forget(const connection_ptr& link);
+  void Spawn(std::function<void()> task);
+  void SpawnConnection(const connection_ptr& link,
+                       std::function<void()> function);
+  void RunCompletion(const connection_ptr& link,
+                     const start_attempt& effect,
+                     const exchange& source);
+  void RunServiceCall(const connection_ptr& link,
+                      const start_attempt& effect,
+                      const exchange& source);
+  void RunResume(const connection_ptr& link, const resume_attempt& effect);
+
+  const std::string owner_;
+  exchange_registry& exchanges_;
+  const post_event post_;
+  std::mutex mutex_;
+  std::map<attempt_id, connection_ptr> connections_;
+  Poco::ThreadPool threads_;
+};
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/target_client/wire.cpp
@@ -0,0 +1,93 @@
+#include "acaciaferry/target_client/wire.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace acaciaferry {
+namespace internal {
+
+using nlohmann::json;
+
+vm_role ParseRole(const std::string& role) {
+  if (role == "engine") {
+    return vm_role::kEngine;
+  }
+  return role == "service" ? vm_role::kService : vm_role::kEntry;
+}
+
+vm_entry ReadVm(const json& value) {
+  return {.name = value.at("name").get<std::string>(),
+          .address = value.at("address").get<std::string>(),
+          .failure_domain = {value.at("failure_domain").get<std::string>()},
+          .region = {value.value("region", "")},
+          .role = ParseRole(value.at("role").get<std::string>()),
+          .pool = {value.value("pool", "")},
+          .leaving = value.value("state", "live") == "leaving",
+          .incarnation = value.value("incarnation", std::uint64_t{})};
+}
+
+load_report ReadReport(const json& value) {
+  const auto number = [&value](const char* key) {
+    return value.value(key, std::uint64_t{});
+  };
+  return {.target = {value.at("target").get<std::string>()},
+          .incarnation = value.at("incarnation").get<std::uint64_t>(),
+          .phase = value.value("state", "serving") == "leaving"
+                       ? target_phase::kLeaving
+                       : target_phase::kServing,
+          .sequence = number("sequence"),
+          .running = number("running"),
+          .waiting = number("waiting"),
+          .queued_prefill_tokens = number("queued_prefill_tokens"),
+          .kv_used_tokens = number("kv_used_tokens"),
+          .kv_capacity_tokens = number("kv_capacity_tokens"),
+          .prefill_tokens_per_s = value.value("prefill_tokens_per_s", 0.0),
+          .decode_ms_per_token = value.value("decode_ms_per_token", 0.0),
+          .models = value.value("models", std::vector<std::string>{}),
+          .fencing = number("fencing")};
+}
+
+stream_item ReadItem(const json& value) {
+  return {.offset = value.at("offset").get<std::uint64_t>(),
+          .text = value.value("text", ""),
+          .end = value.value("end", false),
+          .finish_reason = value.value("finish_reason", "")};
+}
+
+std::vector<vm_entry> ReadVmList(const json& value) {
+  std::vector<vm_entry> vms;
+  for (const json& vm : value.at("vms")) {
+    vms.push_back(ReadVm(vm));
+  }
+  return vms;
+}
+
+// nlohmann reports a missing or mistyped field by an exception.
+template <typename Result>
+std::optional<Result> Parse(std::string_view text,
+                            Result (*read)(const json&)) {
+  const json value = json::parse(text, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return read(value);
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace internal
+
+std::optional<stream_item> ParseStreamItem(std::string_view json) {
+  return internal::Parse(json, internal::ReadItem);
+}
+
+std::optional<load_report> ParseLoadReport(std::string_view json) {
+  return internal::Parse(json, internal::ReadReport);
+}
+
+std::optional<std::vector<vm_entry>> ParseVmList(std::string_view json) {
+  return internal::Parse(json, internal::ReadVmList);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/target_client/wire.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "acaciaferry/targets/target.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief One `data:` line of an engine's answer.
+ */
+struct stream_item {
+  std::uint64_t offset{};
+  std::string text;
+  bool end{};
+  std::string finish_reason;
+};
+
+/**
+ * @brief Parses the JSON of a `data:` line.
+ * @param json Text from a target.
+ * @return The item, or nothing when it is malformed.
+ */
+[[nodiscard]] std::optional<stream_item> ParseStreamItem(std::string_view json);
+
+/**
+ * @brief Parses a load report.
+ * @param json Text from a target.
+ * @return The report, or nothing when it is malformed.
+ */
+[[nodiscard]] std::optional<load_report> ParseLoadReport(std::string_view json);
+
+/**
+ * @brief Parses the platform's list of VMs.
+ * @param json Text from the platform.
+ * @return The list, or nothing when any line of it is malformed.
+ */
+[[nodiscard]] std::optional<std::vector<vm_entry>> ParseVmList(
+    std::string_view json);
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/targets/fwd.hpp
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace acaciaferry {
+
+struct load_report;
+struct target;
+struct targets_state;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/targets/state.cpp
@@ -0,0 +1,124 @@
+#include "acaciaferry/targets/state.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace acaciaferry {
+namespace internal {
+
+// Larger figures than any engine has are taken for corruption.
+constexpr std::uint64_t kMaxPlausibleTokens = 1'000'000'000;
+constexpr double kMaxPlausibleRate = 1e9;
+constexpr duration kSilentIncarnation = std::chrono::seconds(10);
+
+bool IsPlausible(const load_report& report) noexcept {
+  const bool tokens_plausible =
+      report.queued_prefill_tokens <= kMaxPlausibleTokens &&
+      report.kv_used_tokens <= kMaxPlausibleTokens &&
+      report.kv_capacity_tokens <= kMaxPlausibleTokens;
+  const auto rate_plausible = [](double rate) {
+    return std::isfinite(rate) && rate >= 0 && rate <= kMaxPlausibleRate;
+  };
+  return tokens_plausible && rate_plausible(report.prefill_tokens_per_s) &&
+         rate_plausible(report.decode_ms_per_token);
+}
+
+target MakeTarget(const vm_entry& entry) {
+  return {.id = {entry.name},
+          .address = entry.address,
+          .failure_domain = entry.failure_domain,
+          .pool = entry.pool,
+          .incarnation = entry.incarnation,
+          .leaving = entry.leaving,
+          .report = std::nullopt,
+          .reported_at = {}};
+}
+
+// The list lags: a target that has already reported a later incarnation, or
+// that it is leaving, is believed before the list.
+void KeepNewerKnowledge(const target& known, target& listed) {
+  const bool same_incarnation =
+      known.incarnation == listed.incarnation || known.report.has_value();
+  if (!same_incarnation) {
+    return;
+  }
+  listed.incarnation = known.incarnation;
+  listed.leaving = listed.leaving || known.leaving;
+  listed.report = known.report;
+  listed.reported_at = known.reported_at;
+}
+
+}  // namespace internal
+
+void ApplyVmList(targets_state& state, std::span<const vm_entry> vms) {
+  targets_state next;
+  for (const vm_entry& entry : vms) {
+    if (entry.role == vm_role::kEntry) {
+      continue;
+    }
+    target listed = internal::MakeTarget(entry);
+    if (const target* const known = FindTarget(state, listed.id)) {
+      internal::KeepNewerKnowledge(*known, listed);
+    }
+    next.targets.push_back(std::move(listed));
+  }
+  std::sort(next.targets.begin(), next.targets.end(),
+            [](const target& a, const target& b) { return a.id < b.id; });
+  for (std::size_t i = 0; i < next.targets.size(); ++i) {
+    next.index.emplace(next.targets[i].id, i);
+  }
+  state = std::move(next);
+}
+
+report_verdict ApplyLoadReport(targets_state& state,
+                               const load_report& report,
+                               time_point now) {
+  const auto found = state.index.find(report.target);
+  if (found == state.index.end()) {
+    return report_verdict::kUnknownTarget;
+  }
+  if (!internal::IsPlausible(report)) {
+    return report_verdict::kImplausible;
+  }
+  target& known = state.targets[found->second];
+  const bool same_incarnation =
+      known.report && known.report->incarnation == report.incarnation;
+  if (same_incarnation && report.sequence <= known.report->sequence) {
+    return report_verdict::kOldSequence;
+  }
+  // Incarnations grow with the start time. A lower one is a late report of an
+  // earlier process, unless the later one has been silent: then the target's
+  // clock was set back before it started again.
+  const bool later_is_silent =
+      known.reported_at + internal::kSilentIncarnation < now;
+  if (known.report && report.incarnation < known.report->incarnation &&
+      !later_is_silent) {
+    return report_verdict::kSupersededIncarnation;
+  }
+  const bool is_leaving = report.phase == target_phase::kLeaving;
+  known.leaving = is_leaving || (known.leaving && same_incarnation);
+  known.incarnation = report.incarnation;
+  known.report = report;
+  known.reported_at = now;
+  return report_verdict::kAccepted;
+}
+
+const target* FindTarget(const targets_state& state,
+                         const target_id& id) noexcept {
+  const auto found = state.index.find(id);
+  return found == state.index.end() ? nullptr : &state.targets[found->second];
+}
+
+std::vector<const target*> LiveTargets(const targets_state& state,
+                                       const pool_id& pool) {
+  std::vector<const target*> live;
+  for (const target& candidate : state.targets) {
+    if (candidate.pool == pool && !candidate.leaving) {
+      live.push_back(&candidate);
+    }
+  }
+  return live;
+}
+
+}  // namespace acaciaferry
