Generate deployment documents from questionnaire answers

Cause: operators change behaviour only through answers, so documents must follow from them and hand edits must be found.

--- a/src/acaciaferry/deployment/deployment.cpp
+++ b/src/acaciaferry/deployment/deployment.cpp
@@ -83,6 +83,12 @@
 void ReadSection(const ini_section& section,
                  std::vector<setting_fault>& faults,
                  deployment& result) {
+  // The generator's own lines and the answers, which CheckDocument reads.
+  const bool is_setting =
+      section.kind != "generator" && !section.kind.starts_with("answer-");
+  if (!is_setting) {
+    return;
+  }
   ini_reader reader(section, faults);
   if (section.kind == "deployment") {
     result.name = reader.Text("name");
--- /dev/null
+++ b/src/acaciaferry/questionnaire/derive.cpp
@@ -0,0 +1,230 @@
+#include "acaciaferry/questionnaire/derive.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <type_traits>
+#include <utility>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr double kMillisecondsPerSecond = 1'000;
+constexpr double kSecondsPerMinute = 60;
+// Largest share of engines that is kept free of long prompts even when no
+// long prompt matters.
+constexpr double kMaxShortOnlyFloor = 0.4;
+constexpr double kBaseRetryBudget = 0.1;
+// Where a lost request is severe, more of the capacity may go into retries.
+constexpr double kSevereLossRetryBudget = 0.2;
+constexpr double kLargeWeight = 3;
+constexpr double kSmallWeight = 1;
+constexpr std::uint64_t kMinQueueLimit = 16;
+constexpr double kLowestPriority = 9;
+constexpr std::uint64_t kMaxQueueLimit = 100'000;
+
+std::string Format(double value) {
+  std::array<char, 32> digits{};
+  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                 value, std::chars_format::fixed);
+  return {digits.data(), end.ptr};
+}
+
+std::string Format(std::uint64_t value) {
+  return std::to_string(value);
+}
+
+std::string Format(bool value) {
+  return value ? "yes" : "no";
+}
+
+double ShortShare(const answers& given) {
+  return given.short_requests / (given.short_requests + given.long_requests);
+}
+
+// Rounds to two decimals, so that documents stay readable and comparable.
+double Round(double value) {
+  return std::round(value * 100) / 100;
+}
+
+class deriver {
+ public:
+  explicit deriver(const answers& given) : given_(given) {}
+
+  std::vector<derived_setting> Run() {
+    DeriveDeployment();
+    DerivePolicy();
+    for (const model_answers& each : given_.models) {
+      DeriveModel(each);
+    }
+    for (const service_answers& each : given_.services) {
+      DeriveService(each);
+    }
+    for (const workload_answers& each : given_.workloads) {
+      DeriveWorkload(each);
+    }
+    for (const workspace_answers& each : given_.workspaces) {
+      DeriveWorkspace(each);
+    }
+    return std::move(settings_);
+  }
+
+ private:
+  void Begin(std::string section, std::string answers_section) {
+    section_ = std::move(section);
+    answers_section_ = std::move(answers_section);
+  }
+
+  // Sources without a dot are keys of the current section of the answers.
+  template <typename Value>
+  void Set(std::string key,
+           const Value& value,
+           std::string rule,
+           std::vector<std::string> sources) {
+    for (std::string& source : sources) {
+      if (source.find('.') == std::string::npos) {
+        source = answers_section_ + "." + source;
+      }
+    }
+    std::string text;
+    if constexpr (std::is_same_v<Value, std::string>) {
+      text = value;
+    } else {
+      text = Format(value);
+    }
+    settings_.push_back({section_, std::move(key), std::move(text),
+                         std::move(rule), std::move(sources)});
+  }
+
+  template <typename Value>
+  void Copy(std::string key, const Value& value, std::string source) {
+    Set(std::move(key), value, "The answer as given.", {std::move(source)});
+  }
+
+  void DeriveDeployment() {
+    Begin("deployment", "team");
+    Copy("name", given_.name, "name");
+  }
+
+  void DerivePolicy() {
+    Begin("policy", "team");
+    Copy("short_weight", given_.short_requests, "priorities.short_requests");
+    Copy("long_weight", given_.long_requests, "priorities.long_requests");
+    Set("short_only_floor", Round(kMaxShortOnlyFloor * ShortShare(given_)),
+        "0.4 times the weight of short requests in both weights: that share of "
+        "the engines takes no long prompts.",
+        {"priorities.short_requests", "priorities.long_requests"});
+    Set("retry_budget", RetryBudget(),
+        "0.1, or 0.2 when a lost request of any workload is severe.",
+        LossSources());
+    Copy("entry_vms", given_.entry_vms, "entry_vms");
+    Copy("failure_domains", given_.failure_domains, "failure_domains");
+    Copy("weight_store_rate", given_.weight_store_reads_per_second,
+         "weight_store_reads_per_second");
+  }
+
+  [[nodiscard]] double RetryBudget() const {
+    const bool is_severe =
+        std::any_of(given_.workloads.begin(), given_.workloads.end(),
+                    [](const workload_answers& each) {
+                      return each.if_lost == harm::kSevere;
+                    });
+    return is_severe ? kSevereLossRetryBudget : kBaseRetryBudget;
+  }
+
+  [[nodiscard]] std::vector<std::string> LossSources() const {
+    std::vector<std::string> sources;
+    for (const workload_answers& each : given_.workloads) {
+      sources.push_back("workload." + each.name + ".harm_if_lost");
+    }
+    return sources;
+  }
+
+  void DeriveModel(const model_answers& model) {
+    Begin("pool." + model.name, "model." + model.name);
+    Set("kind", std::string("model"), "It has a model section.", {});
+    Copy("checks_fencing", model.refuses_old_orders, "refuses_old_orders");
+    Copy("kv_capacity_tokens", model.memory_tokens, "memory_tokens");
+  }
+
+  void DeriveService(const service_answers& service) {
+    Begin("pool." + service.name, "service." + service.name);
+    Set("kind", std::string("service"), "It has a service section.", {});
+    Copy("deduplicates", service.deduplicates, "deduplicates");
+  }
+
+  void DeriveWorkload(const workload_answers& work) {
+    Begin("workload." + work.name, "workload." + work.name);
+    Copy("pool", work.runs_on, "runs_on");
+    if (work.longest_prompt_tokens > 0) {
+      Copy("max_prompt_tokens", work.longest_prompt_tokens,
+           "longest_prompt_tokens");
+      Copy("max_output_tokens", work.longest_answer_tokens,
+           "longest_answer_tokens");
+    } else {
+      Copy("method", work.method, "method");
+      Copy("path_prefix", work.path, "path");
+    }
+    Set("deadline_ms",
+        static_cast<std::uint64_t>(
+            std::llround(work.answer_within_seconds * kMillisecondsPerSecond)),
+        "The answer in milliseconds.", {"answer_within_seconds"});
+    Set("priority", Priority(work),
+        "Longer prompts come later at the engine, by the weight of short "
+        "requests; the harm of lateness brings them forward again.",
+        {"longest_prompt_tokens", "harm_if_late", "priorities.short_requests",
+         "priorities.long_requests"});
+    Copy("idempotent", work.safe_to_repeat, "safe_to_repeat");
+    Set("queue_limit", QueueLimit(work),
+        "Twice the requests that reach one entry VM within the answer time at "
+        "the peak, at least 16.",
+        {"requests_per_minute", "answer_within_seconds", "team.entry_vms"});
+  }
+
+  [[nodiscard]] std::uint64_t Priority(const workload_answers& work) const {
+    const auto length =
+        static_cast<double>(ClassifyLength(work.longest_prompt_tokens));
+    const double by_length = kLowestPriority * length /
+                             static_cast<double>(kLengthClasses - 1) *
+                             ShortShare(given_);
+    const double by_harm = static_cast<double>(work.if_late);
+    const double priority = std::round(by_length) - by_harm;
+    return static_cast<std::uint64_t>(
+        std::clamp(priority, 0.0, kLowestPriority));
+  }
+
+  [[nodiscard]] std::uint64_t QueueLimit(const workload_answers& work) const {
+    const double arrivals = work.requests_per_minute / kSecondsPerMinute *
+                            work.answer_within_seconds /
+                            static_cast<double>(given_.entry_vms);
+    const auto limit = static_cast<std::uint64_t>(std::ceil(2 * arrivals));
+    return std::clamp(limit, kMinQueueLimit, kMaxQueueLimit);
+  }
+
+  void DeriveWorkspace(const workspace_answers& space) {
+    Begin("workspace." + space.name, "workspace." + space.name);
+    Copy("token_digest", space.token_digest, "token_digest");
+    Set("weight", space.is_large ? kLargeWeight : kSmallWeight,
+        "3 for a large workspace and 1 for a small one: their shares of a full "
+        "fleet. What others leave unused is shared as well.",
+        {"size"});
+    Copy("tokens_per_second", space.limit_tokens_per_second,
+         "limit_tokens_per_second");
+  }
+
+  const answers& given_;
+  std::string section_;
+  std::string answers_section_;
+  std::vector<derived_setting> settings_;
+};
+
+}  // namespace internal
+
+std::vector<derived_setting> DeriveSettings(const answers& given) {
+  return internal::deriver(given).Run();
+}
+
+}  // namespace acaciaferry
