--- /dev/null
+++ b/apps/acaciaferryctl/command.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace ctl {
+
+/** Exit codes of the tool. */
+enum exit_code : int {
+  kOk = 0,
+  kFailed = 1,
+  kUsage = 2,
+  /** The answers or the document have faults. */
+  kFaults = 3,
+};
+
+/**
+ * @brief Arguments after the name of a command.
+ */
+using arguments = std::span<const std::string>;
+
+/**
+ * @brief A command of the tool.
+ */
+struct command {
+  std::string_view name;
+  std::string_view summary;
+  int (*run)(arguments);
+};
+
+/**
+ * @brief Lists the commands in the order of the help text.
+ * @return A static table.
+ */
+[[nodiscard]] std::span<const command> Commands() noexcept;
+
+/** @brief Works on answers: ask, check, generate, explain and diff. */
+int RunQuestionnaire(arguments arguments);
+
+}  // namespace ctl
--- /dev/null
+++ b/apps/acaciaferryctl/main.cpp
@@ -0,0 +1,64 @@
+#include <Poco/Exception.h>
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "command.hpp"
+
+namespace ctl {
+namespace {
+
+constexpr std::array kCommands{
+    command{"questionnaire", "ask, check, generate, explain or diff answers",
+            RunQuestionnaire},
+};
+
+void PrintHelp(std::ostream& out) {
+  out << "usage: acaciaferryctl COMMAND [ARGUMENTS]\n\n";
+  for (const command& each : kCommands) {
+    out << "  " << each.name
+        << std::string(16 - std::min<std::size_t>(15, each.name.size()), ' ')
+        << each.summary << '\n';
+  }
+  out << "\n`acaciaferryctl COMMAND --help` explains one command.\n";
+}
+
+}  // namespace
+
+std::span<const command> Commands() noexcept {
+  return kCommands;
+}
+
+}  // namespace ctl
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> words(argv + 1, argv + argc);
+  if (words.empty() || words.front() == "--help" || words.front() == "help") {
+    ctl::PrintHelp(words.empty() ? std::cerr : std::cout);
+    return words.empty() ? ctl::kUsage : ctl::kOk;
+  }
+  if (words.front() == "--version") {
+    std::cout << "acaciaferryctl 0.1.0\n";
+    return ctl::kOk;
+  }
+  const auto commands = ctl::Commands();
+  const auto found = std::find_if(commands.begin(), commands.end(),
+                                  [&words](const ctl::command& each) {
+                                    return each.name == words.front();
+                                  });
+  if (found == commands.end()) {
+    std::cerr << "acaciaferryctl: unknown command \"" << words.front()
+              << "\"\n";
+    ctl::PrintHelp(std::cerr);
+    return ctl::kUsage;
+  }
+  try {
+    return found->run(ctl::arguments(words).subspan(1));
+  } catch (const Poco::Exception& error) {
+    std::cerr << "acaciaferryctl: " << error.displayText() << '\n';
+    return ctl::kFailed;
+  }
+}
