--- /dev/null
+++ b/test/acaciaferry/reclamation/reclamation_test.cpp
@@ -0,0 +1,123 @@
+#include "acaciaferry/reclamation/reclamation.hpp"
+
+#include <string>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace std::chrono_literals;
+
+namespace {
+
+vm_entry EntryVm(const std::string& name, std::uint64_t incarnation) {
+  return {.name = name, .role = vm_role::kEntry, .incarnation = incarnation};
+}
+
+holding HeldBy(const std::string& owner,
+               std::uint64_t incarnation,
+               duration remaining) {
+  return {"h", holding_kind::kStream, {owner}, incarnation, remaining, 1'000};
+}
+
+}  // namespace
+
+TEST_GROUP(Reclamation) {
+  reclamation_state state;
+  time_point now{};
+
+  // Lists the VMs once a second for a while.
+  void List(const std::vector<vm_entry>& vms, std::chrono::seconds period) {
+    for (const time_point end = now + period; now < end; now += 1s) {
+      ObserveVmList(state, vms, now);
+    }
+  }
+};
+
+// Guards against memory that is lost because its owner died.
+TEST(Reclamation, OwnerMissingFromTheListForLongIsGone) {
+  List({EntryVm("a", 1)}, 3s);
+  List({}, 31s);
+  CHECK(ReasonToRelease(state, HeldBy("a", 1, 60s), now) ==
+        release_reason::kOwnerGone);
+}
+
+// Guards against the release of what a restarted VM no longer knows of being
+// delayed until the deadline.
+TEST(Reclamation, SupersededIncarnationIsReleased) {
+  List({EntryVm("a", 2)}, 1s);
+  CHECK(ReasonToRelease(state, HeldBy("a", 1, 60s), now) ==
+        release_reason::kOwnerSuperseded);
+  CHECK_FALSE(ReasonToRelease(state, HeldBy("a", 2, 60s), now).has_value());
+  // The list lags: a holding of a later incarnation than it names is in use.
+  CHECK_FALSE(ReasonToRelease(state, HeldBy("a", 3, 60s), now).has_value());
+}
+
+// Guards against the release of live work while the platform is unreachable:
+// without a fresh list nobody counts as gone.
+TEST(Reclamation, StaleListReleasesNothingBeforeTheDeadline) {
+  List({EntryVm("a", 1)}, 3s);
+  List({}, 1s);
+  now += 10min;
+  CHECK_FALSE(ReasonToRelease(state, HeldBy("a", 1, 60s), now).has_value());
+  // The first list after the gap starts the absence anew.
+  ObserveVmList(state, std::vector<vm_entry>{}, now);
+  CHECK_FALSE(ReasonToRelease(state, HeldBy("a", 1, 60s), now).has_value());
+}
+
+// Guards against the release of a VM's work that is too new for the list.
+TEST(Reclamation, UnknownOwnerGetsTheFullAbsence) {
+  List({EntryVm("a", 1)}, 60s);
+  reclamation_effects out;
+  const holdings_listed event{{"e1"}, {HeldBy("new", 9, 60s)}};
+  OnHoldingsListed(state, event, "address", now, out);
+  CHECK(out.empty());
+  List({EntryVm("a", 1)}, 31s);
+  OnHoldingsListed(state, event, "address", now, out);
+  CHECK_EQUAL(1U, out.size());
+}
+
+// Guards against both faults at once: a holding is never released while its
+// owner is listed with that incarnation and its deadline has not passed, and
+// always once its deadline and the grace are over.
+TEST(Reclamation, LiveOwnersKeepTheirHoldings) {
+  CHECK_TRUE(rc::check([] {
+    reclamation_state state;
+    time_point now{};
+    const auto steps = *rc::gen::inRange(1, 80);
+    bool is_listed = true;
+    time_point last_listed{};
+    for (int i = 0; i < steps; ++i) {
+      now += std::chrono::milliseconds(*rc::gen::inRange(100, 9'000));
+      is_listed = *rc::gen::inRange(0, 4) != 0;
+      const std::vector<vm_entry> live{EntryVm("a", 5)};
+      ObserveVmList(state, is_listed ? live : std::vector<vm_entry>{}, now);
+      last_listed = is_listed ? now : last_listed;
+      const bool was_live = now - last_listed < kOwnerAbsence;
+      const duration remaining =
+          std::chrono::milliseconds(*rc::gen::inRange(-30'000, 30'000));
+      const auto reason =
+          ReasonToRelease(state, HeldBy("a", 5, remaining), now);
+      if (remaining <= -kHoldingGrace) {
+        RC_ASSERT(reason == release_reason::kDeadlinePassed);
+      } else if (was_live) {
+        RC_ASSERT(!reason.has_value());
+      }
+    }
+  }));
+}
+
+// Guards against listing every target at every turn.
+TEST(Reclamation, SweepsEachTargetOncePerInterval) {
+  target engine;
+  engine.id = {"e1"};
+  const std::vector<const target*> responsible{&engine};
+  reclamation_effects out;
+  SweepTargets(state, responsible, now, out);
+  SweepTargets(state, responsible, now + 1s, out);
+  CHECK_EQUAL(1U, out.size());
+  SweepTargets(state, responsible, now + kSweepInterval, out);
+  CHECK_EQUAL(2U, out.size());
+}
