--- a/src/acaciaferry/deployment/deployment.cpp
+++ b/src/acaciaferry/deployment/deployment.cpp
@@ -12,6 +12,17 @@
 constexpr std::uint64_t kDefaultQueueLimit = 256;
 constexpr std::size_t kDigestLength = 64;
 
+// Splits a list at its commas.
+std::vector<std::string> SplitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    items.emplace_back(text.substr(0, comma));
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return items;
+}
+
 pool ReadPool(const ini_section& section, ini_reader reader) {
   pool result;
   result.id.value = section.label;
@@ -26,6 +37,7 @@
       result.kv_capacity_tokens == 0) {
     reader.Fault("kv_capacity_tokens", "a number above 0 for a model pool");
   }
+  result.models = SplitList(reader.TextOr("models", ""));
   reader.RejectUnknownKeys();
   return result;
 }
--- a/src/acaciaferry/deployment/deployment.hpp
+++ b/src/acaciaferry/deployment/deployment.hpp
@@ -24,6 +24,9 @@
   bool checks_fencing{};
   /** KV memory of one engine in tokens; zero for plain services. */
   std::uint64_t kv_capacity_tokens{};
+  /** Models, with their versions and adapters, that each engine must have
+   * loaded, as its load report names them; empty for plain services. */
+  std::vector<std::string> models;
 };
 
 /**
--- a/src/acaciaferry/questionnaire/answers.cpp
+++ b/src/acaciaferry/questionnaire/answers.cpp
@@ -24,7 +24,7 @@
 
   std::string Text(std::string_view key) {
     const question& asked = FindQuestion(kind_, key);
-    const bool is_optional = asked.default_answer == "*" || key == "path";
+    const bool is_optional = !asked.default_answer.empty() || key == "path";
     return is_optional ? reader_.TextOr(key, asked.default_answer)
                        : reader_.Text(key);
   }
@@ -73,7 +73,9 @@
               static_cast<double>(reader.Number("prefill_tokens_per_second")),
           .answer_tokens_per_second =
               static_cast<double>(reader.Number("answer_tokens_per_second")),
-          .refuses_old_orders = reader.YesNo("refuses_old_orders")};
+          .refuses_old_orders = reader.YesNo("refuses_old_orders"),
+          .version = reader.Text("version"),
+          .adapters = reader.Text("adapters")};
 }
 
 service_answers ReadService(const std::string& name, answer_reader& reader) {
--- a/src/acaciaferry/questionnaire/answers.hpp
+++ b/src/acaciaferry/questionnaire/answers.hpp
@@ -20,6 +20,9 @@
   double prefill_tokens_per_second{};
   double answer_tokens_per_second{};
   bool refuses_old_orders{};
+  std::string version;
+  /** Separated by commas; `-` for none. */
+  std::string adapters;
 };
 
 struct service_answers {
--- a/src/acaciaferry/questionnaire/derive.cpp
+++ b/src/acaciaferry/questionnaire/derive.cpp
@@ -148,6 +148,23 @@
     Set("kind", std::string("model"), "It has a model section.", {});
     Copy("checks_fencing", model.refuses_old_orders, "refuses_old_orders");
     Copy("kv_capacity_tokens", model.memory_tokens, "memory_tokens");
+    Set("models", LoadedModels(model),
+        "The model with its version, and the same with each adapter.",
+        {"version", "adapters"});
+  }
+
+  // For example `batch-model@v1,batch-model@v1+audit`.
+  static std::string LoadedModels(const model_answers& model) {
+    const std::string base = model.name + "@" + model.version;
+    std::string list = base;
+    std::string_view adapters = model.adapters == "-" ? "" : model.adapters;
+    while (!adapters.empty()) {
+      const std::size_t comma = std::min(adapters.find(','), adapters.size());
+      list.append(",").append(base).append("+").append(
+          adapters.substr(0, comma));
+      adapters.remove_prefix(std::min(comma + 1, adapters.size()));
+    }
+    return list;
   }
 
   void DeriveService(const service_answers& service) {
--- a/src/acaciaferry/questionnaire/document.cpp
+++ b/src/acaciaferry/questionnaire/document.cpp
@@ -215,6 +215,8 @@
     out.Entry("prefill_tokens_per_second", each.prefill_tokens_per_second);
     out.Entry("answer_tokens_per_second", each.answer_tokens_per_second);
     out.Flag("refuses_old_orders", each.refuses_old_orders);
+    out.Entry("version", each.version);
+    out.Entry("adapters", each.adapters);
   }
   for (const service_answers& each : given.services) {
     out.Section(prefix, "service", each.name);
--- a/src/acaciaferry/questionnaire/question.cpp
+++ b/src/acaciaferry/questionnaire/question.cpp
@@ -46,6 +46,13 @@
              "Do its engines refuse an order with an old fencing number?", "",
              kYesNo, 0, 0, "yes", ""},
 
+    question{"model", "version", "Which version of the model is served?", "",
+             kText, 0, 0, "v1", ""},
+    question{"model", "adapters",
+             "Which adapters are loaded beside it? Names separated by commas, "
+             "- for none.",
+             "", kText, 0, 0, "audit,letters", "-"},
+
     question{"service", "targets", "How many targets serve this service?",
              "targets", kNumber, 1, 100'000, "3", ""},
     question{"service", "deduplicates",
