--- /dev/null
+++ b/src/acaciaferry/administration/views.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/reducer/state.hpp"
+
+namespace acaciaferry {
+
+/** @return This VM, its configuration's revision and what it is doing. */
+[[nodiscard]] nlohmann::json StatusView(const state& state);
+
+/** @return One object for each target, with its load as last reported. */
+[[nodiscard]] nlohmann::json TargetsView(const state& state, time_point now);
+
+/** @return One object for each workspace; digests are left out. */
+[[nodiscard]] nlohmann::json WorkspacesView(const state& state);
+
+/** @return The pools, workloads and policy in force. */
+[[nodiscard]] nlohmann::json ConfigurationView(const state& state);
+
+/** @return One object for each request that has not ended. */
+[[nodiscard]] nlohmann::json RequestsView(const state& state, time_point now);
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/http/operators_listener.cpp
+++ b/src/acaciaferry/http/operators_listener.cpp
@@ -8,7 +8,9 @@
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/URI.h>
 
+#include <istream>
 #include <ostream>
 
 namespace acaciaferry {
@@ -18,6 +20,11 @@
 using Poco::Net::HTTPServerRequest;
 using Poco::Net::HTTPServerResponse;
 
+const std::string kText = "text/plain; version=0.0.4";
+const std::string kJson = "application/json";
+// The size limit of the platform's configuration values.
+constexpr std::size_t kMaxAdministrationBytes = 1 << 20;
+
 class operators_handler final : public Poco::Net::HTTPRequestHandler {
  public:
   explicit operators_handler(operators_context& context) : context_(context) {}
@@ -31,6 +38,8 @@
       context_.ready ? Send(response, HTTPResponse::HTTP_OK, "ready\n")
                      : Send(response, HTTPResponse::HTTP_SERVICE_UNAVAILABLE,
                             "not ready\n");
+    } else if (path.starts_with("/admin/")) {
+      Administer(request, response);
     } else if (path == "/metrics") {
       Send(response, HTTPResponse::HTTP_OK,
            context_.metrics.ToPrometheusText());
@@ -40,11 +49,29 @@
   }
 
  private:
+  void Administer(HTTPServerRequest& request, HTTPServerResponse& response) {
+    if (!context_.tokens.Accepts(request.get("Authorization", ""))) {
+      Send(response, HTTPResponse::HTTP_UNAUTHORIZED,
+           "{\"error\": {\"code\": \"unauthenticated\"}}\n", kJson);
+      return;
+    }
+    std::string body(kMaxAdministrationBytes, '\0');
+    request.stream().read(body.data(),
+                          static_cast<std::streamsize>(body.size()));
+    body.resize(static_cast<std::size_t>(request.stream().gcount()));
+    const std::string path = Poco::URI(request.getURI()).getPath();
+    const administration_reply reply =
+        Administrate(context_.administration, request.getMethod(), path, body);
+    Send(response, static_cast<HTTPResponse::HTTPStatus>(reply.status),
+         reply.body, kJson);
+  }
+
   static void Send(HTTPServerResponse& response,
                    HTTPResponse::HTTPStatus status,
-                   const std::string& body) {
+                   const std::string& body,
+                   const std::string& content_type = kText) {
     response.setStatusAndReason(status);
-    response.setContentType("text/plain; version=0.0.4");
+    response.setContentType(content_type);
     response.setContentLength(static_cast<std::streamsize>(body.size()));
     response.send() << body;
   }
@@ -82,4 +109,8 @@
   server_->stopAll(true);
 }
 
+std::uint16_t operators_listener::Port() const {
+  return server_->port();
+}
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/http/operators_listener.hpp
+++ b/src/acaciaferry/http/operators_listener.hpp
@@ -7,6 +7,8 @@
 #include <memory>
 #include <string>
 
+#include "acaciaferry/administration/api.hpp"
+#include "acaciaferry/administration/token_check.hpp"
 #include "acaciaferry/metrics/registry.hpp"
 
 namespace acaciaferry {
@@ -16,12 +18,16 @@
  */
 struct operators_context {
   const metrics_registry& metrics;
+  administration_context administration;
+  /** Without tokens nobody may use the administration API. */
+  token_check tokens;
   /** Whether the balancer may send callers to this VM. */
   std::atomic<bool> ready{};
 };
 
 /**
- * @brief The HTTP listener for operators: /healthz, /readyz and /metrics.
+ * @brief The HTTP listener for operators: /healthz, /readyz, /metrics and,
+ * with a token, the administration API below /admin/v1.
  */
 class operators_listener {
  public:
@@ -36,6 +42,9 @@
   operators_listener(const operators_listener&) = delete;
   operators_listener& operator=(const operators_listener&) = delete;
 
+  /** @return The port that was bound. */
+  [[nodiscard]] std::uint16_t Port() const;
+
  private:
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/src/acaciaferry/http/workspace_directory.cpp
+++ b/src/acaciaferry/http/workspace_directory.cpp
@@ -1,7 +1,6 @@
 #include "acaciaferry/http/workspace_directory.hpp"
 
-#include <Poco/DigestEngine.h>
-#include <Poco/SHA2Engine.h>
+#include "acaciaferry/core/token_digest.hpp"
 
 namespace acaciaferry {
 
@@ -41,10 +40,4 @@
   return current_;
 }
 
-std::string TokenDigest(std::string_view token) {
-  Poco::SHA2Engine engine(Poco::SHA2Engine::SHA_256);
-  engine.update(token.data(), token.size());
-  return Poco::DigestEngine::digestToHex(engine.digest());
-}
-
 }  // namespace acaciaferry
--- a/src/acaciaferry/http/workspace_directory.hpp
+++ b/src/acaciaferry/http/workspace_directory.hpp
@@ -45,11 +45,4 @@
   std::shared_ptr<const content> current_{std::make_shared<content>()};
 };
 
-/**
- * @brief Computes the digest under which a token is kept.
- * @param token The token.
- * @return Its SHA-256 in lower-case hexadecimal.
- */
-[[nodiscard]] std::string TokenDigest(std::string_view token);
-
 }  // namespace acaciaferry
--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -43,6 +43,10 @@
   ++reports_[static_cast<std::size_t>(verdict)];
 }
 
+std::uint64_t metrics_registry::Value(failure_code code) const noexcept {
+  return refusals_[static_cast<std::size_t>(code)];
+}
+
 std::string metrics_registry::ToPrometheusText() const {
   using internal::AppendHelp;
   using internal::AppendValue;
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -22,6 +22,9 @@
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
 
+  /** @return How many requests were refused or failed for this reason. */
+  [[nodiscard]] std::uint64_t Value(failure_code code) const noexcept;
+
   /** @return All counters in the Prometheus text format. */
   [[nodiscard]] std::string ToPrometheusText() const;
 
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -77,7 +77,13 @@
                  workspaces_,
                  metrics_,
                  [this](event value) { loop_.Post(std::move(value)); }},
-        operators_{metrics_} {
+        operators_{
+            metrics_,
+            {[this](const event_loop::inspection& function) {
+               loop_.Inspect(function);
+             },
+             [this] { Drain(); }, clock_, metrics_},
+            token_check(internal::ReadFile(settings_.operators_token_file))} {
     loop_.Start();
     LoadDeploymentFile();
     callers_server_ = std::make_unique<callers_listener>(callers_);
@@ -90,10 +96,12 @@
     load_task_ = std::make_unique<periodic_task>(
         internal::kLoadPause,
         [this, sink] { PollLoadReports(TargetAddresses(), sink); });
-    LOG4CPLUS_INFO(internal::Logger(),
-                   "event=started port=" << callers_server_->Port()
-                                         << " vm=" << settings_.vm.value
-                                         << " incarnation=" << incarnation_);
+    LOG4CPLUS_INFO(
+        internal::Logger(),
+        "event=started port=" << callers_server_->Port()
+                              << " operators=" << operators_server_->Port()
+                              << " vm=" << settings_.vm.value
+                              << " incarnation=" << incarnation_);
   }
 
   ~parts() {
