Add acaciaferryctl's remote commands

Cause: the administration API needs a tool that prints it for people and for scripts. Change: status, targets, peers, workspaces, configuration, refusals, requests, explain, drain and watch, as text or JSON, with exit codes.

--- a/apps/acaciaferryctl/command.hpp
+++ b/apps/acaciaferryctl/command.hpp
@@ -36,6 +36,24 @@
 [[nodiscard]] std::span<const command> Commands() noexcept;
 
 /** @brief Works on answers: ask, check, generate, explain and diff. */
-int RunQuestionnaire(arguments arguments);
+int RunQuestionnaire(arguments words);
+
+/** @brief Show what a daemon's administration API tells. */
+int RunStatus(arguments words);
+int RunTargets(arguments words);
+int RunPeers(arguments words);
+int RunWorkspaces(arguments words);
+int RunConfiguration(arguments words);
+int RunRefusals(arguments words);
+int RunRequests(arguments words);
+
+/** @brief Tells why one request went where it went. */
+int RunExplain(arguments words);
+
+/** @brief Starts a graceful shutdown of a daemon. */
+int RunDrain(arguments words);
+
+/** @brief Shows status and targets again and again. */
+int RunWatch(arguments words);
 
 }  // namespace ctl
--- a/apps/acaciaferryctl/main.cpp
+++ b/apps/acaciaferryctl/main.cpp
@@ -1,4 +1,5 @@
 #include <Poco/Exception.h>
+#include <tclap/ArgException.h>
 
 #include <algorithm>
 #include <array>
@@ -14,6 +15,18 @@
 constexpr std::array kCommands{
     command{"questionnaire", "ask, check, generate, explain or diff answers",
             RunQuestionnaire},
+    command{"status", "what a VM is doing", RunStatus},
+    command{"targets", "the targets that a VM knows, with their load",
+            RunTargets},
+    command{"peers", "the other VMs that a VM knows", RunPeers},
+    command{"workspaces", "the workspaces, their weights and limits",
+            RunWorkspaces},
+    command{"configuration", "the configuration in force", RunConfiguration},
+    command{"refusals", "refused and failed requests by reason", RunRefusals},
+    command{"requests", "the requests that have not ended", RunRequests},
+    command{"explain", "why one request went where it went", RunExplain},
+    command{"drain", "start a graceful shutdown of a VM", RunDrain},
+    command{"watch", "show status and targets every second", RunWatch},
 };
 
 void PrintHelp(std::ostream& out) {
@@ -23,6 +36,9 @@
         << std::string(16 - std::min<std::size_t>(15, each.name.size()), ' ')
         << each.summary << '\n';
   }
+  out << "\nexamples:\n"
+         "  acaciaferryctl status --address 10.0.0.7:9090 --token-file token\n"
+         "  acaciaferryctl targets --output json\n";
   out << "\n`acaciaferryctl COMMAND --help` explains one command.\n";
 }
 
@@ -60,5 +76,8 @@
   } catch (const Poco::Exception& error) {
     std::cerr << "acaciaferryctl: " << error.displayText() << '\n';
     return ctl::kFailed;
+  } catch (const TCLAP::ArgException& error) {
+    std::cerr << "acaciaferryctl: " << error.error() << '\n';
+    return ctl::kUsage;
   }
 }
