Learn target rates and predict the cost of requests

Cause: routing and admission had no measure of work but the sum of a request's tokens, and no idea of how fast a target is.

Change: add the cost module. It predicts uncached prefill, decode and KV memory, and blends each target's reported rates with its observed work. Observations of a superseded incarnation are dropped, implausible ones are counted, and old ones fade with each report.

--- /dev/null
+++ b/test/acaciaferry/cost/cost_test.cpp
@@ -0,0 +1,112 @@
+#include "acaciaferry/cost/cost.hpp"
+
+#include <cmath>
+#include <cstdint>
+#include <limits>
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+
+namespace {
+
+target Engine(double prefill, double decode_ms) {
+  target result;
+  result.id.value = "e1";
+  result.incarnation = 1;
+  result.report = load_report{.prefill_tokens_per_s = prefill,
+                              .decode_ms_per_token = decode_ms};
+  return result;
+}
+
+}  // namespace
+
+TEST_GROUP(Cost){};
+
+// Guards against one absurd report or measurement that makes a prediction
+// infinite, negative or zero for good.
+TEST(Cost, RatesStayWithinBoundsWhateverIsObserved) {
+  CHECK_TRUE(rc::check(
+      [](const std::vector<std::tuple<double, std::int64_t, bool>>& observed,
+         double prefill, double decode) {
+        cost_state state;
+        const target engine = Engine(prefill, decode);
+        for (const auto& [tokens, microseconds, is_first] : observed) {
+          const duration elapsed(microseconds);
+          is_first ? ObserveFirstChunk(state, engine, tokens, elapsed)
+                   : ObserveNextChunk(state, engine, tokens, elapsed);
+          ObserveEnd(state, {"m"}, tokens, elapsed, duration(1'000));
+        }
+        const target_rates rates = RatesOf(state, engine);
+        RC_ASSERT(std::isfinite(rates.prefill_tokens_per_s));
+        RC_ASSERT(rates.prefill_tokens_per_s > 0);
+        RC_ASSERT(std::isfinite(rates.decode_s_per_token));
+        RC_ASSERT(rates.decode_s_per_token > 0);
+        const learnt_pool pool = PoolOf(state, {"m"});
+        RC_ASSERT(pool.output_fraction >= 0 && pool.output_fraction <= 1);
+        RC_ASSERT(pool.run_ratio >= 0.5 && pool.run_ratio <= 4);
+        RC_ASSERT(std::isfinite(pool.residence_s) && pool.residence_s > 0);
+      }));
+}
+
+// Guards against predictions that keep following a wrong or missing report
+// after the target's work has shown its speed.
+TEST(Cost, LearnsTheRateThatTheTargetShows) {
+  for (const double reported : {0.0, 5'000.0, 20'000.0}) {
+    cost_state state;
+    const target engine = Engine(reported, 30);
+    for (int i = 0; i < 200; ++i) {
+      ObserveFirstChunk(state, engine, 8'000, std::chrono::seconds(1));
+      ObserveNextChunk(state, engine, 1, std::chrono::milliseconds(60));
+    }
+    const target_rates rates = RatesOf(state, engine);
+    CHECK_TRUE(std::abs(rates.prefill_tokens_per_s / 8'000 - 1) < 0.2);
+    CHECK_TRUE(std::abs(rates.decode_s_per_token / 0.06 - 1) < 0.2);
+  }
+}
+
+// Guards against the rates of a dead process being used for its successor, and
+// against a target that was once slow and is avoided for ever.
+TEST(Cost, ForgetsSupersededIncarnationsAndFadesOldWork) {
+  cost_state state;
+  target engine = Engine(10'000, 30);
+  for (int i = 0; i < 100; ++i) {
+    ObserveFirstChunk(state, engine, 10'000, std::chrono::seconds(4));
+  }
+  CHECK_TRUE(RatesOf(state, engine).prefill_tokens_per_s < 4'000);
+  target restarted = engine;
+  restarted.incarnation = 2;
+  DOUBLES_EQUAL(10'000, RatesOf(state, restarted).prefill_tokens_per_s, 1e-6);
+  for (int i = 0; i < 500; ++i) {
+    FadeRates(state, engine.id);
+  }
+  DOUBLES_EQUAL(10'000, RatesOf(state, engine).prefill_tokens_per_s, 10);
+}
+
+// Guards against measurements with a stepped clock being used uncounted.
+TEST(Cost, CountsImplausibleMeasurements) {
+  cost_state state;
+  const target engine = Engine(10'000, 30);
+  ObserveFirstChunk(state, engine, 8'000, duration(-5));
+  ObserveNextChunk(state, engine, std::nan(""), duration(5));
+  ObserveEnd(state, {"m"}, 1, duration(0), duration(5));
+  CHECK_EQUAL(3U, state.implausible);
+  CHECK_TRUE(state.targets.empty());
+  CHECK_TRUE(state.pools.empty());
+}
+
+// Guards against a cached prefix that is longer than the prompt, or not a
+// number, making a request free or negative.
+TEST(Cost, CachedPrefixNeverExceedsThePrompt) {
+  CHECK_TRUE(rc::check([](std::uint32_t prompt, double cached) {
+    request ask;
+    ask.prompt_tokens = prompt;
+    ask.max_output_tokens = 10;
+    const request_cost cost = PredictCost({}, ask, {}, cached);
+    RC_ASSERT(cost.prefill_tokens >= 1);
+    RC_ASSERT(cost.prefill_tokens <= std::max(1.0, double{1} * prompt));
+    RC_ASSERT(cost.kv_tokens == double{1} * prompt + 10);
+  }));
+}
