--- a/src/acaciaferry/admission/admission.cpp
+++ b/src/acaciaferry/admission/admission.cpp
@@ -10,9 +10,12 @@
 constexpr duration kLargestMargin = std::chrono::milliseconds(200);
 constexpr int kMarginDivisor = 20;
 
-failure Refuse(failure_code code) noexcept {
-  return {code, outcome::kNotRun, std::nullopt};
-}
+// The bounds of what a refused caller is told to wait.
+constexpr duration kShortestRetryAfter = std::chrono::milliseconds(500);
+constexpr duration kLongestRetryAfter = std::chrono::seconds(60);
+// A grown queue makes predictions worse: the wait in the queue counts for this
+// much more, so that what is admitted does finish.
+constexpr double kWaitMargin = 1.25;
 
 failure_code UnmatchedCode(const deployment& config,
                            const request& request) noexcept {
@@ -38,9 +41,37 @@
                                       time_point now) {
   const workload* const work = FindWorkload(config, request);
   if (work == nullptr) {
-    return internal::Refuse(internal::UnmatchedCode(config, request));
+    return NotRun(internal::UnmatchedCode(config, request));
   }
   return admitted{*work, now + internal::TimeLimit(*work, request)};
 }
 
+std::optional<failure> CheckProspect(const workload& work,
+                                     duration remaining,
+                                     const prospect& expected) {
+  const auto retry_after = [](duration wait) {
+    return std::clamp(wait, internal::kShortestRetryAfter,
+                      internal::kLongestRetryAfter);
+  };
+  if (expected.waiting >= work.queue_limit) {
+    return NotRun(failure_code::kQueueFull, retry_after(expected.wait));
+  }
+  if (!expected.is_grounded) {
+    return std::nullopt;
+  }
+  const duration finish =
+      FromSeconds(ToSeconds(expected.wait) * internal::kWaitMargin) +
+      std::max(expected.first_token, expected.run);
+  if (finish > remaining) {
+    return NotRun(failure_code::kDeadlineTooShort,
+                  retry_after(finish - remaining));
+  }
+  return std::nullopt;
+}
+
+failure NotRun(failure_code code,
+               std::optional<duration> retry_after) noexcept {
+  return {code, outcome::kNotRun, retry_after};
+}
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/admission/admission.hpp
+++ b/src/acaciaferry/admission/admission.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+#include <optional>
 #include <variant>
 
 #include "acaciaferry/core/failure.hpp"
@@ -28,4 +30,35 @@
                                                     const request& request,
                                                     time_point now);
 
+/**
+ * @brief What is predicted for a request that is about to be queued.
+ */
+struct prospect {
+  /** Time in this VM's queue. */
+  duration wait{};
+  /** From the dispatch to the first token, and to the end. */
+  duration first_token{};
+  duration run{};
+  /** Whether the prediction rests on a target's own figures. */
+  bool is_grounded{};
+  /** Requests of the same workload that wait. */
+  std::size_t waiting{};
+};
+
+/**
+ * @brief Refuses a request that is predicted to be late, or whose queue is
+ * full.
+ * @param work The request's workload.
+ * @param remaining Time until its deadline.
+ * @param expected The prediction.
+ * @return The refusal with the time after which it may succeed, or nothing.
+ */
+[[nodiscard]] std::optional<failure> CheckProspect(const workload& work,
+                                                   duration remaining,
+                                                   const prospect& expected);
+
+/** @return A refusal of a request that was not run. */
+[[nodiscard]] failure NotRun(failure_code code,
+                             std::optional<duration> retry_after = {}) noexcept;
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/admission/fwd.hpp
+++ b/src/acaciaferry/admission/fwd.hpp
@@ -2,6 +2,10 @@
 
 namespace acaciaferry {
 
-struct admission_verdict;
+struct admitted;
+struct lane;
+struct lane_id;
+struct waiting_queues;
+struct waiting_request;
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/admission/queues.cpp
@@ -0,0 +1,170 @@
+#include "acaciaferry/admission/queues.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr double kDrainHalfLifeSeconds = 5;
+// Too little time to tell a rate from.
+constexpr double kMinDrainSeconds = 0.2;
+constexpr double kMaxWaitSeconds = 1e6;
+
+std::size_t Slot(std::uint32_t priority) noexcept {
+  return std::min<std::size_t>(priority, kPriorities - 1);
+}
+
+// Advances the lane's clock; `is_waiting` tells whether requests waited since.
+void Meter(lane& lane, bool is_waiting, time_point now) noexcept {
+  if (now <= lane.metered_at) {
+    return;
+  }
+  const double elapsed = ToSeconds(now - lane.metered_at);
+  lane.metered_at = now;
+  if (!is_waiting) {
+    return;
+  }
+  const double keep = std::exp2(-elapsed / kDrainHalfLifeSeconds);
+  lane.drained_tokens *= keep;
+  lane.drained_seconds = lane.drained_seconds * keep + elapsed;
+}
+
+void RemoveFromLane(waiting_queues& queues,
+                    const waiting_request& request,
+                    time_point now) {
+  lane& in = queues.lanes.at(request.lane);
+  Meter(in, true, now);
+  in.cost -= request.cost;
+  const auto found = in.workspaces.find(request.workspace);
+  workspace_queue& queue = found->second;
+  queue.requests.erase(request.order);
+  queue.cost_by_priority[Slot(request.order.priority)] -= request.cost;
+  if (queue.requests.empty()) {
+    in.weight -= queue.weight;
+    in.workspaces.erase(found);
+  }
+  if (in.workspaces.empty()) {
+    // Keeps rounding errors of the sums from building up.
+    in.cost = 0;
+    in.weight = 0;
+    in.turns.deficits.clear();
+  }
+}
+
+}  // namespace internal
+
+void Enqueue(waiting_queues& queues,
+             const waiting_request& request,
+             time_point now) {
+  lane& in = queues.lanes[request.lane];
+  internal::Meter(in, !in.workspaces.empty(), now);
+  const auto [found, is_new] = in.workspaces.try_emplace(request.workspace);
+  workspace_queue& queue = found->second;
+  if (is_new) {
+    queue.weight = request.weight;
+    in.weight += request.weight;
+  }
+  queue.requests.insert(request.order);
+  queue.cost_by_priority[internal::Slot(request.order.priority)] +=
+      request.cost;
+  in.cost += request.cost;
+  ++queues.by_workload[request.workload];
+  queues.latest_starts.emplace(request.LatestStart(), request.order.id);
+  queues.by_order.insert(request.order);
+  queues.requests.emplace(request.order.id, request);
+}
+
+void RemoveWaiting(waiting_queues& queues,
+                   const request_id& id,
+                   time_point now) {
+  const auto found = queues.requests.find(id);
+  if (found == queues.requests.end()) {
+    return;
+  }
+  const waiting_request& request = found->second;
+  internal::RemoveFromLane(queues, request, now);
+  const auto count = queues.by_workload.find(request.workload);
+  if (--count->second == 0) {
+    queues.by_workload.erase(count);
+  }
+  queues.latest_starts.erase({request.LatestStart(), id});
+  queues.by_order.erase(request.order);
+  queues.requests.erase(found);
+}
+
+std::size_t WaitingOf(const waiting_queues& queues,
+                      const workload_id& workload) noexcept {
+  const auto found = queues.by_workload.find(workload);
+  return found == queues.by_workload.end() ? 0 : found->second;
+}
+
+std::vector<request_id> TooLateToStart(const waiting_queues& queues,
+                                       time_point now) {
+  std::vector<request_id> late;
+  for (const auto& [latest_start, id] : queues.latest_starts) {
+    if (latest_start >= now) {
+      break;
+    }
+    late.push_back(id);
+  }
+  return late;
+}
+
+std::optional<request_id> FindVictim(const waiting_queues& queues,
+                                     const waiting_order& newcomer) {
+  if (queues.by_order.empty() || !(newcomer < *queues.by_order.rbegin())) {
+    return std::nullopt;
+  }
+  return queues.by_order.rbegin()->id;
+}
+
+std::vector<contender> Contenders(const waiting_queues& queues,
+                                  const lane& lane) {
+  std::vector<contender> heads;
+  heads.reserve(lane.workspaces.size());
+  for (const auto& [workspace, queue] : lane.workspaces) {
+    const waiting_request& head =
+        queues.requests.at(queue.requests.begin()->id);
+    heads.push_back({&workspace, head.cost, queue.weight});
+  }
+  return heads;
+}
+
+void NoteDrained(lane& lane, double cost, time_point now) {
+  internal::Meter(lane, true, now);
+  lane.drained_tokens += cost;
+}
+
+duration PredictWait(const waiting_queues& queues,
+                     const waiting_request& request) {
+  const auto found = queues.lanes.find(request.lane);
+  if (found == queues.lanes.end() || found->second.workspaces.empty()) {
+    return duration::zero();
+  }
+  const lane& in = found->second;
+  if (in.drained_seconds < internal::kMinDrainSeconds) {
+    return duration::zero();
+  }
+  // A lane that drains nothing is as slow as one that drains one token.
+  const double rate = std::max(1.0, in.drained_tokens) / in.drained_seconds;
+  const auto own = in.workspaces.find(request.workspace);
+  double own_ahead = 0;
+  double weight = in.weight;
+  if (own != in.workspaces.end()) {
+    const auto& costs = own->second.cost_by_priority;
+    const auto end =
+        costs.begin() +
+        static_cast<std::ptrdiff_t>(internal::Slot(request.order.priority) + 1);
+    own_ahead = std::accumulate(costs.begin(), end, 0.0);
+  } else {
+    weight += request.weight;
+  }
+  // Round robin serves the workspace at least in proportion to its weight.
+  const double ahead =
+      std::min(in.cost, (own_ahead + request.cost) * weight / request.weight);
+  return FromSeconds(std::clamp(ahead / rate, 0.0, internal::kMaxWaitSeconds));
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -0,0 +1,130 @@
+#include "acaciaferry/reducer/arrival.hpp"
+
+#include <optional>
+#include <variant>
+
+#include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/dispatch.hpp"
+#include "acaciaferry/reducer/lifecycle.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// Targets come back, or their list arrives, within about this long.
+constexpr duration kNoTargetRetryAfter = std::chrono::seconds(1);
+
+void Refuse(const request_id& id, const failure& reason, effects& out) {
+  out.push_back(count_refusal{reason.code});
+  out.push_back(fail_request{id, reason});
+}
+
+waiting_request MakeWaiting(const state& state,
+                            const request_record& record,
+                            const routing_choice& choice) {
+  const acaciaferry::request& request = record.request;
+  return {.order = {record.work.priority, record.deadline, request.id},
+          .workspace = request.workspace,
+          .workload = record.work.id,
+          .lane = {request.pool, IsLongRequest(request)},
+          .cost = choice.cost.Total(),
+          .weight = WeightOf(state.workspaces, request.workspace),
+          .run = choice.is_grounded ? choice.run : duration::zero()};
+}
+
+// Makes room in the VM for a request. Returns whether there is some.
+bool MakeRoom(state& state,
+              const waiting_request& newcomer,
+              time_point now,
+              effects& out) {
+  if (state.waiting.requests.size() < kMaxWaiting) {
+    return true;
+  }
+  const auto victim = FindVictim(state.waiting, newcomer.order);
+  if (victim) {
+    EndRequest(state, *victim, NotRun(failure_code::kShed), now, out);
+  }
+  return victim.has_value();
+}
+
+std::optional<failure> RefusalOf(state& state,
+                                 const request_record& record,
+                                 const waiting_request& waiting,
+                                 const routing_choice& choice,
+                                 time_point now) {
+  const prospect expected{.wait = PredictWait(state.waiting, waiting),
+                          .first_token = choice.first_token,
+                          .run = choice.run,
+                          .is_grounded = choice.is_grounded,
+                          .waiting = WaitingOf(state.waiting, record.work.id)};
+  auto refusal = CheckProspect(record.work, record.deadline - now, expected);
+  if (refusal && refusal->code == failure_code::kDeadlineTooShort) {
+    RelaxRunRatio(state.costs, record.request.pool);
+  }
+  return refusal;
+}
+
+void QueueOrRefuse(state& state,
+                   request_record record,
+                   time_point now,
+                   effects& out) {
+  const request_id id = record.request.id;
+  const auto choice = ChooseFor(state, record, now);
+  if (!choice) {
+    return Refuse(id, NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter),
+                  out);
+  }
+  const waiting_request waiting = MakeWaiting(state, record, *choice);
+  if (const auto refusal = RefusalOf(state, record, waiting, *choice, now)) {
+    return Refuse(id, *refusal, out);
+  }
+  if (!MakeRoom(state, waiting, now, out)) {
+    return Refuse(id, NotRun(failure_code::kQueueFull, kNoTargetRetryAfter),
+                  out);
+  }
+  const auto wait =
+      Spend(state.workspaces, waiting.workspace, waiting.cost, now);
+  if (wait) {
+    return Refuse(id, NotRun(failure_code::kWorkspaceLimit, wait), out);
+  }
+  record.charged_tokens = waiting.cost;
+  Enqueue(state.waiting, waiting, now);
+  state.deadlines.emplace(record.deadline, id);
+  state.requests.emplace(id, std::move(record));
+}
+
+}  // namespace internal
+
+void OnRequestArrived(state& state,
+                      const request& request,
+                      time_point now,
+                      effects& out) {
+  const auto refuse = [&](failure_code code) {
+    internal::Refuse(request.id, NotRun(code), out);
+  };
+  if (state.closed) {
+    return refuse(failure_code::kDraining);
+  }
+  if (!state.config) {
+    return refuse(failure_code::kNoConfiguration);
+  }
+  // A request id names one request: a duplicated event changes nothing.
+  if (state.requests.contains(request.id)) {
+    return;
+  }
+  const auto verdict = Admit(*state.config, request, now);
+  if (const auto* const refusal = std::get_if<failure>(&verdict)) {
+    return internal::Refuse(request.id, *refusal, out);
+  }
+  const auto& [work, deadline] = std::get<admitted>(verdict);
+  const routing_view view{state.targets, state.costs, state.config->policy,
+                          state.self.failure_domain, now};
+  NoteArrival(state.routing, view, request,
+              PredictCost(state.costs, request, work, 0));
+  request_record record;
+  record.request = request;
+  record.work = work;
+  record.deadline = deadline;
+  internal::QueueOrRefuse(state, std::move(record), now, out);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -0,0 +1,133 @@
+#include "acaciaferry/reducer/dispatch.hpp"
+
+#include <algorithm>
+#include <vector>
+
+#include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/lifecycle.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// A lane without room is looked at again after this long: a fraction of what
+// targets may have queued, so that none of them runs dry.
+constexpr duration kBlockedPause = std::chrono::milliseconds(5);
+
+routing_view ViewOf(const state& state, time_point now) {
+  return {.targets = state.targets,
+          .costs = state.costs,
+          .policy = state.config->policy,
+          .own_domain = state.self.failure_domain,
+          .now = now};
+}
+
+void ShedLate(state& state, time_point now, effects& out) {
+  for (const request_id& id : TooLateToStart(state.waiting, now)) {
+    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+  }
+}
+
+enum class start_result { kStarted, kShed, kNoRoom };
+
+start_result StartHead(state& state,
+                       const request_id& id,
+                       time_point now,
+                       effects& out) {
+  request_record& record = state.requests.at(id);
+  const auto choice = ChooseFor(state, record, now);
+  if (!choice || !choice->has_room) {
+    return start_result::kNoRoom;
+  }
+  if (choice->is_grounded && now + choice->run > record.deadline) {
+    RelaxRunRatio(state.costs, record.request.pool);
+    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+    return start_result::kShed;
+  }
+  RemoveWaiting(state.waiting, id, now);
+  LaunchAttempt(state, record, *choice, now, out);
+  return start_result::kStarted;
+}
+
+// Serves one turn of a lane. Returns whether another may follow.
+bool ServeTurn(state& state, lane& in, time_point now, effects& out) {
+  const std::vector<contender> heads = Contenders(state.waiting, in);
+  const auto next = NextTurn(in.turns, heads);
+  if (!next) {
+    return false;
+  }
+  const contender& head = heads[next->index];
+  const request_id id = in.workspaces.at(*head.workspace).requests.begin()->id;
+  const double cost = head.cost;
+  // The heads point into the lane, so the turn is settled before it changes.
+  round_robin after = in.turns;
+  TakeTurn(after, heads, *next);
+  const start_result result = StartHead(state, id, now, out);
+  if (result == start_result::kNoRoom) {
+    in.blocked_until = now + kBlockedPause;
+    return false;
+  }
+  if (result == start_result::kStarted) {
+    NoteDrained(in, cost, now);
+    in.turns = std::move(after);
+  }
+  return true;
+}
+
+}  // namespace internal
+
+std::optional<routing_choice> ChooseFor(state& state,
+                                        const request_record& record,
+                                        time_point now) {
+  const cached_prefix cached;
+  return ChooseTarget(state.routing,
+                      {record.request, record.work, record.excluded, cached},
+                      internal::ViewOf(state, now), state.random);
+}
+
+void LaunchAttempt(state& state,
+                   request_record& record,
+                   const routing_choice& choice,
+                   time_point now,
+                   effects& out) {
+  const target& target = *FindTarget(state.targets, choice.target);
+  const attempt_id id{record.request.id, ++record.attempts_made};
+  record.current =
+      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
+  RecordDispatch(state.routing, id, choice, IsLongRequest(record.request), now);
+  out.push_back(start_attempt{
+      .attempt = id,
+      .target = target.id,
+      .address = target.address,
+      .kind = record.request.kind,
+      .prompt_tokens = record.request.prompt_tokens,
+      .remaining = record.deadline - now,
+      .priority = EnginePriority(record.work, record.request.prompt_tokens,
+                                 state.config->policy),
+      .reservations = {}});
+}
+
+void DispatchWaiting(state& state, time_point now, effects& out) {
+  if (!state.config || state.waiting.requests.empty()) {
+    return;
+  }
+  internal::ShedLate(state, now, out);
+  for (auto& [id, in] : state.waiting.lanes) {
+    if (in.blocked_until > now) {
+      continue;
+    }
+    while (internal::ServeTurn(state, in, now, out)) {
+    }
+  }
+}
+
+std::optional<time_point> NextDispatch(const state& state) {
+  std::optional<time_point> next;
+  for (const auto& [id, in] : state.waiting.lanes) {
+    if (!in.workspaces.empty()) {
+      next = next ? std::min(*next, in.blocked_until) : in.blocked_until;
+    }
+  }
+  return next;
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/lifecycle.cpp
+++ b/src/acaciaferry/reducer/lifecycle.cpp
@@ -1,18 +1,16 @@
 #include "acaciaferry/reducer/lifecycle.hpp"
 
-#include <variant>
-
-#include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/admission/queues.hpp"
+#include "acaciaferry/reducer/dispatch.hpp"
+#include "acaciaferry/reducer/observation.hpp"
 
 namespace acaciaferry {
 namespace internal {
 
-void Refuse(const request_id& id, const failure& reason, effects& out) {
-  out.push_back(count_refusal{reason.code});
-  out.push_back(fail_request{id, reason});
-}
-
-void ReleaseAttempt(state& state, request_record& record, effects& out) {
+void ReleaseAttempt(state& state,
+                    request_record& record,
+                    time_point now,
+                    effects& out) {
   if (!record.current) {
     return;
   }
@@ -24,12 +22,18 @@
     out.push_back(
         cancel_attempt{current.id, current.address, record.request.kind});
   }
-  RecordEnd(state.routing, current.target, record.request);
+  ObserveAttemptEnd(state, record, current.phase == attempt_phase::kFinished,
+                    now);
   record.current.reset();
 }
 
-void Remove(state& state, const request_id& id) {
+void Remove(state& state, const request_id& id, time_point now) {
   const auto found = state.requests.find(id);
+  const request_record& record = found->second;
+  RemoveWaiting(state.waiting, id, now);
+  if (record.attempts_made == 0) {
+    Refund(state.workspaces, record.request.workspace, record.charged_tokens);
+  }
   state.deadlines.erase({found->second.deadline, id});
   state.requests.erase(found);
 }
@@ -37,12 +41,13 @@
 void Fail(state& state,
           request_record& record,
           const failure& reason,
+          time_point now,
           effects& out) {
   const request_id id = record.request.id;
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   out.push_back(count_refusal{reason.code});
   out.push_back(fail_request{id, reason});
-  Remove(state, id);
+  Remove(state, id, now);
 }
 
 // Tries the request on a target that it has not failed on. A failure keeps the
@@ -52,26 +57,12 @@
                   const failure& when_none,
                   time_point now,
                   effects& out) {
-  const auto live = LiveTargets(state.targets, record.request.pool);
-  const auto chosen =
-      ChooseTarget(state.routing, {record.request, record.excluded}, live);
-  if (!chosen) {
-    Fail(state, record, when_none, out);
+  const auto choice = ChooseFor(state, record, now);
+  if (!choice) {
+    Fail(state, record, when_none, now, out);
     return;
   }
-  const target& target = *FindTarget(state.targets, *chosen);
-  const attempt_id id{record.request.id, ++record.attempts_made};
-  record.current =
-      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
-  RecordDispatch(state.routing, target.id, record.request);
-  out.push_back(start_attempt{.attempt = id,
-                              .target = target.id,
-                              .address = target.address,
-                              .kind = record.request.kind,
-                              .prompt_tokens = record.request.prompt_tokens,
-                              .remaining = record.deadline - now,
-                              .priority = record.work.priority,
-                              .reservations = {}});
+  LaunchAttempt(state, record, *choice, now, out);
 }
 
 // The record whose current attempt this is; null for a superseded attempt.
@@ -106,70 +97,59 @@
   const failure when_none{code, UnfinishedOutcome(record.current->phase),
                           std::nullopt};
   if (!MayRetry(record)) {
-    Fail(state, record, when_none, out);
+    Fail(state, record, when_none, now, out);
     return;
   }
   record.excluded.push_back(record.current->target);
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   out.push_back(count_retry{reason});
   StartAttempt(state, record, when_none, now, out);
 }
 
-void FinishIfComplete(state& state, request_record& record, effects& out) {
+void FinishIfComplete(state& state,
+                      request_record& record,
+                      time_point now,
+                      effects& out) {
   if (!record.answer.IsComplete()) {
     return;
   }
   record.current->phase = attempt_phase::kFinished;
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   const request_id id = record.request.id;
   out.push_back(finish_request{id, record.finish_reason});
-  Remove(state, id);
+  Remove(state, id, now);
 }
 
-void FailCorrupt(state& state, request_record& record, effects& out) {
+void FailCorrupt(state& state,
+                 request_record& record,
+                 time_point now,
+                 effects& out) {
   Fail(state, record,
-       {failure_code::kAnswerCorrupt, outcome::kUnknown, std::nullopt}, out);
+       {failure_code::kAnswerCorrupt, outcome::kUnknown, std::nullopt}, now,
+       out);
 }
 
 }  // namespace internal
 
-void OnRequestArrived(state& state,
-                      const request& request,
-                      time_point now,
-                      effects& out) {
-  const auto refuse = [&](failure_code code) {
-    internal::Refuse(request.id, {code, outcome::kNotRun, std::nullopt}, out);
-  };
-  if (state.closed) {
-    return refuse(failure_code::kDraining);
-  }
-  if (!state.config) {
-    return refuse(failure_code::kNoConfiguration);
-  }
-  const auto verdict = Admit(*state.config, request, now);
-  if (const auto* const refusal = std::get_if<failure>(&verdict)) {
-    internal::Refuse(request.id, *refusal, out);
-    return;
-  }
-  const auto& [work, deadline] = std::get<admitted>(verdict);
-  request_record& record = state.requests[request.id];
-  record.request = request;
-  record.work = work;
-  record.deadline = deadline;
-  state.deadlines.emplace(deadline, request.id);
-  const failure no_target{failure_code::kNoLiveTarget, outcome::kNotRun,
-                          std::nullopt};
-  internal::StartAttempt(state, record, no_target, now, out);
+void EndRequest(state& state,
+                const request_id& id,
+                const failure& reason,
+                time_point now,
+                effects& out) {
+  internal::Fail(state, state.requests.at(id), reason, now, out);
 }
 
-void OnCallerGone(state& state, const request_id& id, effects& out) {
+void OnCallerGone(state& state,
+                  const request_id& id,
+                  time_point now,
+                  effects& out) {
   const auto found = state.requests.find(id);
   if (found == state.requests.end()) {
     return;
   }
-  internal::ReleaseAttempt(state, found->second, out);
+  internal::ReleaseAttempt(state, found->second, now, out);
   out.push_back(count_refusal{failure_code::kCallerGone});
-  internal::Remove(state, id);
+  internal::Remove(state, id, now);
 }
 
 void ExpireRequests(state& state, time_point now, effects& out) {
@@ -179,7 +159,7 @@
                                ? UnfinishedOutcome(record.current->phase)
                                : outcome::kNotRun;
     internal::Fail(state, record,
-                   {failure_code::kDeadlineExceeded, result, std::nullopt},
+                   {failure_code::kDeadlineExceeded, result, std::nullopt}, now,
                    out);
   }
 }
@@ -241,22 +221,23 @@
     return;
   }
   record->current->progress_at = now;
+  ObserveChunk(state, *record, event.text.size(), now);
   std::string ready;
   const auto verdict = record->answer.Add(event.offset, event.text, ready);
   if (verdict != assembly_verdict::kOk) {
-    internal::FailCorrupt(state, *record, out);
+    internal::FailCorrupt(state, *record, now, out);
     return;
   }
   if (!ready.empty()) {
     record->head_delivered = true;
     out.push_back(deliver_chunk{event.attempt.request, std::move(ready)});
   }
-  internal::FinishIfComplete(state, *record, out);
+  internal::FinishIfComplete(state, *record, now, out);
 }
 
 void OnAttemptEvent(state& state,
                     const answer_ended& event,
-                    time_point /*now*/,
+                    time_point now,
                     effects& out) {
   auto* const record = internal::FindCurrent(state, event.attempt);
   if (record == nullptr) {
@@ -264,10 +245,10 @@
   }
   record->finish_reason = event.finish_reason;
   if (record->answer.SetLength(event.length) != assembly_verdict::kOk) {
-    internal::FailCorrupt(state, *record, out);
+    internal::FailCorrupt(state, *record, now, out);
     return;
   }
-  internal::FinishIfComplete(state, *record, out);
+  internal::FinishIfComplete(state, *record, now, out);
 }
 
 void OnAttemptEvent(state& state,
--- a/src/acaciaferry/reducer/lifecycle.hpp
+++ b/src/acaciaferry/reducer/lifecycle.hpp
@@ -7,14 +7,21 @@
 
 namespace acaciaferry {
 
-/** @brief Admits or refuses a request and starts its first attempt. */
-void OnRequestArrived(state& state,
-                      const request& request,
-                      time_point now,
-                      effects& out);
+/**
+ * @brief Ends a request with a failure.
+ * @param id A request that has not ended.
+ */
+void EndRequest(state& state,
+                const request_id& id,
+                const failure& reason,
+                time_point now,
+                effects& out);
 
 /** @brief Ends a request whose caller has gone. */
-void OnCallerGone(state& state, const request_id& id, effects& out);
+void OnCallerGone(state& state,
+                  const request_id& id,
+                  time_point now,
+                  effects& out);
 
 /** @brief Fails every request whose deadline has passed. */
 void ExpireRequests(state& state, time_point now, effects& out);
--- /dev/null
+++ b/src/acaciaferry/reducer/observation.cpp
@@ -0,0 +1,71 @@
+#include "acaciaferry/reducer/observation.hpp"
+
+#include <algorithm>
+
+#include "acaciaferry/cost/cost.hpp"
+#include "acaciaferry/routing/dispatch.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr double kBytesPerToken = 4;
+
+double TokensOf(std::size_t bytes) noexcept {
+  return std::max(1.0, static_cast<double>(bytes) / kBytesPerToken);
+}
+
+double OutputLimit(const request_record& record) noexcept {
+  const std::uint64_t limit = record.request.max_output_tokens > 0
+                                  ? record.request.max_output_tokens
+                                  : record.work.max_output_tokens;
+  return static_cast<double>(limit);
+}
+
+}  // namespace internal
+
+void ObserveChunk(state& state,
+                  const request_record& record,
+                  std::size_t bytes,
+                  time_point now) {
+  const attempt& current = *record.current;
+  dispatch* const sent =
+      FindDispatch(state.routing.dispatches, current.target, current.id);
+  const target* const from = FindTarget(state.targets, current.target);
+  if (sent == nullptr || from == nullptr) {
+    return;
+  }
+  const double tokens = internal::TokensOf(bytes);
+  if (!sent->HasAnswered()) {
+    ObserveFirstChunk(state.costs, *from,
+                      sent->ahead_tokens + sent->prefill_tokens,
+                      now - sent->at);
+  } else {
+    ObserveNextChunk(state.costs, *from, tokens, now - sent->last_chunk_at);
+  }
+  sent->last_chunk_at = now;
+  sent->output_tokens += tokens;
+}
+
+void ObserveAttemptEnd(state& state,
+                       const request_record& record,
+                       bool is_complete,
+                       time_point now) {
+  const attempt& current = *record.current;
+  const dispatch* const sent =
+      FindDispatch(state.routing.dispatches, current.target, current.id);
+  if (sent == nullptr) {
+    return;
+  }
+  const duration taken = now - sent->at;
+  const double limit = internal::OutputLimit(record);
+  // An attempt that was cut off early says nothing of how long it would have
+  // taken; one that ran past its prediction says that it took longer.
+  if (is_complete || taken > sent->predicted_run) {
+    ObserveEnd(state.costs, record.request.pool,
+               is_complete && limit > 0 ? sent->output_tokens / limit : 0,
+               std::max(duration(1), sent->predicted_run), taken);
+  }
+  EraseDispatch(state.routing.dispatches, current.target, current.id);
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 
+#include "acaciaferry/reducer/arrival.hpp"
+#include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -18,7 +21,7 @@
   }
 
   void operator()(const caller_gone& event) const {
-    OnCallerGone(state, event.request, out);
+    OnCallerGone(state, event.request, now, out);
   }
 
   void operator()(const deployment_received& event) const {
@@ -26,6 +29,7 @@
         !state.config || event.config.revision > state.config->revision;
     if (is_newer) {
       state.config = event.config;
+      ConfigureWorkspaces(state.workspaces, event.config, now);
     }
   }
 
@@ -39,12 +43,11 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ApplyVmList(state.targets, event.vms);
+    OnVmList(state, event.vms);
   }
 
   void operator()(const load_report_received& event) const {
-    out.push_back(
-        count_report{ApplyLoadReport(state.targets, event.report, now)});
+    OnLoadReport(state, event.report, now, out);
   }
 
   template <typename AttemptEvent>
@@ -60,6 +63,7 @@
   ExpireRequests(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  DispatchWaiting(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -77,6 +81,9 @@
   if (state.accept_until && !state.closed) {
     consider(*state.accept_until);
   }
+  if (const auto dispatch_at = NextDispatch(state)) {
+    consider(*dispatch_at);
+  }
   return next;
 }
 
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -9,14 +9,17 @@
 #include <utility>
 #include <vector>
 
+#include "acaciaferry/admission/queues.hpp"
 #include "acaciaferry/attempts/answer_assembly.hpp"
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/targets/state.hpp"
+#include "acaciaferry/workspaces/limits.hpp"
 
 namespace acaciaferry {
 
@@ -46,6 +49,8 @@
   std::string finish_reason;
   std::vector<target_id> excluded;
   bool head_delivered{};
+  /** Spent from the workspace's limit; returned when nothing was started. */
+  double charged_tokens{};
 };
 
 /**
@@ -56,6 +61,9 @@
   random_engine random;
   std::optional<deployment> config;
   targets_state targets;
+  cost_state costs;
+  workspaces_state workspaces;
+  waiting_queues waiting;
   routing_state routing;
   std::unordered_map<request_id, request_record> requests;
   /** Deadlines of the requests, earliest first. */
--- /dev/null
+++ b/src/acaciaferry/reducer/target_knowledge.cpp
@@ -0,0 +1,31 @@
+#include "acaciaferry/reducer/target_knowledge.hpp"
+
+namespace acaciaferry {
+
+void OnVmList(state& state, std::span<const vm_entry> vms) {
+  ApplyVmList(state.targets, vms);
+  IndexTargets(state.routing, state.targets, state.self.failure_domain);
+  ForgetTargets(state.costs, [&state](const target_id& id) {
+    return FindTarget(state.targets, id) != nullptr;
+  });
+}
+
+void OnLoadReport(state& state,
+                  const load_report& report,
+                  time_point now,
+                  effects& out) {
+  const target* const known = FindTarget(state.targets, report.target);
+  const bool was_leaving = known != nullptr && known->leaving;
+  const report_verdict verdict = ApplyLoadReport(state.targets, report, now);
+  out.push_back(count_report{verdict});
+  if (verdict != report_verdict::kAccepted) {
+    return;
+  }
+  FadeRates(state.costs, report.target);
+  // `known` still points into the table, which the report does not resize.
+  if (known->leaving != was_leaving) {
+    IndexTargets(state.routing, state.targets, state.self.failure_domain);
+  }
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/reducer/target_knowledge.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <span>
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/reducer/effect.hpp"
+#include "acaciaferry/reducer/state.hpp"
+
+namespace acaciaferry {
+
+/** @brief Takes over the platform's list in every module that follows it. */
+void OnVmList(state& state, std::span<const vm_entry> vms);
+
+/** @brief Takes over a load report, or counts why it was not used. */
+void OnLoadReport(state& state,
+                  const load_report& report,
+                  time_point now,
+                  effects& out);
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/routing/fwd.hpp
+++ b/src/acaciaferry/routing/fwd.hpp
@@ -2,7 +2,13 @@
 
 namespace acaciaferry {
 
+struct dispatch;
+struct load_estimate;
+struct pool_index;
+struct pool_members;
+struct routing_choice;
 struct routing_query;
 struct routing_state;
+struct routing_view;
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/routing/load_estimate.cpp
@@ -0,0 +1,119 @@
+#include "acaciaferry/routing/load_estimate.hpp"
+
+#include <algorithm>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// A dispatch reaches the target, and a report reaches this VM, with a delay:
+// one made this shortly before the report's arrival is not in the report.
+constexpr duration kReportDelay = std::chrono::milliseconds(20);
+// An older report says nothing that the VM's own dispatches do not say better.
+constexpr duration kMaxReportAge = std::chrono::seconds(5);
+constexpr auto kLongPrompt = static_cast<double>(kLengthClassLimits[1]);
+
+// Until a dispatch has taken this many times what was predicted, it is not
+// taken as a sign that the target is slower than it says.
+constexpr int kOverdueFactor = 2;
+
+struct own_work {
+  double shown_short{};
+  double shown_long{};
+  double unreported_short{};
+  double unreported_long{};
+  double unreported_kv{};
+  double unreported_running{};
+  double kv{};
+  duration overdue{};
+};
+
+// What the target has worked off since the oldest dispatch that still waits.
+void Drain(own_work& sum, double drained) noexcept {
+  const double from_short = std::min(sum.shown_short, drained);
+  sum.shown_short -= from_short;
+  sum.shown_long = std::max(0.0, sum.shown_long - (drained - from_short));
+}
+
+own_work SumOwn(std::span<const dispatch> own,
+                const target_rates& rates,
+                time_point shown_until,
+                time_point now) {
+  own_work sum;
+  time_point oldest = now;
+  for (const dispatch& each : own) {
+    const bool is_shown = each.at <= shown_until;
+    const double pending = each.HasAnswered() ? 0 : each.prefill_tokens;
+    if (is_shown) {
+      (each.is_long ? sum.shown_long : sum.shown_short) += pending;
+    } else {
+      (each.is_long ? sum.unreported_long : sum.unreported_short) += pending;
+      sum.unreported_kv += each.kv_tokens;
+      sum.unreported_running += 1;
+    }
+    sum.kv += each.kv_tokens;
+    if (!each.HasAnswered()) {
+      oldest = std::min(oldest, each.at);
+      sum.overdue = std::max(
+          sum.overdue, now - each.at - kOverdueFactor * each.predicted_first);
+    }
+  }
+  Drain(sum, ToSeconds(now - oldest) * rates.prefill_tokens_per_s);
+  return sum;
+}
+
+load_estimate FromOwnWork(const own_work& own, std::size_t running) {
+  return {.short_ahead = own.shown_short,
+          .long_ahead = own.shown_long,
+          .kv_used = own.kv,
+          .running = static_cast<double>(running),
+          .overdue = own.overdue};
+}
+
+}  // namespace internal
+
+load_estimate EstimateLoad(const target& target,
+                           std::span<const dispatch> own,
+                           const target_rates& rates,
+                           time_point now) {
+  const duration age = std::max(duration::zero(), now - target.reported_at);
+  if (!target.report || age > internal::kMaxReportAge) {
+    load_estimate estimate = internal::FromOwnWork(
+        internal::SumOwn(own, rates, time_point::max(), now), own.size());
+    estimate.report_age = target.report ? age : duration::max();
+    estimate.kv_capacity =
+        target.report ? static_cast<double>(target.report->kv_capacity_tokens)
+                      : 0;
+    return estimate;
+  }
+  const load_report& report = *target.report;
+  const internal::own_work sum = internal::SumOwn(
+      own, rates, target.reported_at - internal::kReportDelay, now);
+  const auto queued = static_cast<double>(report.queued_prefill_tokens);
+  const double left =
+      std::max(0.0, queued - ToSeconds(age) * rates.prefill_tokens_per_s);
+  // The report does not tell prompts apart; long ones show in the mean. This
+  // VM's own are known.
+  const double own_long = std::min(left, sum.shown_long);
+  const double rest = left - own_long;
+  const auto waiting =
+      static_cast<double>(std::max<std::uint64_t>(1, report.waiting));
+  const bool rest_is_long = queued / waiting > internal::kLongPrompt;
+  return {.short_ahead = std::max(rest_is_long ? 0 : rest, sum.shown_short) +
+                         sum.unreported_short,
+          .long_ahead =
+              std::max(own_long + (rest_is_long ? rest : 0), sum.shown_long) +
+              sum.unreported_long,
+          .kv_used = std::max(static_cast<double>(report.kv_used_tokens),
+                              sum.kv - sum.unreported_kv) +
+                     sum.unreported_kv,
+          .kv_capacity = static_cast<double>(report.kv_capacity_tokens),
+          .running = static_cast<double>(report.running + report.waiting) +
+                     sum.unreported_running,
+          .is_reported = true,
+          .report_age = age,
+          .overdue = sum.overdue};
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/routing/routing.cpp
+++ b/src/acaciaferry/routing/routing.cpp
@@ -1,58 +1,307 @@
 #include "acaciaferry/routing/routing.hpp"
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+
+#include "acaciaferry/routing/load_estimate.hpp"
+#include "acaciaferry/routing/sample.hpp"
 
 namespace acaciaferry {
 namespace internal {
 
-// A plain service call counts as one unit.
-std::uint64_t Cost(const request& request) noexcept {
-  return request.prompt_tokens + request.max_output_tokens + 1;
+// Engines prefill in chunks and by priority: a short prompt waits for at most
+// about one chunk of a long one.
+constexpr double kPrefillChunkTokens = 8'192;
+// Prefill that a target may have queued before requests wait in this VM.
+// Enough to keep the engine busy until the next decision.
+constexpr double kTargetBacklogSeconds = 0.25;
+// A queue this much longer than the shortest of the sample is a clear
+// difference in load, which no cached prefix outweighs.
+constexpr double kClearDifferenceSeconds = 0.5;
+// Another failure domain must be better by this much to be chosen.
+constexpr double kOtherDomainFactor = 1.25;
+constexpr double kOtherDomainSeconds = 0.03;
+// Leaves room for the growth of the running answers.
+constexpr double kKvFillLimit = 0.95;
+// Bounds that keep the conversion to whole microseconds defined.
+constexpr double kMaxPredictedSeconds = 1e8;
+
+struct candidate {
+  const target* place{};
+  target_rates rates;
+  load_estimate load;
+  double queue_s{};
+};
+
+duration Seconds(double value) noexcept {
+  return FromSeconds(std::clamp(value, 0.0, kMaxPredictedSeconds));
 }
 
-std::uint64_t Outstanding(const routing_state& state, const target_id& target) {
-  const auto found = state.outstanding_tokens.find(target);
-  return found == state.outstanding_tokens.end() ? 0 : found->second;
+bool IsExcluded(const routing_query& query, const target& place) {
+  return place.leaving ||
+         std::find(query.excluded.begin(), query.excluded.end(), place.id) !=
+             query.excluded.end();
 }
 
-}  // namespace internal
+// Prefill that the request waits for at the target.
+double AheadTokens(const load_estimate& load, bool is_long) noexcept {
+  return load.short_ahead +
+         (is_long ? load.long_ahead
+                  : std::min(load.long_ahead, kPrefillChunkTokens));
+}
+
+candidate MakeCandidate(const routing_state& state,
+                        const routing_view& view,
+                        const target& place,
+                        bool is_long) {
+  const target_rates rates = RatesOf(view.costs, place);
+  const load_estimate load = EstimateLoad(
+      place, DispatchesTo(state.dispatches, place.id), rates, view.now);
+  const double queue_s =
+      AheadTokens(load, is_long) / rates.prefill_tokens_per_s +
+      ToSeconds(load.overdue);
+  return {&place, rates, load, queue_s};
+}
+
+// Time until the running requests have freed the memory that is missing.
+double MemoryWait(const candidate& at,
+                  const request_cost& cost,
+                  const learnt_pool& pool) noexcept {
+  const double missing = at.load.kv_used + cost.kv_tokens - at.load.kv_capacity;
+  if (at.load.kv_capacity <= 0 || missing <= 0 || at.load.kv_used <= 0) {
+    return 0;
+  }
+  return std::min(1.0, missing / at.load.kv_used) * pool.residence_s;
+}
+
+bool HasRoom(const candidate& at,
+             const request_cost& cost,
+             bool is_long) noexcept {
+  const load_estimate& load = at.load;
+  const bool fits =
+      load.kv_capacity <= 0 || load.running < 1 ||
+      load.kv_used + cost.kv_tokens <= load.kv_capacity * kKvFillLimit;
+  const bool is_queue_short = at.queue_s <= kTargetBacklogSeconds;
+  // Two long prompts on one engine finish no earlier than one after the other.
+  return fits && is_queue_short && !(is_long && load.long_ahead > 0);
+}
+
+// What the request delays or is delayed by, in weighted seconds.
+double Interference(const candidate& at,
+                    const request_cost& cost,
+                    const policy& policy,
+                    bool is_long) noexcept {
+  const double rate = at.rates.prefill_tokens_per_s;
+  if (!is_long) {
+    return policy.short_weight *
+           std::min(at.load.long_ahead, kPrefillChunkTokens) / rate;
+  }
+  // Each running short request is slowed by the chunks of the long prefill.
+  const double slowed = std::min(cost.prefill_tokens, kPrefillChunkTokens) *
+                        at.load.running / rate;
+  return policy.short_weight * slowed;
+}
+
+routing_choice Score(const candidate& at,
+                     const routing_query& query,
+                     const routing_view& view,
+                     double shortest_queue_s,
+                     bool is_long) {
+  const bool is_clearly_busier =
+      at.queue_s > shortest_queue_s + kClearDifferenceSeconds;
+  const double cached =
+      query.cached.tokens_on ? query.cached.tokens_on(at.place->id) : 0;
+  const request_cost cost =
+      PredictCost(view.costs, query.request, query.work, cached);
+  const request_cost scored =
+      is_clearly_busier ? PredictCost(view.costs, query.request, query.work, 0)
+                        : cost;
+  const learnt_pool pool = PoolOf(view.costs, query.request.pool);
+  const double rate = at.rates.prefill_tokens_per_s;
+  const double wait = at.queue_s + MemoryWait(at, cost, pool);
+  const double first = wait + cost.prefill_tokens / rate;
+  const double decode = cost.decode_tokens * at.rates.decode_s_per_token;
+  const double own_weight = is_long ? view.policy.long_weight : 1;
+  double score = own_weight * (wait + scored.prefill_tokens / rate) +
+                 Interference(at, cost, view.policy, is_long);
+  if (at.place->failure_domain != view.own_domain) {
+    score = score * kOtherDomainFactor + kOtherDomainSeconds;
+  }
+  return {.target = at.place->id,
+          .cost = cost,
+          .ahead_tokens = AheadTokens(at.load, is_long),
+          .first_token = Seconds(first),
+          // An idle target is tried on its own figures, so that a pool whose
+          // requests once ran late is not refused for ever.
+          .run = Seconds((first + decode) *
+                         (at.load.running < 1 ? 1 : pool.run_ratio)),
+          .has_room = query.request.kind == request_kind::kServiceCall ||
+                      HasRoom(at, cost, is_long),
+          .is_grounded = at.load.is_reported &&
+                         query.request.kind == request_kind::kCompletion &&
+                         at.place->report->prefill_tokens_per_s > 0,
+          .score_s = score};
+}
+
+bool IsBetter(const routing_choice& a, const routing_choice& b) noexcept {
+  return a.has_room != b.has_room ? a.has_room : a.score_s < b.score_s;
+}
 
-std::optional<target_id> ChooseTarget(const routing_state& state,
-                                      const routing_query& query,
-                                      std::span<const target* const> live) {
-  std::optional<target_id> best;
-  std::uint64_t best_outstanding = 0;
-  for (const target* const candidate : live) {
-    const bool excluded =
-        std::find(query.excluded.begin(), query.excluded.end(),
-                  candidate->id) != query.excluded.end();
-    const std::uint64_t outstanding =
-        internal::Outstanding(state, candidate->id);
-    if (!excluded && (!best || outstanding < best_outstanding)) {
-      best = candidate->id;
-      best_outstanding = outstanding;
+// Used when the sample holds only excluded targets: the first one, from a
+// random place on, that is not.
+void AddAnyUsable(target_sample& sample,
+                  const pool_members& members,
+                  const routing_query& query,
+                  const routing_view& view,
+                  random_engine& random) {
+  const std::size_t size = members.ordered.size();
+  const std::size_t start = DrawBelow(random, size);
+  for (std::size_t i = 0; i < size; ++i) {
+    const std::size_t position = members.ordered[(start + i) % size];
+    if (!IsExcluded(query, view.targets.targets[position])) {
+      sample = {};
+      sample.Add(position);
+      return;
     }
   }
-  return best;
 }
 
-void RecordDispatch(routing_state& state,
-                    const target_id& target,
-                    const request& request) {
-  state.outstanding_tokens[target] += internal::Cost(request);
+bool MayServe(const pool_members& members,
+              std::size_t position,
+              bool is_long) noexcept {
+  const auto first = members.ordered.begin() +
+                     static_cast<std::ptrdiff_t>(is_long ? members.short_only
+                                                         : std::size_t{0});
+  return std::find(first, members.ordered.end(), position) !=
+         members.ordered.end();
 }
 
-void RecordEnd(routing_state& state,
-               const target_id& target,
-               const request& request) {
-  const auto found = state.outstanding_tokens.find(target);
-  if (found == state.outstanding_tokens.end()) {
+// The index may be older than the table for the length of one event.
+target_sample TakeSample(const pool_members& members,
+                         const routing_query& query,
+                         const routing_view& view,
+                         bool is_long,
+                         random_engine& random) {
+  target_sample drawn;
+  if (query.cached.best) {
+    const auto found = view.targets.index.find(*query.cached.best);
+    if (found != view.targets.index.end() &&
+        MayServe(members, found->second, is_long)) {
+      drawn.Add(found->second);
+    }
+  }
+  SampleMembers(drawn, members, is_long, random);
+  target_sample usable;
+  for (const std::size_t position : drawn.View()) {
+    if (!IsExcluded(query, view.targets.targets[position])) {
+      usable.Add(position);
+    }
+  }
+  if (usable.size == 0) {
+    AddAnyUsable(usable, members, query, view, random);
+  }
+  return usable;
+}
+
+}  // namespace internal
+
+bool IsLongRequest(const request& request) noexcept {
+  return IsLong(ClassifyLength(request.prompt_tokens));
+}
+
+bool HasLiveTarget(const routing_state& state, const pool_id& pool) noexcept {
+  return state.index.pools.contains(pool);
+}
+
+void IndexTargets(routing_state& state,
+                  const targets_state& targets,
+                  const failure_domain_id& own_domain) {
+  state.index = BuildPoolIndex(targets, own_domain);
+  for (auto& [pool, members] : state.index.pools) {
+    const auto mix = state.mixes.find(pool);
+    if (mix != state.mixes.end()) {
+      SetShortOnlyShare(members, targets, own_domain, mix->second.share);
+    }
+  }
+}
+
+void NoteArrival(routing_state& state,
+                 const routing_view& view,
+                 const request& request,
+                 const request_cost& cost) {
+  const auto found = state.index.pools.find(request.pool);
+  if (request.kind != request_kind::kCompletion ||
+      found == state.index.pools.end()) {
     return;
   }
-  found->second -= std::min(found->second, internal::Cost(request));
-  if (found->second == 0) {
-    state.outstanding_tokens.erase(found);
+  request_mix& mix = state.mixes[request.pool];
+  NoteRequest(mix, cost.Total(), IsLongRequest(request), view.now);
+  pool_members& members = found->second;
+  const double share = ShortOnlyShare(mix, view.policy.short_only_floor);
+  const auto size = static_cast<double>(members.ordered.size());
+  const auto wanted = static_cast<std::size_t>(std::ceil(share * size));
+  if (std::min(wanted, members.ordered.size() - 1) != members.short_only) {
+    SetShortOnlyShare(members, view.targets, view.own_domain, share);
   }
 }
 
+std::optional<routing_choice> ChooseTarget(const routing_state& state,
+                                           const routing_query& query,
+                                           const routing_view& view,
+                                           random_engine& random) {
+  const auto found = state.index.pools.find(query.request.pool);
+  if (found == state.index.pools.end()) {
+    return std::nullopt;
+  }
+  const bool is_long = IsLongRequest(query.request);
+  const target_sample sample =
+      internal::TakeSample(found->second, query, view, is_long, random);
+  std::array<internal::candidate, kSampledTargets> candidates;
+  double shortest_queue_s = std::numeric_limits<double>::max();
+  for (std::size_t i = 0; i < sample.size; ++i) {
+    candidates[i] = internal::MakeCandidate(
+        state, view, view.targets.targets[sample.positions[i]], is_long);
+    shortest_queue_s = std::min(shortest_queue_s, candidates[i].queue_s);
+  }
+  std::optional<routing_choice> best;
+  for (std::size_t i = 0; i < sample.size; ++i) {
+    routing_choice choice =
+        internal::Score(candidates[i], query, view, shortest_queue_s, is_long);
+    if (!best || internal::IsBetter(choice, *best)) {
+      best = std::move(choice);
+    }
+  }
+  return best;
+}
+
+void RecordDispatch(routing_state& state,
+                    const attempt_id& attempt,
+                    const routing_choice& choice,
+                    bool is_long,
+                    time_point now) {
+  state.dispatches[choice.target].push_back(
+      {.attempt = attempt,
+       .at = now,
+       .prefill_tokens = choice.cost.prefill_tokens,
+       .kv_tokens = choice.cost.kv_tokens,
+       .ahead_tokens = choice.ahead_tokens,
+       .predicted_first = choice.first_token,
+       .predicted_run = choice.run,
+       .is_long = is_long});
+}
+
+std::uint32_t EnginePriority(const workload& work,
+                             std::uint64_t prompt_tokens,
+                             const policy& policy) noexcept {
+  constexpr std::uint32_t kLastPriority = 9;
+  const auto rank = static_cast<std::uint32_t>(ClassifyLength(prompt_tokens));
+  // Long prompts that weigh more still give way to the shortest ones, whose
+  // prefill costs them almost nothing.
+  const std::uint32_t offset =
+      policy.long_weight > policy.short_weight ? std::min(rank, 1U) : rank;
+  return std::min(kLastPriority, work.priority + offset);
+}
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/routing/routing.hpp
+++ b/src/acaciaferry/routing/routing.hpp
@@ -1,21 +1,41 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <span>
 #include <unordered_map>
 
 #include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
-#include "acaciaferry/targets/target.hpp"
+#include "acaciaferry/cost/cost.hpp"
+#include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/routing/dispatch.hpp"
+#include "acaciaferry/routing/pool_index.hpp"
+#include "acaciaferry/routing/request_mix.hpp"
+#include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
 
 /**
- * @brief What this VM has sent to each target and not yet seen ended.
+ * @brief What routing knows: the live targets by pool, the observed mixes, and
+ * this VM's dispatches.
  */
 struct routing_state {
-  std::unordered_map<target_id, std::uint64_t> outstanding_tokens;
+  pool_index index;
+  std::unordered_map<pool_id, request_mix> mixes;
+  own_dispatches dispatches;
+};
+
+/**
+ * @brief What the prefix cache expects of a target.
+ */
+struct cached_prefix {
+  /** Expected prompt tokens in the target's cache, weighted by trust. */
+  std::function<double(const target_id&)> tokens_on;
+  /** The target that is expected to hold most of the prompt. */
+  std::optional<target_id> best;
 };
 
 /**
@@ -23,30 +43,97 @@
  */
 struct routing_query {
   const acaciaferry::request& request;
+  const workload& work;
   /** Targets on which earlier attempts of the request failed. */
   std::span<const target_id> excluded;
+  const cached_prefix& cached;
+};
+
+/**
+ * @brief What other modules know that routing reads.
+ */
+struct routing_view {
+  const targets_state& targets;
+  const cost_state& costs;
+  const acaciaferry::policy& policy;
+  const failure_domain_id& own_domain;
+  time_point now;
+};
+
+/**
+ * @brief A chosen target and what is predicted there.
+ */
+struct routing_choice {
+  target_id target;
+  request_cost cost;
+  /** Prefill that is estimated to be ahead of the request. */
+  double ahead_tokens{};
+  duration first_token{};
+  /** From the dispatch to the end of the answer. */
+  duration run{};
+  /** Whether the target has room, so that waiting in this VM gains nothing. */
+  bool has_room{};
+  /** Whether the target has reported its rates lately; without that, the
+   * prediction is a guess that must not refuse anyone. */
+  bool is_grounded{};
+  double score_s{};
 };
 
+/** @return Whether the request's prompt delays short ones. */
+[[nodiscard]] bool IsLongRequest(const request& request) noexcept;
+
+/** @return Whether the pool has a target that may take work. */
+[[nodiscard]] bool HasLiveTarget(const routing_state& state,
+                                 const pool_id& pool) noexcept;
+
+/**
+ * @brief Rebuilds the index after a change of the target table.
+ * @param state The routing state.
+ * @param targets The target table.
+ * @param own_domain This VM's failure domain.
+ */
+void IndexTargets(routing_state& state,
+                  const targets_state& targets,
+                  const failure_domain_id& own_domain);
+
 /**
- * @brief Chooses a target for a request.
- * @param state This VM's outstanding work.
+ * @brief Adds an arrived request to the mix and resizes the short-only share.
+ */
+void NoteArrival(routing_state& state,
+                 const routing_view& view,
+                 const request& request,
+                 const request_cost& cost);
+
+/**
+ * @brief Chooses the best of a few sampled targets.
+ * @param state This VM's dispatches and the index.
  * @param query The request.
- * @param live The pool's targets that may take work, in id order.
- * @return The target, or nothing when all are excluded.
+ * @param view The targets, their rates and the policy.
+ * @param random Source of the sample.
+ * @return The choice, or nothing when every live target is excluded.
  */
-[[nodiscard]] std::optional<target_id> ChooseTarget(
+[[nodiscard]] std::optional<routing_choice> ChooseTarget(
     const routing_state& state,
     const routing_query& query,
-    std::span<const target* const> live);
+    const routing_view& view,
+    random_engine& random);
 
-/** @brief Accounts for work sent to a target. */
+/** @brief Accounts for an attempt that was started as chosen. */
 void RecordDispatch(routing_state& state,
-                    const target_id& target,
-                    const request& request);
+                    const attempt_id& attempt,
+                    const routing_choice& choice,
+                    bool is_long,
+                    time_point now);
 
-/** @brief Accounts for the end of work that was sent to a target. */
-void RecordEnd(routing_state& state,
-               const target_id& target,
-               const request& request);
+/**
+ * @brief The priority at the engine, 0 (first) to 9.
+ * @param work The workload, which gives the base.
+ * @param prompt_tokens Longer classes come later.
+ * @param policy When long prompts weigh more, they give way less.
+ * @return The priority.
+ */
+[[nodiscard]] std::uint32_t EnginePriority(const workload& work,
+                                           std::uint64_t prompt_tokens,
+                                           const policy& policy) noexcept;
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/workspaces/round_robin.cpp
@@ -0,0 +1,65 @@
+#include "acaciaferry/workspaces/round_robin.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace acaciaferry {
+namespace internal {
+
+double DeficitOf(const round_robin& state, const workspace_id& id) {
+  const auto found = state.deficits.find(id);
+  return found == state.deficits.end() ? 0 : found->second;
+}
+
+// Rounds until the workspace can pay, in closed form: prompts of a million
+// tokens would take hundreds of rounds of credit.
+double RoundsFor(const round_robin& state, const contender& each) {
+  const double missing = each.cost - DeficitOf(state, *each.workspace);
+  return std::max(0.0, std::ceil(missing / (kRoundQuantum * each.weight)));
+}
+
+}  // namespace internal
+
+std::optional<turn> NextTurn(const round_robin& state,
+                             std::span<const contender> contenders) {
+  std::optional<turn> best;
+  const std::size_t size = contenders.size();
+  // The ring starts at the workspace that was served last: it goes on while
+  // its deficit lasts, and comes last once it needs more credit.
+  const auto first =
+      std::lower_bound(contenders.begin(), contenders.end(), state.last,
+                       [](const contender& each, const workspace_id& id) {
+                         return *each.workspace < id;
+                       });
+  const auto start = static_cast<std::size_t>(first - contenders.begin());
+  for (std::size_t i = 0; i < size; ++i) {
+    const std::size_t index = (start + i) % size;
+    const double rounds = internal::RoundsFor(state, contenders[index]);
+    const bool was_last = *contenders[index].workspace == state.last;
+    const bool is_tie_with_last =
+        best && rounds == best->rounds && rounds > 0 &&
+        *contenders[best->index].workspace == state.last && !was_last;
+    if (!best || rounds < best->rounds || is_tie_with_last) {
+      best = turn{index, rounds};
+    }
+  }
+  return best;
+}
+
+void TakeTurn(round_robin& state,
+              std::span<const contender> contenders,
+              const turn& served) {
+  std::map<workspace_id, double> next;
+  for (const contender& each : contenders) {
+    next.emplace_hint(next.end(), *each.workspace,
+                      internal::DeficitOf(state, *each.workspace) +
+                          served.rounds * kRoundQuantum * each.weight);
+  }
+  const contender& winner = contenders[served.index];
+  next[*winner.workspace] -= winner.cost;
+  state.last = *winner.workspace;
+  state.deficits = std::move(next);
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/test/acaciaferry/admission/admission_test.cpp
@@ -0,0 +1,126 @@
+#include "acaciaferry/admission/admission.hpp"
+
+#include <rapidcheck.h>
+
+#include "acaciaferry/admission/queues.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+
+namespace {
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+waiting_request Waiting(std::uint64_t n, std::uint32_t priority, int seconds) {
+  return {.order = {priority, kStart + std::chrono::seconds(seconds), {1, n}},
+          .workspace = {"ws" + std::to_string(n % 3)},
+          .workload = {"w" + std::to_string(n % 2)},
+          .lane = {{"m"}, n % 5 == 0},
+          .cost = 100,
+          .run = std::chrono::seconds(seconds % 4)};
+}
+
+}  // namespace
+
+TEST_GROUP(Admission){};
+
+// Guards against admitting what is predicted to be late, and against refusals
+// that are not typed as not run or carry no time to try again.
+TEST(Admission, RefusesExactlyWhatCannotMeetItsDeadline) {
+  CHECK_TRUE(rc::check([](std::uint16_t wait_ms, std::uint16_t run_ms,
+                          std::uint16_t left_ms, bool is_grounded) {
+    const prospect expected{.wait = std::chrono::milliseconds(wait_ms),
+                            .run = std::chrono::milliseconds(run_ms),
+                            .is_grounded = is_grounded};
+    const duration left = std::chrono::milliseconds(left_ms);
+    const auto refusal = CheckProspect({.queue_limit = 1}, left, expected);
+    const bool is_surely_late = expected.wait + expected.run > left;
+    RC_ASSERT(!is_grounded || !is_surely_late || refusal.has_value());
+    RC_ASSERT(!refusal || (is_grounded && refusal->retry_after &&
+                           refusal->code == failure_code::kDeadlineTooShort &&
+                           refusal->result == outcome::kNotRun));
+  }));
+}
+
+// Guards against a queue that grows past its workload's limit.
+TEST(Admission, RefusesWhenTheQueueIsFull) {
+  const auto refusal =
+      CheckProspect({.queue_limit = 4}, std::chrono::hours(1), {.waiting = 4});
+  CHECK_TRUE(refusal.has_value());
+  CHECK_TRUE(refusal->code == failure_code::kQueueFull);
+  CHECK_TRUE(refusal->retry_after.has_value());
+}
+
+// Guards against requests that are lost or kept in one of the queues' indexes
+// when they are removed in any order.
+TEST(Admission, QueuesStayConsistent) {
+  CHECK_TRUE(rc::check([](const std::vector<std::uint8_t>& operations) {
+    waiting_queues queues;
+    std::set<std::uint64_t> model;
+    time_point now = kStart;
+    for (const std::uint8_t each : operations) {
+      const std::uint64_t n = each % 32;
+      now += std::chrono::milliseconds(each);
+      if (each < 160 && model.insert(n).second) {
+        Enqueue(queues, Waiting(n, n % 10, static_cast<int>(n)), now);
+      } else if (each >= 160) {
+        model.erase(n);
+        RemoveWaiting(queues, {1, n}, now);
+      }
+      double cost = 0;
+      std::size_t heads = 0;
+      for (const auto& [id, lane] : queues.lanes) {
+        cost += lane.cost;
+        heads += Contenders(queues, lane).size();
+      }
+      RC_ASSERT(queues.requests.size() == model.size());
+      RC_ASSERT(queues.by_order.size() == model.size());
+      RC_ASSERT(queues.latest_starts.size() == model.size());
+      RC_ASSERT(cost == 100.0 * double(model.size()));
+      RC_ASSERT((heads == 0) == model.empty());
+      RC_ASSERT(WaitingOf(queues, {"w0"}) + WaitingOf(queues, {"w1"}) ==
+                model.size());
+      RC_ASSERT(PredictWait(queues, Waiting(99, 0, 1)) >= duration::zero());
+    }
+  }));
+}
+
+// Guards against shedding a request that could still finish, or one that goes
+// before the newcomer.
+TEST(Admission, ShedsTheLateAndTheLastInOrder) {
+  waiting_queues queues;
+  for (std::uint64_t n = 0; n < 10; ++n) {
+    Enqueue(queues, Waiting(n, n < 5 ? 0 : 5, 10 + static_cast<int>(n)),
+            kStart);
+  }
+  for (const request_id& id :
+       TooLateToStart(queues, kStart + std::chrono::seconds(13))) {
+    const waiting_request& late = queues.requests.at(id);
+    CHECK_TRUE(late.LatestStart() < kStart + std::chrono::seconds(13));
+  }
+  CHECK_EQUAL(0U, TooLateToStart(queues, kStart).size());
+  const auto victim = FindVictim(queues, Waiting(20, 3, 100).order);
+  CHECK_TRUE(victim == (request_id{1, 9}));
+  CHECK_FALSE(FindVictim(queues, Waiting(20, 6, 1).order).has_value());
+}
+
+// Guards against a prediction that ignores what is ahead in the queue.
+TEST(Admission, PredictedWaitFollowsTheDrainRate) {
+  waiting_queues queues;
+  for (std::uint64_t n = 1; n <= 300; ++n) {
+    waiting_request each = Waiting(n, 0, 1'000);
+    each.lane = {{"m"}, false};
+    Enqueue(queues, each, kStart);
+  }
+  time_point now = kStart;
+  for (std::uint64_t n = 1; n <= 100; ++n) {
+    now += std::chrono::milliseconds(100);
+    RemoveWaiting(queues, {1, n}, now);
+    NoteDrained(queues.lanes.at({{"m"}, false}), 100, now);
+  }
+  waiting_request next = Waiting(301, 0, 1'000);
+  next.lane = {{"m"}, false};
+  // 200 requests at 10 a second.
+  DOUBLES_EQUAL(20, ToSeconds(PredictWait(queues, next)), 2);
+}
