Add evidence against requests that crash targets

A request that crashes each target it runs on takes down a pool while its caller re-sends it. The quarantine module keeps evidence by fingerprint and source, merges what peers tell, and refuses a request after three crashes, or after two on targets that ran nothing else of this VM. Reports carry a version per source, so that repeated and reordered ones change nothing.

--- /dev/null
+++ b/src/acaciaferry/quarantine/quarantine.cpp
@@ -0,0 +1,198 @@
+#include "acaciaferry/quarantine/quarantine.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr duration kQuarantine = std::chrono::minutes(10);
+// The bound on the targets that one request takes down.
+constexpr std::uint32_t kMaxCrashes = 3;
+// Two crashes without any other request on the target leave no doubt.
+constexpr double kMaxWeight = 2;
+constexpr std::size_t kMaxFingerprints = 4'096;
+constexpr std::size_t kMaxSources = 64;
+
+struct total {
+  std::uint32_t crashes{};
+  double weight{};
+  time_point last{};
+};
+
+total TotalOf(const quarantine_state& state,
+              std::uint64_t fingerprint,
+              time_point now) {
+  total sum;
+  const auto found = state.suspects.find(fingerprint);
+  if (found == state.suspects.end()) {
+    return sum;
+  }
+  for (const auto& [source, known] : found->second) {
+    if (known.crashes > 0 && known.at + kQuarantine > now) {
+      sum.crashes += known.crashes;
+      sum.weight += known.weight;
+      sum.last = std::max(sum.last, known.at);
+    }
+  }
+  return sum;
+}
+
+time_point LastChange(const std::map<evidence_source, evidence>& sources) {
+  time_point last{};
+  for (const auto& [source, known] : sources) {
+    last = std::max(last, known.at);
+  }
+  return last;
+}
+
+// Makes room by forgetting the fingerprint that changed the longest ago.
+void MakeRoom(quarantine_state& state) {
+  if (state.suspects.size() < kMaxFingerprints) {
+    return;
+  }
+  const auto oldest =
+      std::min_element(state.suspects.begin(), state.suspects.end(),
+                       [](const auto& a, const auto& b) {
+                         return LastChange(a.second) < LastChange(b.second);
+                       });
+  state.suspects.erase(oldest);
+}
+
+std::map<evidence_source, evidence>& SourcesOf(quarantine_state& state,
+                                               std::uint64_t fingerprint) {
+  const auto found = state.suspects.find(fingerprint);
+  if (found != state.suspects.end()) {
+    return found->second;
+  }
+  MakeRoom(state);
+  return state.suspects[fingerprint];
+}
+
+// Clears the evidence that is not newer than a completion.
+void Clear(quarantine_state& state,
+           std::map<evidence_source, evidence>& sources,
+           const evidence_source& self,
+           time_point completed_at) {
+  for (auto& [source, known] : sources) {
+    if (known.crashes == 0 || known.at > completed_at) {
+      continue;
+    }
+    // The version stays, so that a late report of the same evidence does not
+    // bring it back. Peers learn that this VM's own evidence is void.
+    known.crashes = 0;
+    known.weight = 0;
+    if (source == self) {
+      known.version = state.next_version++;
+    }
+  }
+}
+
+// Bounds what one corrupt report can do.
+bool IsPlausible(const suspect_report& report) {
+  constexpr std::uint32_t kMostCrashes = 1'000;
+  return report.crashes <= kMostCrashes && std::isfinite(report.weight) &&
+         report.weight >= 0 && report.age >= duration::zero() &&
+         report.age < kQuarantine;
+}
+
+}  // namespace internal
+
+void RecordCrash(quarantine_state& state,
+                 const evidence_source& self,
+                 std::uint64_t fingerprint,
+                 std::size_t in_flight,
+                 time_point now) {
+  evidence& own = internal::SourcesOf(state, fingerprint)[self];
+  own.version = state.next_version++;
+  own.crashes += 1;
+  own.weight += 1.0 / static_cast<double>(std::max<std::size_t>(in_flight, 1));
+  own.at = now;
+}
+
+void RecordCompletion(quarantine_state& state,
+                      const evidence_source& self,
+                      std::uint64_t fingerprint,
+                      time_point now) {
+  if (!IsSuspect(state, fingerprint, now)) {
+    return;
+  }
+  auto& sources = state.suspects[fingerprint];
+  internal::Clear(state, sources, self, now);
+  // Tells peers of the completion even when only they had evidence.
+  evidence& own = sources[self];
+  own.version = state.next_version++;
+  own.at = now;
+}
+
+void MergeSuspects(quarantine_state& state,
+                   const evidence_source& self,
+                   const suspects_heard& heard,
+                   time_point now) {
+  for (const suspect_report& report : heard.reports) {
+    if (report.source == self || !internal::IsPlausible(report)) {
+      continue;
+    }
+    auto& sources = internal::SourcesOf(state, report.fingerprint);
+    if (sources.size() >= internal::kMaxSources &&
+        !sources.contains(report.source)) {
+      continue;
+    }
+    evidence& known = sources[report.source];
+    if (report.version <= known.version) {
+      continue;
+    }
+    const time_point at = now - report.age;
+    known = {report.version, report.crashes, report.weight, at};
+    // A source without crashes has seen the request complete.
+    if (report.crashes == 0) {
+      internal::Clear(state, sources, self, at);
+    }
+  }
+}
+
+bool IsSuspect(const quarantine_state& state,
+               std::uint64_t fingerprint,
+               time_point now) {
+  return internal::TotalOf(state, fingerprint, now).crashes > 0;
+}
+
+std::optional<duration> QuarantinedFor(const quarantine_state& state,
+                                       std::uint64_t fingerprint,
+                                       time_point now) {
+  const internal::total sum = internal::TotalOf(state, fingerprint, now);
+  const bool refused = sum.crashes >= internal::kMaxCrashes ||
+                       sum.weight >= internal::kMaxWeight;
+  if (!refused) {
+    return std::nullopt;
+  }
+  return sum.last + internal::kQuarantine - now;
+}
+
+std::vector<suspect_report> SuspectsToTell(const quarantine_state& state,
+                                           std::size_t limit,
+                                           time_point now) {
+  std::vector<suspect_report> reports;
+  for (const auto& [fingerprint, sources] : state.suspects) {
+    for (const auto& [source, known] : sources) {
+      reports.push_back({fingerprint, source, known.version, known.crashes,
+                         known.weight, now - known.at});
+    }
+  }
+  std::sort(reports.begin(), reports.end(),
+            [](const suspect_report& a, const suspect_report& b) {
+              return std::tie(a.age, a.fingerprint, a.source) <
+                     std::tie(b.age, b.fingerprint, b.source);
+            });
+  reports.resize(std::min(reports.size(), limit));
+  return reports;
+}
+
+void ExpireSuspects(quarantine_state& state, time_point now) {
+  std::erase_if(state.suspects, [now](const auto& entry) {
+    return internal::LastChange(entry.second) + internal::kQuarantine <= now;
+  });
+}
+
+}  // namespace acaciaferry
