Decide retries, stalls, operations and quarantine in the reducer

An attempt's last phase alone told the outcome: a request that was abandoned while the event that it was sent was still queued was reported as not run, and so was one whose second attempt was refused after the first may have run. Only a refused connection or a rejection counts as not run now, and an unknown attempt stays in the record.

Retries draw on a budget per pool. Silent streams are resumed by id and offset on a numbered connection, so that the failure of a replaced one is ignored, and fail over after a second silent connection. A failover must repeat the delivered bytes exactly. Service answers are held back until no retry can follow. Calls with operation keys are answered from the store, started here, or forwarded to the minting VM. Suspects wait for a target where few others run. lifecycle.cpp is split into attempt_control, attempt_events and operation_events.

--- a/src/acaciaferry/attempts/attempt.hpp
+++ b/src/acaciaferry/attempts/attempt.hpp
@@ -27,6 +27,14 @@
   attempt_phase phase{attempt_phase::kUnsent};
   /** When the target last showed progress. */
   time_point progress_at{};
+  /** Connections opened to resume the stream; zero for the first one. */
+  std::uint32_t connection{};
+  /** Connections opened to resume the stream since its last progress. */
+  std::uint32_t silent_resumes{};
+  /** Whether a crash of the target was already counted for this attempt. */
+  bool crash_counted{};
+  /** Whether the target is the VM that minted the call's operation key. */
+  bool forwarded{};
 };
 
 /**
@@ -46,16 +54,42 @@
 /** @return The name of the reason as metrics print it. */
 [[nodiscard]] std::string_view ToString(retry_reason reason) noexcept;
 
+/** Why an attempt ends without a whole answer. */
+enum class attempt_end {
+  /** The target refused before execution. */
+  kRejected,
+  /** The connection could not be opened. */
+  kConnectFailed,
+  /** The connection broke, or the answer on it was unusable. */
+  kConnectionLost,
+  /** This VM gave the attempt up: a deadline, a stall, a caller gone. */
+  kAbandoned,
+};
+
 /**
  * @brief What may truthfully be said of an attempt that did not finish.
- * @param phase The attempt's last phase.
- * @return Not run when nothing was sent or the target refused; else unknown.
+ * @param value The attempt, in its last phase.
+ * @param end Why it ended.
+ * @return Not run when it is certain that nothing was sent or that the target
+ * refused; else unknown.
+ */
+[[nodiscard]] outcome UnfinishedOutcome(const attempt& value,
+                                        attempt_end end) noexcept;
+
+/**
+ * @brief Tells whether a stream has been silent beyond the progress bound.
+ * @param value The attempt.
+ * @param now The time.
+ * @return True when neither a chunk nor a heartbeat came in time.
+ */
+[[nodiscard]] bool IsSilent(const attempt& value, time_point now) noexcept;
+
+/**
+ * @brief Tells whether a silent stream is asked for again on a new connection.
+ * @param value The silent attempt.
+ * @return False when the connection before it was already a resumption without
+ * any progress; the request then fails over.
  */
-[[nodiscard]] constexpr outcome UnfinishedOutcome(
-    attempt_phase phase) noexcept {
-  const bool not_run =
-      phase == attempt_phase::kUnsent || phase == attempt_phase::kRejected;
-  return not_run ? outcome::kNotRun : outcome::kUnknown;
-}
+[[nodiscard]] bool ShouldResume(const attempt& value) noexcept;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/attempts/event.hpp
+++ b/src/acaciaferry/attempts/event.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 
+#include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request_id.hpp"
 
 namespace acaciaferry {
@@ -17,6 +18,8 @@
   attempt_id attempt;
   int http_status{};
   std::string content_type;
+  /** What the minting VM reported of a forwarded call; unknown otherwise. */
+  outcome reported{outcome::kUnknown};
 };
 
 /** The target refused before execution and said so. */
@@ -56,6 +59,9 @@
 struct attempt_failed {
   attempt_id attempt;
   transport_error error{};
+  /** Which connection of the attempt failed: 0 is the one that carried the
+   * request, higher ones resumed it. */
+  std::uint32_t connection{};
 };
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/attempts/fwd.hpp
+++ b/src/acaciaferry/attempts/fwd.hpp
@@ -3,7 +3,10 @@
 namespace acaciaferry {
 
 class answer_assembly;
+class answer_prefix;
+enum class prefix_verdict;
 enum class assembly_verdict;
+enum class attempt_end;
 enum class attempt_phase;
 enum class retry_reason;
 enum class transport_error;
@@ -15,5 +18,7 @@
 struct attempt_progressed;
 struct attempt_rejected;
 struct attempt_sent;
+struct retry_budget;
+struct retry_budgets;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/core/request.hpp
+++ b/src/acaciaferry/core/request.hpp
@@ -36,6 +36,8 @@
   std::string idempotency_key;
   /** The caller's own limit, when shorter than the workload's. */
   std::optional<duration> timeout;
+  /** Whether another VM forwarded the call to this one. */
+  bool forwarded{};
 };
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -39,10 +39,13 @@
 // Ends the handling of a request with a reply.
 struct refused {
   failure reason;
+  std::string operation_key;
+  /** Whether the reducer decided it; otherwise it never saw the request. */
+  bool decided{};
 };
 
 refused Refused(failure_code code) {
-  return {{code, outcome::kNotRun, std::nullopt}};
+  return {{code, outcome::kNotRun, std::nullopt}, {}};
 }
 
 // Reads the body within the size and time limits.
@@ -131,14 +134,12 @@
  public:
   session(callers_context& context,
           HTTPServerRequest& http,
-          request request,
-          std::shared_ptr<exchange> link)
-      : context_(context),
-        http_(http),
-        id_(request.id),
-        link_(std::move(link)) {
+          const request_id& id,
+          std::shared_ptr<exchange> link,
+          event first)
+      : context_(context), http_(http), id_(id), link_(std::move(link)) {
     context_.exchanges.Add(id_, link_);
-    context_.post(request_arrived{std::move(request)});
+    context_.post(std::move(first));
   }
 
   ~session() {
@@ -250,6 +251,7 @@
 // Collects a whole answer before anything is sent.
 struct collected_reply {
   int http_status{200};
+  outcome result{outcome::kRan};
   std::string content_type;
   std::string text;
   std::string finish_reason;
@@ -257,6 +259,7 @@
   // True when the answer is complete.
   bool operator()(const deliver_head& head) {
     http_status = head.http_status;
+    result = head.result;
     content_type = head.content_type;
     return false;
   }
@@ -268,7 +271,9 @@
     finish_reason = end.finish_reason;
     return true;
   }
-  bool operator()(const fail_request& end) const { throw refused{end.reason}; }
+  bool operator()(const fail_request& end) const {
+    throw refused{end.reason, end.operation_key, true};
+  }
 };
 
 collected_reply Collect(session& source) {
@@ -285,8 +290,9 @@
 void SendBody(HTTPServerResponse& response,
               const request_id& id,
               const std::string& content_type,
-              const std::string& body) {
-  SetOutcome(response, id, outcome::kRan);
+              const std::string& body,
+              outcome result = outcome::kRan) {
+  SetOutcome(response, id, result);
   if (!content_type.empty()) {
     response.setContentType(content_type);
   }
@@ -305,9 +311,9 @@
     try {
       Route(id, request, response);
     } catch (const refused& refusal) {
-      Refuse(id, refusal.reason, response);
+      Refuse(id, refusal, request, response);
     } catch (const Poco::TimeoutException&) {
-      Refuse(id, Refused(failure_code::kRequestTooSlow).reason, response);
+      Refuse(id, Refused(failure_code::kRequestTooSlow), request, response);
     } catch (const Poco::Exception&) {
       response.setKeepAlive(false);
     }
@@ -315,15 +321,20 @@
 
  private:
   void Refuse(const request_id& id,
-              const failure& reason,
+              refused refusal,
+              const HTTPServerRequest& request,
               HTTPServerResponse& response) {
     if (response.sent()) {
       return;
     }
+    // An earlier call with the same key may have run.
+    if (!refusal.decided && request.has("Idempotency-Key")) {
+      refusal.reason.result = outcome::kUnknown;
+    }
     // The rest of a refused body is not read, so the connection must end.
     response.setKeepAlive(false);
     try {
-      SendFailure(response, id, reason);
+      SendFailure(response, id, refusal.reason, refusal.operation_key);
     } catch (const Poco::Exception&) {
       // The caller closed the connection before the reply.
     }
@@ -341,6 +352,8 @@
       Complete(id, workspace, answer_shape::kText, http, response);
     } else if (path == "/v1/chat/completions" && is_post) {
       Complete(id, workspace, answer_shape::kChat, http, response);
+    } else if (path == "/v1/operation-keys" && is_post) {
+      MintKey(id, http, response);
     } else if (path.starts_with(kServicePrefix)) {
       CallService(id, workspace, http, response);
     } else {
@@ -382,7 +395,8 @@
         .timeout = ReadTimeout(http)};
     auto link = std::make_shared<exchange>(std::move(text), "POST",
                                            http.getURI(), "application/json");
-    session source(context_, http, std::move(request), std::move(link));
+    session source(context_, http, id, std::move(link),
+                   request_arrived{std::move(request)});
     if (body->stream) {
       stream_reply(source, response, shape, body->model).Run();
       return;
@@ -393,6 +407,19 @@
         AnswerJson(shape, id, body->model, reply.text, reply.finish_reason));
   }
 
+  void MintKey(const request_id& id,
+               HTTPServerRequest& http,
+               HTTPServerResponse& response) {
+    static_cast<void>(ReadBody(http, response, context_));
+    session source(context_, http, id,
+                   std::make_shared<exchange>("", "", "", ""),
+                   operation_key_requested{id});
+    const collected_reply reply = Collect(source);
+    response.setStatusAndReason(
+        static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.http_status));
+    SendBody(response, id, reply.content_type, reply.text);
+  }
+
   void CallService(const request_id& id,
                    const workspace_id& workspace,
                    HTTPServerRequest& http,
@@ -411,15 +438,19 @@
         .method = http.getMethod(),
         .path = path,
         .idempotency_key = http.get("Idempotency-Key", ""),
-        .timeout = ReadTimeout(http)};
+        .timeout = ReadTimeout(http),
+        .forwarded = http.has("Acaciaferry-Forwarded")};
     auto link = std::make_shared<exchange>(std::move(text), http.getMethod(),
                                            path, http.getContentType());
     link->idempotency_key = request.idempotency_key;
-    session source(context_, http, std::move(request), std::move(link));
+    link->authorization = http.get("Authorization", "");
+    link->caller_path = http.getURI();
+    session source(context_, http, id, std::move(link),
+                   request_arrived{std::move(request)});
     const collected_reply reply = Collect(source);
     response.setStatusAndReason(
         static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.http_status));
-    SendBody(response, id, reply.content_type, reply.text);
+    SendBody(response, id, reply.content_type, reply.text, reply.result);
   }
 
   callers_context& context_;
--- a/src/acaciaferry/http/exchange.hpp
+++ b/src/acaciaferry/http/exchange.hpp
@@ -46,6 +46,10 @@
   const std::string content_type;
   /** Passed on to the target when not empty. */
   std::string idempotency_key;
+  /** The caller's Authorization header and path, for a call that is forwarded
+   * to another VM. */
+  std::string authorization;
+  std::string caller_path;
 
   /** @brief Adds a part of the reply. Thread-safe. */
   void Push(reply_part part);
--- a/src/acaciaferry/http/reply_writer.cpp
+++ b/src/acaciaferry/http/reply_writer.cpp
@@ -34,7 +34,7 @@
   response.set("Acaciaferry-Outcome", std::string(ToString(result)));
 }
 
-std::string FailureJson(const failure& reason) {
+std::string FailureJson(const failure& reason, std::string_view operation_key) {
   const failure_description& description = Describe(reason.code);
   internal::json error{{"code", description.code},
                        {"message", description.sentence},
@@ -43,13 +43,17 @@
   if (reason.retry_after) {
     error["retry_after_ms"] = ToMilliseconds(*reason.retry_after);
   }
+  if (!operation_key.empty()) {
+    error["operation_key"] = operation_key;
+  }
   return internal::json{{"error", error}}.dump();
 }
 
 void SendFailure(Poco::Net::HTTPServerResponse& response,
                  const request_id& id,
-                 const failure& reason) {
-  const std::string body = FailureJson(reason);
+                 const failure& reason,
+                 std::string_view operation_key) {
+  const std::string body = FailureJson(reason, operation_key);
   SetOutcome(response, id, reason.result);
   response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(
       Describe(reason.code).http_status));
--- a/src/acaciaferry/http/reply_writer.hpp
+++ b/src/acaciaferry/http/reply_writer.hpp
@@ -28,19 +28,23 @@
 /**
  * @brief Formats the JSON body of a failure.
  * @param reason The failure.
+ * @param operation_key A fresh key for the caller; empty for none.
  * @return `{"error":{"code","message","retryable","outcome",...}}`.
  */
-[[nodiscard]] std::string FailureJson(const failure& reason);
+[[nodiscard]] std::string FailureJson(const failure& reason,
+                                      std::string_view operation_key = {});
 
 /**
  * @brief Sends a failure as the whole reply.
  * @param response The response, not yet sent.
  * @param id The request.
  * @param reason The failure.
+ * @param operation_key A fresh key for the caller; empty for none.
  */
 void SendFailure(Poco::Net::HTTPServerResponse& response,
                  const request_id& id,
-                 const failure& reason);
+                 const failure& reason,
+                 std::string_view operation_key = {});
 
 /**
  * @brief Formats one server-sent event of a streamed answer.
--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -24,6 +24,8 @@
   std::uint32_t priority{};
   /** Reservation ids of a span, head engine first; empty for one engine. */
   std::vector<std::string> reservations;
+  /** Whether the target is the callers' listener of another VM. */
+  bool forward{};
 };
 
 /** Ask for a stream again, from an offset on, over a new connection. */
@@ -31,6 +33,8 @@
   attempt_id attempt;
   std::string address;
   std::uint64_t offset{};
+  /** Number of the new connection, from 1; its failures carry it. */
+  std::uint32_t connection{};
 };
 
 /** Stop an attempt and release what it holds on the target. */
@@ -45,6 +49,8 @@
   request_id request;
   int http_status{};
   std::string content_type;
+  /** As the minting VM reported it for a forwarded call. */
+  outcome result{outcome::kRan};
 };
 
 /** Send a part of the answer to the caller. */
@@ -63,6 +69,8 @@
 struct fail_request {
   request_id request;
   failure reason;
+  /** A fresh key for the call that needs one; otherwise empty. */
+  std::string operation_key;
 };
 
 /** All in-flight work has ended after a drain; the process may exit. */
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -5,6 +5,9 @@
 #include "acaciaferry/attempts/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/event.hpp"
+#include "acaciaferry/operations/event.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -45,6 +48,9 @@
                            attempt_progressed,
                            answer_chunk,
                            answer_ended,
-                           attempt_failed>;
+                           attempt_failed,
+                           operation_key_requested,
+                           peer_learnt,
+                           suspects_heard>;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/lifecycle.cpp
+++ b/src/acaciaferry/reducer/lifecycle.cpp
@@ -3,135 +3,10 @@
 #include <variant>
 
 #include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
 
 namespace acaciaferry {
-namespace internal {
-
-void Refuse(const request_id& id, const failure& reason, effects& out) {
-  out.push_back(count_refusal{reason.code});
-  out.push_back(fail_request{id, reason});
-}
-
-void ReleaseAttempt(state& state, request_record& record, effects& out) {
-  if (!record.current) {
-    return;
-  }
-  const attempt& current = *record.current;
-  const bool may_hold_memory = current.phase == attempt_phase::kUnsent ||
-                               current.phase == attempt_phase::kSent ||
-                               current.phase == attempt_phase::kAccepted;
-  if (may_hold_memory) {
-    out.push_back(
-        cancel_attempt{current.id, current.address, record.request.kind});
-  }
-  RecordEnd(state.routing, current.target, record.request);
-  record.current.reset();
-}
-
-void Remove(state& state, const request_id& id) {
-  const auto found = state.requests.find(id);
-  state.deadlines.erase({found->second.deadline, id});
-  state.requests.erase(found);
-}
-
-void Fail(state& state,
-          request_record& record,
-          const failure& reason,
-          effects& out) {
-  const request_id id = record.request.id;
-  ReleaseAttempt(state, record, out);
-  out.push_back(count_refusal{reason.code});
-  out.push_back(fail_request{id, reason});
-  Remove(state, id);
-}
-
-// Tries the request on a target that it has not failed on. A failure keeps the
-// outcome of the attempts already made.
-void StartAttempt(state& state,
-                  request_record& record,
-                  const failure& when_none,
-                  time_point now,
-                  effects& out) {
-  const auto live = LiveTargets(state.targets, record.request.pool);
-  const auto chosen =
-      ChooseTarget(state.routing, {record.request, record.excluded}, live);
-  if (!chosen) {
-    Fail(state, record, when_none, out);
-    return;
-  }
-  const target& target = *FindTarget(state.targets, *chosen);
-  const attempt_id id{record.request.id, ++record.attempts_made};
-  record.current =
-      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
-  RecordDispatch(state.routing, target.id, record.request);
-  out.push_back(start_attempt{.attempt = id,
-                              .target = target.id,
-                              .address = target.address,
-                              .kind = record.request.kind,
-                              .prompt_tokens = record.request.prompt_tokens,
-                              .remaining = record.deadline - now,
-                              .priority = record.work.priority,
-                              .reservations = {}});
-}
-
-// The record whose current attempt this is; null for a superseded attempt.
-request_record* FindCurrent(state& state, const attempt_id& id) {
-  const auto found = state.requests.find(id.request);
-  const bool is_current = found != state.requests.end() &&
-                          found->second.current &&
-                          found->second.current->id == id;
-  return is_current ? &found->second : nullptr;
-}
-
-retry_reason ReasonOf(transport_error error) noexcept {
-  return error == transport_error::kConnectFailed
-             ? retry_reason::kConnectFailed
-             : retry_reason::kConnectionLost;
-}
-
-// Another attempt is safe when the last one did not run, or when running twice
-// does no harm and the caller has seen nothing of the first answer.
-bool MayRetry(const request_record& record) noexcept {
-  const bool not_run =
-      UnfinishedOutcome(record.current->phase) == outcome::kNotRun;
-  return not_run || (record.work.idempotent && !record.head_delivered);
-}
-
-void RetryOrFail(state& state,
-                 request_record& record,
-                 retry_reason reason,
-                 failure_code code,
-                 time_point now,
-                 effects& out) {
-  const failure when_none{code, UnfinishedOutcome(record.current->phase),
-                          std::nullopt};
-  if (!MayRetry(record)) {
-    Fail(state, record, when_none, out);
-    return;
-  }
-  record.excluded.push_back(record.current->target);
-  ReleaseAttempt(state, record, out);
-  out.push_back(count_retry{reason});
-  StartAttempt(state, record, when_none, now, out);
-}
-
-void FinishIfComplete(state& state, request_record& record, effects& out) {
-  if (!record.answer.IsComplete()) {
-    return;
-  }
-  record.current->phase = attempt_phase::kFinished;
-  ReleaseAttempt(state, record, out);
-  const request_id id = record.request.id;
-  out.push_back(finish_request{id, record.finish_reason});
-  Remove(state, id);
-}
-
-void FailCorrupt(state& state, request_record& record, effects& out) {
-  Fail(state, record,
-       {failure_code::kAnswerCorrupt, outcome::kUnknown, std::nullopt}, out);
-}
-
-}  // namespace internal
 
 void OnRequestArrived(state& state,
                       const request& request,
@@ -140,6 +15,9 @@
   const auto refuse = [&](failure_code code) {
     internal::Refuse(request.id, {code, outcome::kNotRun, std::nullopt}, out);
   };
+  if (ReplyFromOperations(state, request, now, out)) {
+    return;
+  }
   if (state.closed) {
     return refuse(failure_code::kDraining);
   }
@@ -151,12 +29,24 @@
     internal::Refuse(request.id, *refusal, out);
     return;
   }
+  if (const auto left = QuarantinedFor(state.quarantine,
+                                       internal::FingerprintOf(request), now)) {
+    internal::Refuse(request.id,
+                     {failure_code::kQuarantined, outcome::kNotRun, left}, out);
+    return;
+  }
   const auto& [work, deadline] = std::get<admitted>(verdict);
   request_record& record = state.requests[request.id];
   record.request = request;
   record.work = work;
   record.deadline = deadline;
   state.deadlines.emplace(deadline, request.id);
+  if (!SpendKey(state, record)) {
+    internal::Fail(
+        state, record,
+        {failure_code::kOperationsFull, outcome::kNotRun, std::nullopt}, out);
+    return;
+  }
   const failure no_target{failure_code::kNoLiveTarget, outcome::kNotRun,
                           std::nullopt};
   internal::StartAttempt(state, record, no_target, now, out);
@@ -167,122 +57,25 @@
   if (found == state.requests.end()) {
     return;
   }
-  internal::ReleaseAttempt(state, found->second, out);
   out.push_back(count_refusal{failure_code::kCallerGone});
+  if (found->second.operation) {
+    // The answer is kept for the caller's next call with the same key.
+    found->second.caller_gone = true;
+    return;
+  }
+  internal::ReleaseAttempt(state, found->second, out);
   internal::Remove(state, id);
 }
 
 void ExpireRequests(state& state, time_point now, effects& out) {
   while (!state.deadlines.empty() && state.deadlines.begin()->first <= now) {
     request_record& record = state.requests.at(state.deadlines.begin()->second);
-    const outcome result = record.current
-                               ? UnfinishedOutcome(record.current->phase)
-                               : outcome::kNotRun;
+    const outcome result =
+        internal::OutcomeNow(record, attempt_end::kAbandoned);
     internal::Fail(state, record,
                    {failure_code::kDeadlineExceeded, result, std::nullopt},
                    out);
   }
 }
 
-void OnAttemptEvent(state& state,
-                    const attempt_sent& event,
-                    time_point now,
-                    effects& /*out*/) {
-  if (auto* const record = internal::FindCurrent(state, event.attempt)) {
-    record->current->phase = attempt_phase::kSent;
-    record->current->progress_at = now;
-  }
-}
-
-void OnAttemptEvent(state& state,
-                    const attempt_accepted& event,
-                    time_point now,
-                    effects& out) {
-  auto* const record = internal::FindCurrent(state, event.attempt);
-  if (record == nullptr) {
-    return;
-  }
-  record->current->phase = attempt_phase::kAccepted;
-  record->current->progress_at = now;
-  if (!record->head_delivered &&
-      record->request.kind == request_kind::kServiceCall) {
-    record->head_delivered = true;
-    out.push_back(deliver_head{event.attempt.request, event.http_status,
-                               event.content_type});
-  }
-}
-
-void OnAttemptEvent(state& state,
-                    const attempt_rejected& event,
-                    time_point now,
-                    effects& out) {
-  if (auto* const record = internal::FindCurrent(state, event.attempt)) {
-    record->current->phase = attempt_phase::kRejected;
-    internal::RetryOrFail(state, *record, retry_reason::kRejected,
-                          failure_code::kTargetRejected, now, out);
-  }
-}
-
-void OnAttemptEvent(state& state,
-                    const attempt_progressed& event,
-                    time_point now,
-                    effects& /*out*/) {
-  if (auto* const record = internal::FindCurrent(state, event.attempt)) {
-    record->current->progress_at = now;
-  }
-}
-
-void OnAttemptEvent(state& state,
-                    const answer_chunk& event,
-                    time_point now,
-                    effects& out) {
-  auto* const record = internal::FindCurrent(state, event.attempt);
-  if (record == nullptr) {
-    return;
-  }
-  record->current->progress_at = now;
-  std::string ready;
-  const auto verdict = record->answer.Add(event.offset, event.text, ready);
-  if (verdict != assembly_verdict::kOk) {
-    internal::FailCorrupt(state, *record, out);
-    return;
-  }
-  if (!ready.empty()) {
-    record->head_delivered = true;
-    out.push_back(deliver_chunk{event.attempt.request, std::move(ready)});
-  }
-  internal::FinishIfComplete(state, *record, out);
-}
-
-void OnAttemptEvent(state& state,
-                    const answer_ended& event,
-                    time_point /*now*/,
-                    effects& out) {
-  auto* const record = internal::FindCurrent(state, event.attempt);
-  if (record == nullptr) {
-    return;
-  }
-  record->finish_reason = event.finish_reason;
-  if (record->answer.SetLength(event.length) != assembly_verdict::kOk) {
-    internal::FailCorrupt(state, *record, out);
-    return;
-  }
-  internal::FinishIfComplete(state, *record, out);
-}
-
-void OnAttemptEvent(state& state,
-                    const attempt_failed& event,
-                    time_point now,
-                    effects& out) {
-  auto* const record = internal::FindCurrent(state, event.attempt);
-  if (record == nullptr) {
-    return;
-  }
-  const failure_code code = event.error == transport_error::kMalformedAnswer
-                                ? failure_code::kAnswerCorrupt
-                                : failure_code::kTargetLost;
-  internal::RetryOrFail(state, *record, internal::ReasonOf(event.error), code,
-                        now, out);
-}
-
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/lifecycle.hpp
+++ b/src/acaciaferry/reducer/lifecycle.hpp
@@ -19,6 +19,9 @@
 /** @brief Fails every request whose deadline has passed. */
 void ExpireRequests(state& state, time_point now, effects& out);
 
+/** @brief Resumes or fails over the streams that have gone silent. */
+void CheckProgress(state& state, time_point now, effects& out);
+
 /** @brief Handle what the current attempt's connection reports. */
 void OnAttemptEvent(state& state,
                     const attempt_sent& event,
--- /dev/null
+++ b/src/acaciaferry/reducer/operation_events.cpp
@@ -0,0 +1,175 @@
+#include "acaciaferry/reducer/operation_events.hpp"
+
+#include <string>
+#include <variant>
+
+#include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr int kHttpCreated = 201;
+
+// Whether the call's key is this project's concern. Idempotent calls need no
+// key, and a target that deduplicates takes the key as it is.
+bool NeedsOperation(const state& state, const request& request) {
+  if (request.kind != request_kind::kServiceCall ||
+      request.idempotency_key.empty()) {
+    return false;
+  }
+  if (!state.config) {
+    return true;
+  }
+  const workload* const work = FindWorkload(*state.config, request);
+  const pool* const known = FindPool(*state.config, request.pool);
+  const bool harmless = work != nullptr && work->idempotent;
+  return !harmless && !(known != nullptr && known->deduplicates);
+}
+
+operation_call CallOf(const request& request, const operation_key& key) {
+  return {key, FingerprintOf(request), request.forwarded};
+}
+
+// A key that the caller made protects nothing here. The reply has one that
+// does.
+void RequireKey(state& state,
+                const request& request,
+                time_point now,
+                effects& out) {
+  const failure reason{failure_code::kOperationKeyRequired, outcome::kNotRun,
+                       std::nullopt};
+  fail_request reply{request.id, reason, {}};
+  if (!state.closed) {
+    if (auto key = MintKey(state.operations, state.self.vm,
+                           state.self.incarnation, now)) {
+      reply.operation_key = std::move(key->text);
+    }
+  }
+  out.push_back(count_refusal{reason.code});
+  out.push_back(std::move(reply));
+}
+
+void Replay(const request_id& id, const stored_answer& answer, effects& out) {
+  out.push_back(deliver_head{id, answer.http_status, answer.content_type});
+  if (!answer.body.empty()) {
+    out.push_back(deliver_chunk{id, answer.body});
+  }
+  out.push_back(finish_request{id, "stop"});
+}
+
+// Until the minting VM has answered, nobody can say that the call was not run:
+// an earlier one with the same key may have reached it.
+void Forward(state& state,
+             const request& request,
+             const forward_call& owner,
+             time_point now,
+             effects& out) {
+  const auto refuse = [&](failure_code code) {
+    Refuse(request.id, {code, outcome::kUnknown, std::nullopt}, out);
+  };
+  if (state.closed) {
+    return refuse(failure_code::kDraining);
+  }
+  if (!state.config) {
+    return refuse(failure_code::kNoConfiguration);
+  }
+  const auto verdict = Admit(*state.config, request, now);
+  if (const auto* const refusal = std::get_if<failure>(&verdict)) {
+    return refuse(refusal->code);
+  }
+  const auto& [work, deadline] = std::get<admitted>(verdict);
+  request_record& record = state.requests[request.id];
+  record.request = request;
+  record.work = work;
+  record.deadline = deadline;
+  state.deadlines.emplace(deadline, request.id);
+  StartForward(state, record, owner, now, out);
+}
+
+}  // namespace internal
+
+void OnOperationKeyRequested(state& state,
+                             const operation_key_requested& event,
+                             time_point now,
+                             effects& out) {
+  const auto refuse = [&](failure_code code) {
+    internal::Refuse(event.request, {code, outcome::kNotRun, std::nullopt},
+                     out);
+  };
+  if (state.closed) {
+    return refuse(failure_code::kDraining);
+  }
+  const auto key =
+      MintKey(state.operations, state.self.vm, state.self.incarnation, now);
+  if (!key) {
+    return refuse(failure_code::kOperationKeysUnavailable);
+  }
+  const auto lifetime_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(key->lifetime);
+  // A VM's name comes from its settings and has no character that JSON
+  // escapes; the rest of a key is hexadecimal.
+  out.push_back(
+      deliver_head{event.request, internal::kHttpCreated, "application/json"});
+  out.push_back(deliver_chunk{
+      event.request, R"({"key":")" + key->text + R"(","expires_in_ms":)" +
+                         std::to_string(lifetime_ms.count()) + "}"});
+  out.push_back(finish_request{event.request, "stop"});
+}
+
+bool ReplyFromOperations(state& state,
+                         const request& request,
+                         time_point now,
+                         effects& out) {
+  if (!internal::NeedsOperation(state, request)) {
+    return false;
+  }
+  const presented_key presented =
+      ParseKey(request.idempotency_key, state.operations.secret);
+  if (presented.verdict == key_verdict::kForged) {
+    // Without the deployment's key a genuine key cannot be told from others,
+    // and its call may have run elsewhere.
+    const failure reason =
+        state.operations.secret.empty()
+            ? failure{failure_code::kOperationKeysUnavailable,
+                      outcome::kUnknown, std::nullopt}
+            : failure{failure_code::kOperationKeyInvalid, outcome::kNotRun,
+                      std::nullopt};
+    internal::Refuse(request.id, reason, out);
+    return true;
+  }
+  if (presented.verdict == key_verdict::kForeign) {
+    if (!state.config || FindWorkload(*state.config, request) == nullptr) {
+      return false;
+    }
+    internal::RequireKey(state, request, now, out);
+    return true;
+  }
+  const auto verdict =
+      JudgeCall(state.operations, state.self.vm, state.self.incarnation,
+                internal::CallOf(request, presented.key), now);
+  if (const auto* const replay = std::get_if<replay_answer>(&verdict)) {
+    internal::Replay(request.id, *replay->answer, out);
+  } else if (const auto* const owner = std::get_if<forward_call>(&verdict)) {
+    internal::Forward(state, request, *owner, now, out);
+  } else if (const auto* const reason = std::get_if<failure>(&verdict)) {
+    internal::Refuse(request.id, *reason, out);
+  }
+  return !std::holds_alternative<start_operation>(verdict);
+}
+
+bool SpendKey(state& state, request_record& record) {
+  const request& request = record.request;
+  if (!internal::NeedsOperation(state, request)) {
+    return true;
+  }
+  const presented_key presented =
+      ParseKey(request.idempotency_key, state.operations.secret);
+  if (!Spend(state.operations, internal::CallOf(request, presented.key))) {
+    return false;
+  }
+  record.operation = presented.key.sequence;
+  return true;
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 
+#include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -47,6 +49,18 @@
         count_report{ApplyLoadReport(state.targets, event.report, now)});
   }
 
+  void operator()(const operation_key_requested& event) const {
+    OnOperationKeyRequested(state, event, now, out);
+  }
+
+  void operator()(const peer_learnt& event) const {
+    LearnOwner(state.operations, event);
+  }
+
+  void operator()(const suspects_heard& event) const {
+    MergeSuspects(state.quarantine, Self(state), event, now);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -58,8 +72,12 @@
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
   ExpireRequests(state, now, out);
+  ExpireOperations(state.operations, now);
+  ExpireSuspects(state.quarantine, now);
+  CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  internal::StartWaitingSuspects(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -71,6 +89,9 @@
   const auto consider = [&next](time_point at) {
     next = next ? std::min(*next, at) : at;
   };
+  if (!state.requests.empty()) {
+    consider(state.progress_check_at);
+  }
   if (!state.deadlines.empty()) {
     consider(state.deadlines.begin()->first);
   }
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -10,11 +10,16 @@
 #include <vector>
 
 #include "acaciaferry/attempts/answer_assembly.hpp"
+#include "acaciaferry/attempts/answer_prefix.hpp"
 #include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/attempts/event.hpp"
+#include "acaciaferry/attempts/retry_budget.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/operations/operations.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/targets/state.hpp"
 
@@ -45,7 +50,21 @@
   answer_assembly answer;
   std::string finish_reason;
   std::vector<target_id> excluded;
-  bool head_delivered{};
+  /** What of a completion's answer the caller has. */
+  answer_prefix delivered;
+  /** Whether the last connection of an earlier attempt may have run it. */
+  bool may_have_run{};
+  /** A service call's answer, held back until no retry can follow. */
+  std::optional<attempt_accepted> head;
+  std::string held_back;
+  /** Whether a part of a service call's answer was delivered. */
+  bool committed{};
+  /** The operation that this VM keeps for the call. */
+  std::optional<std::uint64_t> operation;
+  /** Whether the call goes to the VM that minted its key. */
+  bool forwards{};
+  /** Whether the caller has gone while its operation still runs. */
+  bool caller_gone{};
 };
 
 /**
@@ -64,6 +83,15 @@
   std::optional<time_point> accept_until;
   /** Whether the drain's grace has passed, so that new requests are refused. */
   bool closed{};
+  retry_budgets retries;
+  operations_state operations;
+  quarantine_state quarantine;
+  /** Suspects that wait for a target where few others run, oldest first. */
+  std::vector<request_id> waiting_suspects;
+  /** When streams are next checked for silence. */
+  time_point progress_check_at{};
+  /** When the last event was handled. */
+  time_point last_turn{};
 };
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -36,12 +36,8 @@
   return (static_cast<std::uint64_t>(milliseconds) << kRandomBits) | low;
 }
 
-state MakeState(const daemon_settings& settings, std::uint64_t incarnation) {
-  state result;
-  result.self = {settings.vm, settings.failure_domain, settings.region,
-                 incarnation};
-  result.random.seed(incarnation);
-  return result;
+log4cplus::Logger Logger() {
+  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
 }
 
 std::string ReadFile(const std::string& path) {
@@ -51,8 +47,18 @@
   return text.str();
 }
 
-log4cplus::Logger Logger() {
-  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
+state MakeState(const daemon_settings& settings, std::uint64_t incarnation) {
+  state result;
+  result.self = {settings.vm, settings.failure_domain, settings.region,
+                 incarnation};
+  result.random.seed(incarnation);
+  if (!settings.key_file.empty()) {
+    result.operations.secret = ReadFile(settings.key_file);
+    if (result.operations.secret.empty()) {
+      LOG4CPLUS_ERROR(Logger(), "event=key_file_unreadable");
+    }
+  }
+  return result;
 }
 
 }  // namespace internal
--- a/src/acaciaferry/target_client/target_client.cpp
+++ b/src/acaciaferry/target_client/target_client.cpp
@@ -74,6 +74,28 @@
   return response.getStatus() / 100 == 2;
 }
 
+// Only another VM sends the header; without it nothing is known.
+outcome ReportedOutcome(const HTTPResponse& response) {
+  const std::string text = response.get("Acaciaferry-Outcome", "");
+  for (const outcome value : {outcome::kRan, outcome::kNotRun}) {
+    if (text == ToString(value)) {
+      return value;
+    }
+  }
+  return outcome::kUnknown;
+}
+
+void SetForwardHeaders(HTTPRequest& request,
+                       const start_attempt& effect,
+                       const exchange& source) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(effect.remaining);
+  request.set("Authorization", source.authorization);
+  request.set("Request-Timeout-Ms",
+              std::to_string(std::max<std::int64_t>(milliseconds.count(), 1)));
+  request.set("Acaciaferry-Forwarded", "1");
+}
+
 void SetAttemptHeaders(HTTPRequest& request,
                        const start_attempt& effect,
                        const std::string& owner) {
@@ -141,7 +163,8 @@
 // One connection of an attempt. Once dropped or replaced, it posts nothing.
 class target_client::connection {
  public:
-  connection(attempt_id id, const post_event& post) : id_(id), post_(post) {}
+  connection(attempt_id id, std::uint32_t number, const post_event& post)
+      : id_(id), number_(number), post_(post) {}
 
   void Open(const std::string& address) {
     const Poco::Net::StreamSocket socket = internal::Connect(address);
@@ -170,7 +193,9 @@
     }
   }
 
-  void Fail(transport_error error) const { Post(attempt_failed{id_, error}); }
+  void Fail(transport_error error) const {
+    Post(attempt_failed{id_, error, number_});
+  }
 
   // Runs a function and turns what it throws into an event.
   template <typename Function>
@@ -191,6 +216,9 @@
   void ReadStream(std::istream& stream) const {
     internal::stream_reader reader(stream, id_);
     while (auto next = reader.Next()) {
+      if (auto* const failed = std::get_if<attempt_failed>(&*next)) {
+        failed->connection = number_;
+      }
       const bool is_last = std::holds_alternative<answer_ended>(*next) ||
                            std::holds_alternative<attempt_failed>(*next);
       Post(*std::move(next));
@@ -208,12 +236,14 @@
       return false;
     }
     Post(attempt_accepted{id_, static_cast<int>(response.getStatus()),
-                          response.getContentType()});
+                          response.getContentType(),
+                          internal::ReportedOutcome(response)});
     return true;
   }
 
  private:
   const attempt_id id_;
+  const std::uint32_t number_;
   const post_event& post_;
   std::shared_ptr<Poco::Net::HTTPClientSession> session_;
   std::mutex mutex_;
@@ -242,9 +272,12 @@
 }
 
 void target_client::Start(const start_attempt& effect) {
-  const connection_ptr link = Replace(effect.attempt);
+  const connection_ptr link = Replace(effect.attempt, 0);
   auto source = exchanges_.Find(effect.attempt.request);
   if (source == nullptr) {
+    // The caller has gone and taken the body along, so nothing is sent.
+    link->Fail(transport_error::kConnectFailed);
+    Forget(link);
     return;
   }
   SpawnConnection(link, [this, link, effect, source = std::move(source)] {
@@ -255,8 +288,8 @@
 }
 
 void target_client::Resume(const resume_attempt& effect) {
-  const connection_ptr link = Replace(effect.attempt);
-  SpawnConnection(link, [this, link, effect] { RunResume(link, effect); });
+  const connection_ptr link = Replace(effect.attempt, effect.connection);
+  SpawnConnection(link, [link, effect] { RunResume(link, effect); });
 }
 
 void target_client::Cancel(const cancel_attempt& effect) {
@@ -280,9 +313,10 @@
   });
 }
 
-target_client::connection_ptr target_client::Replace(const attempt_id& id) {
+target_client::connection_ptr target_client::Replace(const attempt_id& id,
+                                                     std::uint32_t number) {
   Drop(id);
-  auto link = std::make_shared<connection>(id, post_);
+  auto link = std::make_shared<connection>(id, number, post_);
   const std::lock_guard lock(mutex_);
   connections_[id] = link;
   return link;
@@ -354,13 +388,18 @@
                                    const start_attempt& effect,
                                    const exchange& source) {
   link->Open(effect.address);
-  internal::HTTPRequest request(source.method, source.path,
-                                internal::HTTPRequest::HTTP_1_1);
+  internal::HTTPRequest request(
+      source.method, effect.forward ? source.caller_path : source.path,
+      internal::HTTPRequest::HTTP_1_1);
   if (!source.content_type.empty()) {
     request.setContentType(source.content_type);
   }
   request.setContentLength64(static_cast<Poco::Int64>(source.body.size()));
-  internal::SetAttemptHeaders(request, effect, owner_);
+  if (effect.forward) {
+    internal::SetForwardHeaders(request, effect, source);
+  } else {
+    internal::SetAttemptHeaders(request, effect, owner_);
+  }
   if (!source.idempotency_key.empty()) {
     request.set("Idempotency-Key", source.idempotency_key);
   }
--- a/src/acaciaferry/target_client/target_client.hpp
+++ b/src/acaciaferry/target_client/target_client.hpp
@@ -49,7 +49,8 @@
   class connection;
   using connection_ptr = std::shared_ptr<connection>;
 
-  [[nodiscard]] connection_ptr Replace(const attempt_id& id);
+  [[nodiscard]] connection_ptr Replace(const attempt_id& id,
+                                       std::uint32_t number);
   void Drop(const attempt_id& id);
   void Forget(const connection_ptr& link);
   void Spawn(std::function<void()> task);
@@ -61,7 +62,8 @@
   void RunServiceCall(const connection_ptr& link,
                       const start_attempt& effect,
                       const exchange& source);
-  void RunResume(const connection_ptr& link, const resume_attempt& effect);
+  static void RunResume(const connection_ptr& link,
+                        const resume_attempt& effect);
 
   const std::string owner_;
   exchange_registry& exchanges_;
