--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -1,9 +1,12 @@
 #include "acaciaferry/reducer/dispatch.hpp"
 
 #include <algorithm>
+#include <span>
 #include <vector>
 
 #include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
+#include "acaciaferry/reducer/isolation.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
 
 namespace acaciaferry {
@@ -78,10 +81,24 @@
 std::optional<routing_choice> ChooseFor(state& state,
                                         const request_record& record,
                                         time_point now) {
-  const cached_prefix cached;
-  return ChooseTarget(state.routing,
-                      {record.request, record.work, record.excluded, cached},
-                      internal::ViewOf(state, now), state.random);
+  const auto choose = [&](std::span<const target_id> excluded) {
+    const cached_prefix cached;
+    return ChooseTarget(state.routing,
+                        {record.request, record.work, excluded, cached},
+                        internal::ViewOf(state, now), state.random);
+  };
+  std::vector<target_id> excluded = TargetsToAvoid(state, record, now);
+  if (excluded.empty()) {
+    return choose(record.excluded);
+  }
+  excluded.insert(excluded.end(), record.excluded.begin(),
+                  record.excluded.end());
+  auto choice = choose(excluded);
+  // A suspect waits; others rather share a target with one than wait.
+  if (!choice && !IsSuspectRequest(state, record, now)) {
+    choice = choose(record.excluded);
+  }
+  return choice;
 }
 
 void LaunchAttempt(state& state,
@@ -91,6 +108,7 @@
                    effects& out) {
   const target& target = *FindTarget(state.targets, choice.target);
   const attempt_id id{record.request.id, ++record.attempts_made};
+  internal::ForgetAnswer(record);
   record.current =
       attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
   RecordDispatch(state.routing, id, choice, IsLongRequest(record.request), now);
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 
 #include "acaciaferry/reducer/arrival.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
@@ -50,6 +52,18 @@
     OnLoadReport(state, event.report, now, out);
   }
 
+  void operator()(const operation_key_requested& event) const {
+    OnOperationKeyRequested(state, event, now, out);
+  }
+
+  void operator()(const peer_learnt& event) const {
+    LearnOwner(state.operations, event);
+  }
+
+  void operator()(const suspects_heard& event) const {
+    MergeSuspects(state.quarantine, Self(state), event, now);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -61,8 +75,12 @@
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
   ExpireRequests(state, now, out);
+  ExpireOperations(state.operations, now);
+  ExpireSuspects(state.quarantine, now);
+  CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  internal::StartWaitingSuspects(state, now, out);
   DispatchWaiting(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
@@ -75,6 +93,9 @@
   const auto consider = [&next](time_point at) {
     next = next ? std::min(*next, at) : at;
   };
+  if (!state.requests.empty()) {
+    consider(state.progress_check_at);
+  }
   if (!state.deadlines.empty()) {
     consider(state.deadlines.begin()->first);
   }
