Add the bench: a model of engines in virtual time

Cause: routing is tuned against a comparison, so one that runs comes first. Entry VMs run the real Reduce; the six baselines run behind the same VMs and engines.

--- /dev/null
+++ b/src/acaciaferry/experiment/bounds.cpp
@@ -0,0 +1,288 @@
+#include "acaciaferry/experiment/bounds.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <optional>
+#include <set>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// The limits of section 1.3.
+constexpr double kWorksShortRatio = 1.25;
+constexpr double kTrustLongRatio = 1.5;
+constexpr double kAddedDelayShare = 0.5;
+constexpr double kOverloadGoodputShare = 0.9;
+
+constexpr std::string_view kShort = ToString(length_class::kUpTo4k);
+constexpr std::string_view kLong = ToString(length_class::kOver128k);
+
+template <typename... Values>
+std::string Format(const char* format, Values... values) {
+  constexpr std::size_t kLongestLine = 256;
+  std::array<char, kLongestLine> text{};
+  std::snprintf(text.data(), text.size(), format, values...);
+  return text.data();
+}
+
+bound Judge(std::string name, bool met, std::string figures) {
+  return {std::move(name), met ? bound_verdict::kMet : bound_verdict::kNotMet,
+          std::move(figures)};
+}
+
+bound Missing(std::string name) {
+  return {std::move(name), bound_verdict::kNotMeasured, "runs are missing"};
+}
+
+// The rows of one deployment and seed.
+class deployment_rows {
+ public:
+  deployment_rows(std::span<const measurement_row> rows,
+                  fleet_kind kind,
+                  std::uint64_t seed)
+      : kind_(kind), seed_(seed) {
+    for (const measurement_row& row : rows) {
+      if (row.plan.kind == kind && row.plan.seed == seed) {
+        rows_.push_back(&row);
+      }
+    }
+  }
+
+  void Check(std::vector<bound>& out) const {
+    CheckRatio(out);
+    CheckAddedDelay(out);
+    CheckOtherMeasure(out);
+    CheckCorrectness(out);
+    CheckGoodput(out);
+    CheckOverload(out);
+  }
+
+ private:
+  [[nodiscard]] bool IsWorks() const { return kind_ == fleet_kind::kWorks; }
+
+  [[nodiscard]] std::string Name(std::string_view text) const {
+    return std::string(ToString(kind_)) + " seed " + std::to_string(seed_) +
+           ": " + std::string(text);
+  }
+
+  [[nodiscard]] std::optional<double> P95(policy_kind policy,
+                                          scenario_kind scenario,
+                                          std::string_view length) const {
+    for (const measurement_row* const row : rows_) {
+      if (row->plan.policy == policy && row->plan.scenario == scenario &&
+          row->plan.load == LoadOf(scenario) && row->length_class == length) {
+        return row->ttft_p95_ms;
+      }
+    }
+    return std::nullopt;
+  }
+
+  // The lowest p95 of the policies from `first` on.
+  [[nodiscard]] std::optional<double> LowestP95(std::size_t first,
+                                                scenario_kind scenario,
+                                                std::string_view length) const {
+    std::optional<double> lowest;
+    for (std::size_t i = first; i < kPolicies; ++i) {
+      const auto p95 = P95(static_cast<policy_kind>(i), scenario, length);
+      if (p95 && (!lowest || *p95 < *lowest)) {
+        lowest = p95;
+      }
+    }
+    return lowest;
+  }
+
+  [[nodiscard]] std::optional<double> BestBaseline(
+      std::string_view length) const {
+    return LowestP95(1, scenario_kind::kMixed, length);
+  }
+
+  [[nodiscard]] std::string_view Weighted() const {
+    return IsWorks() ? kShort : kLong;
+  }
+
+  [[nodiscard]] scenario_kind Reference() const {
+    return IsWorks() ? scenario_kind::kShortOnly : scenario_kind::kIdle;
+  }
+
+  void CheckRatio(std::vector<bound>& out) const {
+    const double limit = IsWorks() ? kWorksShortRatio : kTrustLongRatio;
+    const auto mixed =
+        P95(policy_kind::kAcaciaferry, scenario_kind::kMixed, Weighted());
+    const auto base = P95(policy_kind::kAcaciaferry, Reference(), Weighted());
+    const std::string name =
+        Name("p95 TTFT of " + std::string(Weighted()) + " in mixed over " +
+             std::string(ToString(Reference())));
+    out.push_back(mixed && base
+                      ? Judge(name, *mixed <= limit * *base,
+                              Format("%.1f ms / %.1f ms = %.2f, limit %.2f",
+                                     *mixed, *base, *mixed / *base, limit))
+                      : Missing(name));
+  }
+
+  void CheckAddedDelay(std::vector<bound>& out) const {
+    const std::string name = Name("added delay of " + std::string(Weighted()) +
+                                  " against half of the best baseline's");
+    const auto own =
+        P95(policy_kind::kAcaciaferry, scenario_kind::kMixed, Weighted());
+    const auto baseline = BestBaseline(Weighted());
+    const auto lowest = LowestP95(0, Reference(), Weighted());
+    if (!own || !baseline || !lowest) {
+      out.push_back(Missing(name));
+      return;
+    }
+    const double limit = kAddedDelayShare * (*baseline - *lowest);
+    out.push_back(Judge(name, *own - *lowest <= limit,
+                        Format("added %.1f ms, best baseline adds %.1f ms, "
+                               "limit %.1f ms",
+                               *own - *lowest, *baseline - *lowest, limit)));
+  }
+
+  void CheckOtherMeasure(std::vector<bound>& out) const {
+    const std::string_view other = IsWorks() ? kLong : kShort;
+    const std::string name = Name("p95 TTFT of " + std::string(other) +
+                                  " in mixed against the best baseline's");
+    const auto own =
+        P95(policy_kind::kAcaciaferry, scenario_kind::kMixed, other);
+    const auto baseline = BestBaseline(other);
+    out.push_back(own && baseline
+                      ? Judge(name, *own <= *baseline,
+                              Format("%.1f ms, limit %.1f ms", *own, *baseline))
+                      : Missing(name));
+  }
+
+  void CheckCorrectness(std::vector<bound>& out) const {
+    std::uint64_t late = 0;
+    std::uint64_t duplicated = 0;
+    std::uint64_t leaked = 0;
+    bool measured = false;
+    for (const measurement_row* const row : rows_) {
+      if (row->plan.policy == policy_kind::kAcaciaferry) {
+        measured = true;
+        late += row->late;
+        duplicated += row->duplicated;
+        leaked = std::max(leaked, row->leaked_bytes);
+      }
+    }
+    const std::string name =
+        Name("late, duplicated and leaked_bytes are 0 in every scenario");
+    out.push_back(
+        measured ? Judge(name, late + duplicated + leaked == 0,
+                         Format("late %llu, duplicated %llu, leaked %llu",
+                                static_cast<unsigned long long>(late),
+                                static_cast<unsigned long long>(duplicated),
+                                static_cast<unsigned long long>(leaked)))
+                 : Missing(name));
+  }
+
+  [[nodiscard]] std::optional<double> Goodput(
+      policy_kind policy,
+      scenario_kind scenario,
+      double load,
+      double measurement_row::*field) const {
+    std::optional<double> sum;
+    for (const measurement_row* const row : rows_) {
+      if (row->plan.policy == policy && row->plan.scenario == scenario &&
+          row->plan.load == load && row->length_class != kServiceCallClass) {
+        sum = sum.value_or(0) + row->*field;
+      }
+    }
+    return sum;
+  }
+
+  void CheckGoodput(std::vector<bound>& out) const {
+    for (std::size_t i = 0; i < kScenarios; ++i) {
+      const auto scenario = static_cast<scenario_kind>(i);
+      if (scenario != scenario_kind::kIdle) {
+        CheckGoodputIn(scenario, out);
+      }
+    }
+  }
+
+  void CheckGoodputIn(scenario_kind scenario, std::vector<bound>& out) const {
+    const std::string name =
+        Name("goodput in " + std::string(ToString(scenario)) +
+             " against the best baseline's");
+    const double load = LoadOf(scenario);
+    const auto own = Goodput(policy_kind::kAcaciaferry, scenario, load,
+                             &measurement_row::goodput);
+    std::optional<double> best;
+    std::string_view best_name;
+    for (std::size_t i = 1; i < kPolicies; ++i) {
+      const auto policy = static_cast<policy_kind>(i);
+      const auto value =
+          Goodput(policy, scenario, load, &measurement_row::goodput);
+      if (value && (!best || *value > *best)) {
+        best = value;
+        best_name = ToString(policy);
+      }
+    }
+    if (!own || !best) {
+      out.push_back(Missing(name));
+      return;
+    }
+    out.push_back(Judge(name, *own >= *best,
+                        Format("%.3f requests/s, limit %.3f (%s)", *own, *best,
+                               std::string(best_name).c_str())));
+  }
+
+  void CheckOverload(std::vector<bound>& out) const {
+    double peak = 0;
+    for (const measurement_row* const row : rows_) {
+      if (row->plan.policy == policy_kind::kAcaciaferry &&
+          IsLoadScenario(row->plan.scenario)) {
+        peak = std::max(peak, Goodput(row->plan.policy, row->plan.scenario,
+                                      row->plan.load, &measurement_row::goodput)
+                                  .value_or(0));
+      }
+    }
+    for (const auto scenario :
+         {scenario_kind::kOverloadX2, scenario_kind::kOverloadX5}) {
+      const std::string name =
+          Name("goodput in " + std::string(ToString(scenario)) +
+               " against 90% of its peak");
+      const auto own = Goodput(policy_kind::kAcaciaferry, scenario,
+                               LoadOf(scenario), &measurement_row::goodput);
+      out.push_back(
+          own ? Judge(name, *own >= kOverloadGoodputShare * peak,
+                      Format("%.3f requests/s, peak %.3f, limit %.3f", *own,
+                             peak, kOverloadGoodputShare * peak))
+              : Missing(name));
+    }
+  }
+
+  [[nodiscard]] static bool IsLoadScenario(scenario_kind kind) noexcept {
+    return kind == scenario_kind::kMixed ||
+           kind == scenario_kind::kOverloadX2 ||
+           kind == scenario_kind::kOverloadX5;
+  }
+
+  fleet_kind kind_;
+  std::uint64_t seed_;
+  std::vector<const measurement_row*> rows_;
+};
+
+}  // namespace internal
+
+std::vector<bound> CheckBounds(std::span<const measurement_row> rows) {
+  std::set<std::pair<fleet_kind, std::uint64_t>> runs;
+  for (const measurement_row& row : rows) {
+    runs.emplace(row.plan.kind, row.plan.seed);
+  }
+  std::vector<bound> bounds;
+  for (const auto& [kind, seed] : runs) {
+    internal::deployment_rows(rows, kind, seed).Check(bounds);
+  }
+  return bounds;
+}
+
+std::string ToString(const bound& value) {
+  constexpr std::array<std::string_view, 3> kVerdicts{"met", "NOT MET",
+                                                      "not measured"};
+  return std::string(kVerdicts[static_cast<std::size_t>(value.verdict)]) +
+         ": " + value.name + ": " + value.figures;
+}
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/experiment/engine_model.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "acaciaferry/core/request_id.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/experiment/parameters.hpp"
+#include "acaciaferry/experiment/prefix_store.hpp"
+#include "acaciaferry/targets/target.hpp"
+
+namespace acaciaferry {
+
+/**
+ * @brief A stream that an engine runs or keeps waiting.
+ */
+struct engine_stream {
+  attempt_id id;
+  std::uint64_t prompt_tokens{};
+  /** Tokens that the answer will have; unknown to the entry VMs. */
+  std::uint64_t answer_tokens{};
+  std::uint64_t max_answer_tokens{};
+  /** 0 first. */
+  std::uint32_t priority{};
+  std::span<const std::uint64_t> blocks;
+
+  std::uint64_t arrival{};
+  std::uint64_t prefilled{};
+  std::uint64_t generated{};
+  std::uint64_t emitted{};
+  /** Prefill tokens, or 1 for a generated token, of the step under way. */
+  std::uint64_t planned{};
+
+  [[nodiscard]] bool IsPrefilling() const noexcept {
+    return prefilled < prompt_tokens;
+  }
+  [[nodiscard]] std::uint64_t KvTokens() const noexcept {
+    return prompt_tokens + max_answer_tokens;
+  }
+};
+
+/** A part of an answer that left an engine. */
+struct engine_output {
+  attempt_id id;
+  std::uint64_t offset{};
+  std::uint64_t tokens{};
+  bool end{};
+};
+
+/**
+ * @brief An engine in virtual time: continuous batching with a token budget a
+ * step, chunked prefill, priorities, limited KV memory and a bounded prefix
+ * cache.
+ *
+ * A stream holds KV memory for its prompt and its longest answer while it
+ * runs. Streams start in the order of their priority and arrival; one that
+ * does not fit holds back those behind it, so that none starves.
+ */
+class engine_model {
+ public:
+  engine_model(const engine_parameters& parameters, std::uint64_t incarnation);
+
+  /** @return Whether the stream was taken; otherwise it was not run. */
+  [[nodiscard]] bool Submit(engine_stream stream);
+
+  /** @return Whether the stream was there; its memory is free again. */
+  bool Cancel(const attempt_id& id);
+
+  /** @return Generated tokens of a stream, or nothing when unknown. */
+  [[nodiscard]] std::optional<std::uint64_t> Generated(
+      const attempt_id& id) const;
+
+  /** @return Whether the stream waits or runs here. */
+  [[nodiscard]] bool Contains(const attempt_id& id) const;
+
+  /**
+   * @brief Starts streams and plans a step.
+   * @return The step's duration, or nothing when there is no work.
+   */
+  [[nodiscard]] std::optional<duration> BeginStep();
+
+  /**
+   * @brief Ends the step that was begun.
+   * @param out Receives the parts of answers that are ready.
+   */
+  void EndStep(std::vector<engine_output>& out);
+
+  /** @return What the engine reports of itself now. */
+  [[nodiscard]] load_report Report();
+
+  /** @return Ids of all streams, running ones first. */
+  [[nodiscard]] std::vector<attempt_id> Streams() const;
+
+  /** @return KV tokens held by running streams. */
+  [[nodiscard]] std::uint64_t HeldTokens() const noexcept { return held_; }
+  /** @return KV tokens held by kept prefixes. */
+  [[nodiscard]] std::uint64_t CachedTokens() const noexcept {
+    return cache_.Blocks() * parameters_.block_tokens;
+  }
+  /** @return Prompt tokens computed, without those found in the cache. */
+  [[nodiscard]] std::uint64_t PrefilledTokens() const noexcept {
+    return prefilled_;
+  }
+  /** @return Tokens generated. */
+  [[nodiscard]] std::uint64_t GeneratedTokens() const noexcept {
+    return generated_;
+  }
+  /** @return The cache events since the last call. */
+  [[nodiscard]] std::vector<cache_change> TakeCacheChanges() {
+    return cache_.TakeChanges();
+  }
+
+ private:
+  void StartWaiting();
+  [[nodiscard]] std::size_t CacheLimit() const noexcept;
+  [[nodiscard]] double PlanTokens();
+  void Emit(engine_stream& stream, std::vector<engine_output>& out) const;
+
+  engine_parameters parameters_;
+  std::uint64_t incarnation_;
+  std::uint64_t arrivals_{};
+  std::uint64_t reports_{};
+  std::uint64_t held_{};
+  std::uint64_t prefilled_{};
+  std::uint64_t generated_{};
+  double last_step_ms_{};
+  /** Both in the order of priority and arrival. */
+  std::vector<engine_stream> running_;
+  std::vector<engine_stream> waiting_;
+  prefix_store cache_;
+};
+
+/**
+ * @brief Engine time that a request needs in full steps, without cache hits.
+ * @return Seconds.
+ */
+[[nodiscard]] double EngineSeconds(const engine_parameters& parameters,
+                                   std::uint64_t prompt_tokens,
+                                   std::uint64_t answer_tokens) noexcept;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/experiment/measurement.cpp
@@ -0,0 +1,161 @@
+#include "acaciaferry/experiment/measurement.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// Requests sent before this share of the run find an empty fleet.
+constexpr int kWarmUpDivisor = 10;
+constexpr double kRank50 = 0.50;
+constexpr double kRank95 = 0.95;
+constexpr double kRank99 = 0.99;
+
+std::string_view ClassOf(const traffic_request& request) {
+  return request.request.kind == request_kind::kServiceCall
+             ? kServiceCallClass
+             : ToString(ClassifyLength(request.prompt_tokens));
+}
+
+class class_measurement {
+ public:
+  class_measurement(const run_plan& plan, std::string_view name) {
+    row_.plan = plan;
+    row_.length_class = name;
+  }
+
+  void Add(const traffic_request& asked, const request_record_seen& seen) {
+    const bool in_time =
+        seen.result != request_result::kPending && seen.total <= seen.deadline;
+    row_.late += in_time ? 0 : 1;
+    row_.duplicated += !asked.idempotent && seen.executions > 1 ? 1 : 0;
+    const bool warm = row_.plan.scenario == scenario_kind::kIdle ||
+                      asked.sent >= row_.plan.length / kWarmUpDivisor;
+    if (!warm) {
+      return;
+    }
+    ++row_.requests;
+    const bool answered = seen.result == request_result::kAnswered;
+    row_.answered += answered ? 1 : 0;
+    row_.refused += seen.result == request_result::kRefused ? 1 : 0;
+    row_.failed += seen.result == request_result::kFailed ? 1 : 0;
+    if (answered && in_time) {
+      ++in_time_;
+      in_time_tokens_ += asked.prompt_tokens;
+    }
+    const bool has_first = answered && seen.first_token;
+    ttft_ms_.push_back(
+        ToMilliseconds(has_first ? *seen.first_token : seen.deadline));
+  }
+
+  [[nodiscard]] measurement_row Finish(const simulation_result& result) {
+    std::sort(ttft_ms_.begin(), ttft_ms_.end());
+    row_.ttft_p50_ms = Percentile(ttft_ms_, kRank50);
+    row_.ttft_p95_ms = Percentile(ttft_ms_, kRank95);
+    row_.ttft_p99_ms = Percentile(ttft_ms_, kRank99);
+    const bool idle = row_.plan.scenario == scenario_kind::kIdle;
+    const duration window =
+        idle ? result.ended
+             : row_.plan.length - row_.plan.length / kWarmUpDivisor;
+    const double seconds = ToSeconds(window);
+    row_.goodput = static_cast<double>(in_time_) / seconds;
+    row_.goodput_tokens = static_cast<double>(in_time_tokens_) / seconds;
+    row_.leaked_bytes = result.leaked_bytes;
+    return row_;
+  }
+
+ private:
+  measurement_row row_;
+  std::uint64_t in_time_{};
+  std::uint64_t in_time_tokens_{};
+  std::vector<double> ttft_ms_;
+};
+
+bool SameRun(const run_plan& a, const run_plan& b) noexcept {
+  return a.kind == b.kind && a.policy == b.policy && a.load == b.load &&
+         a.seed == b.seed;
+}
+
+}  // namespace internal
+
+double Percentile(std::span<const double> sorted, double rank) noexcept {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const double position = std::ceil(rank * static_cast<double>(sorted.size()));
+  const auto index = static_cast<std::size_t>(std::max(position, 1.0)) - 1;
+  return sorted[std::min(index, sorted.size() - 1)];
+}
+
+std::vector<measurement_row> Measure(const run_plan& plan) {
+  const std::vector<traffic_request> traffic = TrafficOf(plan);
+  const simulation_plan simulation = SimulationOf(plan);
+  const simulation_result result = Simulate(simulation, traffic);
+  std::vector<measurement_row> rows;
+  for (const std::string_view name :
+       {ToString(length_class::kUpTo4k), ToString(length_class::kUpTo32k),
+        ToString(length_class::kUpTo128k), ToString(length_class::kOver128k),
+        kServiceCallClass}) {
+    internal::class_measurement one_class(plan, name);
+    for (std::size_t i = 0; i < traffic.size(); ++i) {
+      if (internal::ClassOf(traffic[i]) == name) {
+        one_class.Add(traffic[i], result.requests[i]);
+      }
+    }
+    measurement_row row = one_class.Finish(result);
+    if (row.requests > 0) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+void AddSlowdowns(std::vector<measurement_row>& rows) {
+  const std::string_view short_class = ToString(length_class::kUpTo4k);
+  for (const measurement_row& reference : rows) {
+    if (reference.plan.scenario != scenario_kind::kShortOnly ||
+        reference.length_class != short_class || reference.ttft_p95_ms <= 0) {
+      continue;
+    }
+    for (measurement_row& row : rows) {
+      if (row.length_class == short_class &&
+          row.plan.scenario != scenario_kind::kIdle &&
+          internal::SameRun(row.plan, reference.plan)) {
+        row.short_slowdown_p95 = row.ttft_p95_ms / reference.ttft_p95_ms;
+      }
+    }
+  }
+}
+
+std::string ToJson(const measurement_row& row) {
+  nlohmann::ordered_json json{{"deployment", ToString(row.plan.kind)},
+                              {"policy", ToString(row.plan.policy)},
+                              {"scenario", ToString(row.plan.scenario)},
+                              {"load", row.plan.load},
+                              {"seed", row.plan.seed},
+                              {"length_class", row.length_class},
+                              {"requests", row.requests},
+                              {"ttft_p50_ms", row.ttft_p50_ms},
+                              {"ttft_p95_ms", row.ttft_p95_ms},
+                              {"ttft_p99_ms", row.ttft_p99_ms},
+                              {"short_slowdown_p95", nullptr},
+                              {"goodput", row.goodput},
+                              {"goodput_tokens", row.goodput_tokens},
+                              {"answered", row.answered},
+                              {"refused", row.refused},
+                              {"failed", row.failed},
+                              {"late", row.late},
+                              {"duplicated", row.duplicated},
+                              {"leaked_bytes", row.leaked_bytes}};
+  if (row.short_slowdown_p95) {
+    json["short_slowdown_p95"] = *row.short_slowdown_p95;
+  }
+  return json.dump();
+}
+
+}  // namespace acaciaferry
