--- a/src/acaciaferry/experiment/engine_model.cpp
+++ b/src/acaciaferry/experiment/engine_model.cpp
@@ -12,10 +12,10 @@
   return std::pair(a.priority, a.arrival) < std::pair(b.priority, b.arrival);
 }
 
-void Insert(std::vector<engine_stream>& streams, engine_stream stream) {
+void Insert(std::vector<engine_stream>& streams, const engine_stream& stream) {
   const auto at =
       std::upper_bound(streams.begin(), streams.end(), stream, RunsBefore);
-  streams.insert(at, std::move(stream));
+  streams.insert(at, stream);
 }
 
 auto Find(const std::vector<engine_stream>& streams, const attempt_id& id) {
@@ -50,7 +50,7 @@
     return false;
   }
   stream.arrival = ++arrivals_;
-  internal::Insert(waiting_, std::move(stream));
+  internal::Insert(waiting_, stream);
   return true;
 }
 
@@ -95,14 +95,14 @@
   while (!waiting_.empty() && running_.size() < parameters_.max_running &&
          held_ + waiting_.front().KvTokens() <=
              parameters_.kv_capacity_tokens) {
-    engine_stream stream = std::move(waiting_.front());
+    engine_stream stream = waiting_.front();
     waiting_.erase(waiting_.begin());
     // The last token is always computed, as it gives the first answer token.
     stream.prefilled =
         std::min(cache_.Match(stream.blocks) * parameters_.block_tokens,
                  stream.prompt_tokens - 1);
     held_ += stream.KvTokens();
-    internal::Insert(running_, std::move(stream));
+    internal::Insert(running_, stream);
   }
   cache_.Shrink(CacheLimit());
 }
--- a/src/acaciaferry/experiment/engine_model.hpp
+++ b/src/acaciaferry/experiment/engine_model.hpp
@@ -56,7 +56,8 @@
  *
  * A stream holds KV memory for its prompt and its longest answer while it
  * runs. Streams start in the order of their priority and arrival; one that
- * does not fit holds back those behind it, so that none starves.
+ * does not fit holds back those behind it. A running stream is never preempted,
+ * but its prefill waits while streams before it use the step's budget.
  */
 class engine_model {
  public:
