Connect spans, reclamation and orders to the reducer and to engines

Cause: the decisions had no events, effects or adapters. A control client carries the small calls. Issuing waits for membership; engines' side waits for the complete stand-ins.

--- a/src/acaciaferry/attempts/attempt.cpp
+++ b/src/acaciaferry/attempts/attempt.cpp
@@ -49,8 +49,8 @@
       return "connection_lost";
     case retry_reason::kStalled:
       return "stalled";
-    case retry_reason::kTargetLeft:
-      return "target_left";
+    case retry_reason::kSpanMemberLost:
+      return "span_member_lost";
   }
   return "unknown";
 }
--- a/src/acaciaferry/attempts/attempt.hpp
+++ b/src/acaciaferry/attempts/attempt.hpp
@@ -45,11 +45,11 @@
   kRejected,
   kConnectionLost,
   kStalled,
-  kTargetLeft,
+  kSpanMemberLost,
 };
 
 inline constexpr std::size_t kRetryReasons =
-    static_cast<std::size_t>(retry_reason::kTargetLeft) + 1;
+    static_cast<std::size_t>(retry_reason::kSpanMemberLost) + 1;
 
 /** @return The name of the reason as metrics print it. */
 [[nodiscard]] std::string_view ToString(retry_reason reason) noexcept;
--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -43,6 +43,14 @@
   ++reports_[static_cast<std::size_t>(verdict)];
 }
 
+void metrics_registry::Count(order_verdict verdict) noexcept {
+  ++orders_[static_cast<std::size_t>(verdict)];
+}
+
+void metrics_registry::Count(release_reason reason) noexcept {
+  ++releases_[static_cast<std::size_t>(reason)];
+}
+
 std::uint64_t metrics_registry::Value(failure_code code) const noexcept {
   return refusals_[static_cast<std::size_t>(code)];
 }
@@ -73,6 +81,18 @@
     AppendValue(text, "acaciaferry_load_reports_total", "verdict",
                 internal::kVerdictNames[i], reports_[i]);
   }
+  AppendHelp(text, "acaciaferry_orders_total",
+             "Orders to targets, by their answer.");
+  for (std::size_t i = 0; i < orders_.size(); ++i) {
+    AppendValue(text, "acaciaferry_orders_total", "verdict",
+                ToString(static_cast<order_verdict>(i)), orders_[i]);
+  }
+  AppendHelp(text, "acaciaferry_releases_total",
+             "Holdings released on engines, by reason.");
+  for (std::size_t i = 0; i < releases_.size(); ++i) {
+    AppendValue(text, "acaciaferry_releases_total", "reason",
+                ToString(static_cast<release_reason>(i)), releases_[i]);
+  }
   return text;
 }
 
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -7,6 +7,8 @@
 
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -21,6 +23,8 @@
   void Count(failure_code code) noexcept;
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
+  void Count(order_verdict verdict) noexcept;
+  void Count(release_reason reason) noexcept;
 
   /** @return How many requests were refused or failed for this reason. */
   [[nodiscard]] std::uint64_t Value(failure_code code) const noexcept;
@@ -37,6 +41,8 @@
   std::array<std::atomic<std::uint64_t>, kFailureCodes> refusals_{};
   std::array<std::atomic<std::uint64_t>, kRetryReasons> retries_{};
   std::array<std::atomic<std::uint64_t>, kVerdicts> reports_{};
+  std::array<std::atomic<std::uint64_t>, kOrderVerdicts> orders_{};
+  std::array<std::atomic<std::uint64_t>, kReleaseReasons> releases_{};
 };
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/attempt_control.cpp
+++ b/src/acaciaferry/reducer/attempt_control.cpp
@@ -5,6 +5,7 @@
 
 #include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/observation.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
 
 namespace acaciaferry::internal {
 
@@ -101,6 +102,7 @@
                     request_record& record,
                     time_point now,
                     effects& out) {
+  ReleaseSpan(state, record.request.id, out);
   if (!record.current) {
     return;
   }
@@ -163,6 +165,10 @@
     Fail(state, record, when_none, now, out);
     return;
   }
+  if (NeedsSpan(state, record)) {
+    StartSpan(state, record, now, out);
+    return;
+  }
   const auto choice = ChooseFor(state, record, now);
   if (!choice) {
     state.waiting_suspects.push_back(record.request.id);
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -8,6 +8,7 @@
 #include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/isolation.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -30,6 +31,30 @@
   }
 }
 
+attempt_id OpenAttempt(state& state,
+                       request_record& record,
+                       const target_id& place,
+                       std::vector<std::string> reservations,
+                       time_point now,
+                       effects& out) {
+  const target& target = *FindTarget(state.targets, place);
+  const attempt_id id{record.request.id, ++record.attempts_made};
+  ForgetAnswer(record);
+  record.current =
+      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
+  out.push_back(start_attempt{
+      .attempt = id,
+      .target = target.id,
+      .address = target.address,
+      .kind = record.request.kind,
+      .prompt_tokens = record.request.prompt_tokens,
+      .remaining = record.deadline - now,
+      .priority = EnginePriority(record.work, record.request.prompt_tokens,
+                                 state.config->policy),
+      .reservations = std::move(reservations)});
+  return id;
+}
+
 enum class start_result { kStarted, kShed, kNoRoom };
 
 start_result StartHead(state& state,
@@ -37,6 +62,11 @@
                        time_point now,
                        effects& out) {
   request_record& record = state.requests.at(id);
+  if (NeedsSpan(state, record)) {
+    RemoveWaiting(state.waiting, id, now);
+    StartSpan(state, record, now, out);
+    return start_result::kStarted;
+  }
   const auto choice = ChooseFor(state, record, now);
   if (!choice || !choice->has_room) {
     return start_result::kNoRoom;
@@ -106,22 +136,18 @@
                    const routing_choice& choice,
                    time_point now,
                    effects& out) {
-  const target& target = *FindTarget(state.targets, choice.target);
-  const attempt_id id{record.request.id, ++record.attempts_made};
-  internal::ForgetAnswer(record);
-  record.current =
-      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
+  const attempt_id id =
+      internal::OpenAttempt(state, record, choice.target, {}, now, out);
   RecordDispatch(state.routing, id, choice, IsLongRequest(record.request), now);
-  out.push_back(start_attempt{
-      .attempt = id,
-      .target = target.id,
-      .address = target.address,
-      .kind = record.request.kind,
-      .prompt_tokens = record.request.prompt_tokens,
-      .remaining = record.deadline - now,
-      .priority = EnginePriority(record.work, record.request.prompt_tokens,
-                                 state.config->policy),
-      .reservations = {}});
+}
+
+void LaunchSpanAttempt(state& state,
+                       request_record& record,
+                       const target_id& head,
+                       std::vector<std::string> reservations,
+                       time_point now,
+                       effects& out) {
+  internal::OpenAttempt(state, record, head, std::move(reservations), now, out);
 }
 
 void DispatchWaiting(state& state, time_point now, effects& out) {
--- a/src/acaciaferry/reducer/dispatch.hpp
+++ b/src/acaciaferry/reducer/dispatch.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/reducer/effect.hpp"
@@ -24,6 +26,14 @@
                    time_point now,
                    effects& out);
 
+/** @brief Starts an attempt on a span whose reservations are all granted. */
+void LaunchSpanAttempt(state& state,
+                       request_record& record,
+                       const target_id& head,
+                       std::vector<std::string> reservations,
+                       time_point now,
+                       effects& out);
+
 /**
  * @brief Drops waiting requests that can no longer finish, and starts those
  * that some target has room for.
--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -8,6 +8,9 @@
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -86,6 +89,9 @@
 struct count_report {
   report_verdict verdict{};
 };
+struct count_order {
+  order_verdict verdict{};
+};
 
 using effect = std::variant<start_attempt,
                             resume_attempt,
@@ -97,7 +103,14 @@
                             drain_completed,
                             count_refusal,
                             count_retry,
-                            count_report>;
+                            count_report,
+                            count_order,
+                            reserve_memory,
+                            renew_reservation,
+                            release_reservation,
+                            list_holdings,
+                            release_holding,
+                            issue_order>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -7,7 +7,10 @@
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/membership/event.hpp"
 #include "acaciaferry/operations/event.hpp"
+#include "acaciaferry/orders/order.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -51,6 +54,12 @@
                            attempt_failed,
                            operation_key_requested,
                            peer_learnt,
-                           suspects_heard>;
+                           suspects_heard,
+                           reservation_granted,
+                           reservation_renewed,
+                           reservation_refused,
+                           reservation_lost,
+                           holdings_listed,
+                           order_answered>;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/lifecycle.cpp
+++ b/src/acaciaferry/reducer/lifecycle.cpp
@@ -35,9 +35,11 @@
     request_record& record = state.requests.at(state.deadlines.begin()->second);
     const outcome result =
         internal::OutcomeNow(record, attempt_end::kAbandoned);
-    internal::Fail(state, record,
-                   {failure_code::kDeadlineExceeded, result, std::nullopt}, now,
-                   out);
+    const span_plan* const plan = FindSpan(state.spans, record.request.id);
+    const failure_code code = plan != nullptr && !plan->is_complete
+                                  ? failure_code::kSpanUnavailable
+                                  : failure_code::kDeadlineExceeded;
+    internal::Fail(state, record, {code, result, std::nullopt}, now, out);
   }
 }
 
--- /dev/null
+++ b/src/acaciaferry/reducer/maintenance.cpp
@@ -0,0 +1,109 @@
+#include "acaciaferry/reducer/maintenance.hpp"
+
+#include <span>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "acaciaferry/reducer/responsibility.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+constexpr duration kMaintenanceInterval = std::chrono::milliseconds(500);
+// After a longer gap between two turns another VM may issue the orders.
+constexpr duration kPauseGap = std::chrono::seconds(2);
+
+// The engines of this VM's failure domain.
+std::vector<const target*> DomainEngines(const state& state) {
+  std::vector<const target*> engines;
+  for (const target& each : state.targets.targets) {
+    const pool* const known =
+        state.config ? FindPool(*state.config, each.pool) : nullptr;
+    const bool is_engine =
+        known != nullptr && known->kind == request_kind::kCompletion;
+    if (is_engine && each.failure_domain == state.self.failure_domain) {
+      engines.push_back(&each);
+    }
+  }
+  return engines;
+}
+
+void SweepHoldings(state& state,
+                   std::span<const target* const> engines,
+                   time_point now,
+                   effects& out) {
+  std::vector<const target*> responsible;
+  for (const target* const each : engines) {
+    if (IsSweeper(state, *each)) {
+      responsible.push_back(each);
+    }
+  }
+  reclamation_effects asked;
+  SweepTargets(state.reclamation, responsible, now, asked);
+  for (reclamation_effect& each : asked) {
+    std::visit([&out](auto& value) { out.push_back(std::move(value)); }, each);
+  }
+}
+
+void IssueOrders(state& state,
+                 std::span<const target* const> engines,
+                 time_point now,
+                 effects& out) {
+  if (!state.config) {
+    return;
+  }
+  std::vector<issue_order> orders;
+  PlanOrders(state.orders, *state.config, engines, IsOrderIssuer(state), now,
+             orders);
+  for (issue_order& each : orders) {
+    out.push_back(std::move(each));
+  }
+}
+
+}  // namespace internal
+
+void MaintainTargets(state& state, time_point now, effects& out) {
+  if (now - state.maintained_at > internal::kPauseGap) {
+    ResignIssuer(state.orders);
+  }
+  if (now - state.maintained_at < internal::kMaintenanceInterval) {
+    return;
+  }
+  state.maintained_at = now;
+  const auto engines = internal::DomainEngines(state);
+  internal::SweepHoldings(state, engines, now, out);
+  internal::IssueOrders(state, engines, now, out);
+}
+
+std::optional<time_point> NextMaintenance(const state& state) {
+  if (!state.config || state.targets.targets.empty()) {
+    return std::nullopt;
+  }
+  return state.maintained_at + internal::kMaintenanceInterval;
+}
+
+void OnMaintenanceEvent(state& state,
+                        const holdings_listed& event,
+                        time_point now,
+                        effects& out) {
+  const target* const from = FindTarget(state.targets, event.target);
+  if (from == nullptr) {
+    return;
+  }
+  reclamation_effects asked;
+  OnHoldingsListed(state.reclamation, event, from->address, now, asked);
+  for (reclamation_effect& each : asked) {
+    std::visit([&out](auto& value) { out.push_back(std::move(value)); }, each);
+  }
+}
+
+void OnMaintenanceEvent(state& state,
+                        const order_answered& event,
+                        time_point now,
+                        effects& out) {
+  out.push_back(count_order{event.verdict});
+  OnOrderAnswered(state.orders, event, now);
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -6,7 +6,9 @@
 #include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/maintenance.hpp"
 #include "acaciaferry/reducer/operation_events.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
@@ -46,6 +48,7 @@
 
   void operator()(const vm_list_received& event) const {
     OnVmList(state, event.vms);
+    ObserveVmList(state.reclamation, event.vms, now);
   }
 
   void operator()(const load_report_received& event) const {
@@ -58,12 +61,37 @@
 
   void operator()(const peer_learnt& event) const {
     LearnOwner(state.operations, event);
+    ObserveIncarnation(state.reclamation, event.vm, event.incarnation);
   }
 
   void operator()(const suspects_heard& event) const {
     MergeSuspects(state.quarantine, Self(state), event, now);
   }
 
+  void operator()(const holdings_listed& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const order_answered& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_granted& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_renewed& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_refused& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_lost& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -77,11 +105,13 @@
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
   ExpireSuspects(state.quarantine, now);
+  MaintainSpans(state, now, out);
   CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
   internal::StartWaitingSuspects(state, now, out);
   DispatchWaiting(state, now, out);
+  MaintainTargets(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -105,6 +135,12 @@
   if (const auto dispatch_at = NextDispatch(state)) {
     consider(*dispatch_at);
   }
+  if (const auto spans_at = NextSpanTimer(state.spans)) {
+    consider(*spans_at);
+  }
+  if (const auto maintenance_at = NextMaintenance(state)) {
+    consider(*maintenance_at);
+  }
   return next;
 }
 
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -21,8 +21,11 @@
 #include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/operations/operations.hpp"
+#include "acaciaferry/orders/orders.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/routing/routing.hpp"
+#include "acaciaferry/spans/span.hpp"
 #include "acaciaferry/targets/state.hpp"
 #include "acaciaferry/workspaces/limits.hpp"
 
@@ -92,12 +95,17 @@
   /** Whether the drain's grace has passed, so that new requests are refused. */
   bool closed{};
   retry_budgets retries;
+  spans_state spans;
+  reclamation_state reclamation;
+  orders_state orders;
   operations_state operations;
   quarantine_state quarantine;
   /** Suspects that wait for a target where few others run, oldest first. */
   std::vector<request_id> waiting_suspects;
   /** When streams are next checked for silence. */
   time_point progress_check_at{};
+  /** When holdings and orders were last looked after. */
+  time_point maintained_at{};
   /** When the last event was handled. */
   time_point last_turn{};
 };
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -17,6 +17,7 @@
 #include "acaciaferry/platform/periodic_task.hpp"
 #include "acaciaferry/platform/pollers.hpp"
 #include "acaciaferry/runtime/event_loop.hpp"
+#include "acaciaferry/target_client/control_client.hpp"
 #include "acaciaferry/target_client/target_client.hpp"
 
 namespace acaciaferry {
@@ -71,6 +72,8 @@
         targets_(settings_.vm.value + "/" + std::to_string(incarnation_),
                  exchanges_,
                  [this](event value) { loop_.Post(std::move(value)); }),
+        control_(settings_.vm.value + "/" + std::to_string(incarnation_),
+                 [this](event value) { loop_.Post(std::move(value)); }),
         loop_(internal::MakeState(settings_, incarnation_),
               clock_,
               [this](effect& value) {
@@ -182,6 +185,15 @@
   void Execute(count_refusal& value) { metrics_.Count(value.code); }
   void Execute(count_retry& value) { metrics_.Count(value.reason); }
   void Execute(count_report& value) { metrics_.Count(value.verdict); }
+  void Execute(count_order& value) { metrics_.Count(value.verdict); }
+  void Execute(release_holding& value) {
+    metrics_.Count(value.reason);
+    control_.Send(value);
+  }
+  template <typename ControlCall>
+  void Execute(ControlCall& value) {
+    control_.Send(value);
+  }
 
   const daemon_settings settings_;
   const std::uint64_t incarnation_;
@@ -190,6 +202,7 @@
   workspace_directory workspaces_;
   metrics_registry metrics_;
   target_client targets_;
+  control_client control_;
   event_loop loop_;
   callers_context callers_;
   operators_context operators_;
--- a/src/acaciaferry/spans/fwd.hpp
+++ b/src/acaciaferry/spans/fwd.hpp
@@ -9,6 +9,7 @@
 struct reservation_id;
 struct reservation_lost;
 struct reservation_refused;
+struct reservation_renewed;
 struct reserve_memory;
 struct span_candidate;
 struct span_member;
--- a/src/acaciaferry/spans/reservation.hpp
+++ b/src/acaciaferry/spans/reservation.hpp
@@ -41,6 +41,12 @@
 /** The engine holds the memory until the lease lapses. */
 struct reservation_granted {
   reservation_id reservation;
+  std::string address;
+};
+
+/** The engine has extended the lease. */
+struct reservation_renewed {
+  reservation_id reservation;
 };
 
 /** The engine had no room, or could not be asked. */
@@ -48,7 +54,7 @@
   reservation_id reservation;
 };
 
-/** A renewal failed: the engine died or no longer knows the reservation. */
+/** The engine does not know the reservation any more. */
 struct reservation_lost {
   reservation_id reservation;
 };
--- a/src/acaciaferry/spans/span.cpp
+++ b/src/acaciaferry/spans/span.cpp
@@ -26,10 +26,11 @@
     if (left == 0) {
       break;
     }
-    const std::uint64_t share = std::min(left, each.capacity_tokens);
+    const std::uint64_t share =
+        std::min({left, each.capacity_tokens, each.free_tokens});
     if (share > 0) {
       members.push_back(
-          {each.target, each.address, share, member_phase::kPlanned});
+          {each.target, each.address, share, member_phase::kPlanned, {}});
       left -= share;
     }
   }
@@ -77,7 +78,7 @@
 // Jitter keeps two VMs from colliding again and again. The range halves with
 // each round, so that an old span asks more often than young ones.
 void BackOff(span_plan& plan, random_engine& random, time_point now) {
-  const std::uint32_t halvings = std::min<std::uint32_t>(plan.round, 5);
+  const std::uint32_t halvings = std::min<std::uint32_t>(plan.tries, 5);
   const duration range =
       std::max(kLongestBackOff / (1 << halvings), 2 * kShortestBackOff);
   const auto jitter =
@@ -86,13 +87,15 @@
       now + kShortestBackOff + duration(static_cast<std::int64_t>(jitter));
 }
 
-void StartRound(const request_id& id,
+void StartRound(spans_state& state,
+                const request_id& id,
                 span_plan& plan,
                 const candidate_source& candidates,
                 random_engine& random,
                 time_point now,
                 span_effects& out) {
-  ++plan.round;
+  plan.round = ++state.last_round;
+  ++plan.tries;
   plan.retry_at.reset();
   plan.renew_at = now + kSpanRenewal;
   plan.members = ChooseMembers(candidates(id), plan.tokens);
@@ -130,6 +133,16 @@
   plan.renew_at = now + kSpanRenewal;
 }
 
+// An engine that has not answered a renewal for a whole lease may have given
+// the memory to somebody else.
+bool HasLapsed(const span_plan& plan, time_point now) noexcept {
+  return std::any_of(plan.members.begin(), plan.members.end(),
+                     [now](const span_member& each) {
+                       return each.phase == member_phase::kGranted &&
+                              now - each.renewed_at >= kSpanLease;
+                     });
+}
+
 }  // namespace internal
 
 void BeginSpan(spans_state& state,
@@ -143,23 +156,23 @@
   span_plan& plan = state.spans[id];
   plan.tokens = tokens;
   plan.deadline = deadline;
-  internal::StartRound(id, plan, candidates, random, now, out);
+  internal::StartRound(state, id, plan, candidates, random, now, out);
 }
 
 std::optional<request_id> OnReservationGranted(spans_state& state,
                                                const reservation_granted& event,
-                                               const std::string& address,
                                                time_point now,
                                                span_effects& out) {
   const auto [plan, member] = internal::FindMember(state, event.reservation);
   if (member == nullptr) {
-    out.push_back(release_reservation{event.reservation, address});
+    out.push_back(release_reservation{event.reservation, event.address});
     return std::nullopt;
   }
   if (member->phase != member_phase::kRequested) {
     return std::nullopt;
   }
   member->phase = member_phase::kGranted;
+  member->renewed_at = now;
   internal::AskNext(event.reservation.request, *plan, now, out);
   plan->is_complete = std::all_of(plan->members.begin(), plan->members.end(),
                                   [](const span_member& each) {
@@ -171,6 +184,15 @@
   return event.reservation.request;
 }
 
+void OnReservationRenewed(spans_state& state,
+                          const reservation_renewed& event,
+                          time_point now) noexcept {
+  const auto [plan, member] = internal::FindMember(state, event.reservation);
+  if (member != nullptr && member->phase == member_phase::kGranted) {
+    member->renewed_at = now;
+  }
+}
+
 void OnReservationRefused(spans_state& state,
                           const reservation_refused& event,
                           random_engine& random,
@@ -213,18 +235,26 @@
   state.spans.erase(found);
 }
 
-void AdvanceSpans(spans_state& state,
-                  const candidate_source& candidates,
-                  random_engine& random,
-                  time_point now,
-                  span_effects& out) {
+std::vector<request_id> AdvanceSpans(spans_state& state,
+                                     const candidate_source& candidates,
+                                     random_engine& random,
+                                     time_point now,
+                                     span_effects& out) {
+  std::vector<request_id> lost;
   for (auto& [id, plan] : state.spans) {
-    if (plan.retry_at && *plan.retry_at <= now) {
-      internal::StartRound(id, plan, candidates, random, now, out);
+    if (internal::HasLapsed(plan, now)) {
+      if (plan.is_complete) {
+        lost.push_back(id);
+      }
+      internal::ReleaseMembers(id, plan, out);
+      internal::BackOff(plan, random, now);
+    } else if (plan.retry_at && *plan.retry_at <= now) {
+      internal::StartRound(state, id, plan, candidates, random, now, out);
     } else if (!plan.members.empty() && plan.renew_at <= now) {
       internal::Renew(id, plan, now, out);
     }
   }
+  return lost;
 }
 
 std::optional<time_point> NextSpanTimer(const spans_state& state) {
--- a/src/acaciaferry/spans/span.hpp
+++ b/src/acaciaferry/spans/span.hpp
@@ -40,6 +40,8 @@
   std::string address;
   std::uint64_t tokens{};
   member_phase phase{member_phase::kPlanned};
+  /** When the lease was last granted or extended. */
+  time_point renewed_at{};
 };
 
 /**
@@ -49,7 +51,10 @@
 struct span_plan {
   std::uint64_t tokens{};
   time_point deadline{};
+  /** Distinguishes this round's reservations from all others of this VM. */
   std::uint32_t round{};
+  /** Rounds so far. */
+  std::uint32_t tries{};
   std::vector<span_member> members;
   /** While backing off: when the next round starts. */
   std::optional<time_point> retry_at;
@@ -62,6 +67,7 @@
  * @brief All spans of this VM.
  */
 struct spans_state {
+  std::uint32_t last_round{};
   std::map<request_id, span_plan> spans;
 };
 
@@ -107,10 +113,14 @@
 [[nodiscard]] std::optional<request_id> OnReservationGranted(
     spans_state& state,
     const reservation_granted& event,
-    const std::string& address,
     time_point now,
     span_effects& out);
 
+/** @brief Records that a member's lease was extended. */
+void OnReservationRenewed(spans_state& state,
+                          const reservation_renewed& event,
+                          time_point now) noexcept;
+
 /**
  * @brief Handles a refused reservation: releases the members so far and backs
  * off, the shorter the older the span is.
@@ -138,13 +148,16 @@
 void EndSpan(spans_state& state, const request_id& id, span_effects& out);
 
 /**
- * @brief Starts rounds whose back-off is over and renews leases that are due.
+ * @brief Starts rounds whose back-off is over, renews leases that are due, and
+ * gives up spans of which a lease has lapsed.
+ * @return Requests whose span was complete and whose attempt must end.
  */
-void AdvanceSpans(spans_state& state,
-                  const candidate_source& candidates,
-                  random_engine& random,
-                  time_point now,
-                  span_effects& out);
+[[nodiscard]] std::vector<request_id> AdvanceSpans(
+    spans_state& state,
+    const candidate_source& candidates,
+    random_engine& random,
+    time_point now,
+    span_effects& out);
 
 /** @return When AdvanceSpans must run next; nothing without spans. */
 [[nodiscard]] std::optional<time_point> NextSpanTimer(const spans_state& state);
--- a/src/acaciaferry/target_client/wire.cpp
+++ b/src/acaciaferry/target_client/wire.cpp
@@ -1,5 +1,6 @@
 #include "acaciaferry/target_client/wire.hpp"
 
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 namespace acaciaferry {
@@ -53,6 +54,51 @@
           .finish_reason = value.value("finish_reason", "")};
 }
 
+holding_kind ParseHoldingKind(const std::string& kind) {
+  if (kind == "reservation") {
+    return holding_kind::kReservation;
+  }
+  if (kind == "pinned_prefix") {
+    return holding_kind::kPinnedPrefix;
+  }
+  return kind == "kv_segment" ? holding_kind::kKvSegment
+                              : holding_kind::kStream;
+}
+
+// An owner is written as the VM's name, a slash and its incarnation.
+void ReadOwner(const std::string& owner, holding& result) {
+  const std::size_t slash = owner.rfind('/');
+  if (slash == std::string::npos) {
+    throw json::other_error::create(0, "owner without incarnation", nullptr);
+  }
+  result.owner.value = owner.substr(0, slash);
+  const char* const last = owner.data() + owner.size();
+  const auto [end, error] =
+      std::from_chars(owner.data() + slash + 1, last, result.owner_incarnation);
+  if (error != std::errc{} || end != last) {
+    throw json::other_error::create(0, "owner without incarnation", nullptr);
+  }
+}
+
+holding ReadHolding(const json& value) {
+  holding result;
+  result.id = value.at("id").get<std::string>();
+  result.kind = ParseHoldingKind(value.at("kind").get<std::string>());
+  result.remaining =
+      std::chrono::milliseconds(value.at("deadline_ms").get<std::int64_t>());
+  result.tokens = value.value("tokens", std::uint64_t{});
+  ReadOwner(value.at("owner").get<std::string>(), result);
+  return result;
+}
+
+std::vector<holding> ReadHoldings(const json& value) {
+  std::vector<holding> holdings;
+  for (const json& each : value.at("holdings")) {
+    holdings.push_back(ReadHolding(each));
+  }
+  return holdings;
+}
+
 std::vector<vm_entry> ReadVmList(const json& value) {
   std::vector<vm_entry> vms;
   for (const json& vm : value.at("vms")) {
@@ -86,6 +132,10 @@
   return internal::Parse(json, internal::ReadReport);
 }
 
+std::optional<std::vector<holding>> ParseHoldings(std::string_view json) {
+  return internal::Parse(json, internal::ReadHoldings);
+}
+
 std::optional<std::vector<vm_entry>> ParseVmList(std::string_view json) {
   return internal::Parse(json, internal::ReadVmList);
 }
--- a/src/acaciaferry/target_client/wire.hpp
+++ b/src/acaciaferry/target_client/wire.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "acaciaferry/reclamation/holding.hpp"
 #include "acaciaferry/targets/target.hpp"
 
 namespace acaciaferry {
@@ -34,6 +35,14 @@
  */
 [[nodiscard]] std::optional<load_report> ParseLoadReport(std::string_view json);
 
+/**
+ * @brief Parses a target's list of holdings.
+ * @param json Text from a target.
+ * @return The list, or nothing when any line of it is malformed.
+ */
+[[nodiscard]] std::optional<std::vector<holding>> ParseHoldings(
+    std::string_view json);
+
 /**
  * @brief Parses the platform's list of VMs.
  * @param json Text from the platform.
--- a/test/acaciaferry/spans/span_test.cpp
+++ b/test/acaciaferry/spans/span_test.cpp
@@ -99,8 +99,8 @@
     outbox.erase(outbox.begin());
     if (const auto* const ask = std::get_if<reserve_memory>(&effect)) {
       if (engines.Reserve(*ask, now)) {
-        const auto done = OnReservationGranted(state, {ask->reservation},
-                                               ask->address, now, outbox);
+        const auto done = OnReservationGranted(
+            state, {ask->reservation, ask->address}, now, outbox);
         complete = complete || done.has_value();
       } else {
         OnReservationRefused(state, {ask->reservation}, random, now, outbox);
@@ -121,6 +121,7 @@
     const auto found = reservations.find(renewal.reservation);
     if (found != reservations.end()) {
       found->second.lapses = now + renewal.lease;
+      OnReservationRenewed(state, {renewal.reservation}, now);
       return;
     }
     const auto lost =
@@ -158,8 +159,9 @@
       engines.Lapse(now);
       const std::size_t i = DrawBelow(scheduler, vm_count);
       vms[i].DeliverOne(engines, now);
-      AdvanceSpans(vms[i].state, vms[i].Source(engines), vms[i].random, now,
-                   vms[i].outbox);
+      const auto lost = AdvanceSpans(vms[i].state, vms[i].Source(engines),
+                                     vms[i].random, now, vms[i].outbox);
+      vms[i].complete = vms[i].complete && lost.empty();
       for (const auto& [engine, reservations] : engines.held) {
         RC_ASSERT(engines.Used(engine) <= kCapacity);
       }
@@ -222,9 +224,27 @@
   vm.Begin(engines, time_point{});
   vm.End();
   vm.outbox.clear();
-  const auto done = OnReservationGranted(vm.state, {{vm.id, 1, 0}}, "e0",
+  const auto done = OnReservationGranted(vm.state, {{vm.id, 1, 0}, "e0"},
                                          time_point{}, vm.outbox);
   CHECK_FALSE(done.has_value());
   CHECK_EQUAL(1U, vm.outbox.size());
   CHECK(std::holds_alternative<release_reservation>(vm.outbox.front()));
 }
+
+// Guards against an attempt that goes on after a paused or cut-off VM has let
+// a lease lapse: the engine may have given the memory to somebody else.
+TEST(Span, UnansweredRenewalsEndTheSpan) {
+  fake_engines engines(3);
+  fake_vm vm;
+  vm.id = {1, 1};
+  time_point now{};
+  vm.Begin(engines, now);
+  while (!vm.complete) {
+    vm.DeliverOne(engines, now);
+  }
+  now += kSpanLease;
+  const auto lost =
+      AdvanceSpans(vm.state, vm.Source(engines), vm.random, now, vm.outbox);
+  CHECK_EQUAL(1U, lost.size());
+  CHECK_EQUAL(3U, vm.outbox.size());
+}
