Mark targets as leaving or stale from outside their reports

Cause: peers and the VM list learn that a target is leaving before its own report arrives, and a paused process must not trust its old reports. Change: MarkLeaving is sticky for one incarnation; MarkStale flags every target until its next accepted report. HttpGet grows its buffer with the body, since the configuration document needs a limit far above the usual size.

--- a/src/acaciaferry/platform/http_get.cpp
+++ b/src/acaciaferry/platform/http_get.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
 
+#include <array>
 #include <istream>
 
 namespace acaciaferry {
@@ -22,11 +23,14 @@
     session.sendRequest(request);
     Poco::Net::HTTPResponse response;
     std::istream& stream = session.receiveResponse(response);
-    std::string body(max_bytes + 1, '\0');
-    stream.read(body.data(), static_cast<std::streamsize>(body.size()));
-    body.resize(static_cast<std::size_t>(stream.gcount()));
-    if (body.size() > max_bytes) {
-      return std::nullopt;
+    std::string body;
+    std::array<char, 16 << 10> buffer{};
+    // Grows with the body: the limit may be far above the usual size.
+    while (stream.read(buffer.data(), buffer.size()), stream.gcount() > 0) {
+      body.append(buffer.data(), static_cast<std::size_t>(stream.gcount()));
+      if (body.size() > max_bytes) {
+        return std::nullopt;
+      }
     }
     return http_reply{static_cast<int>(response.getStatus()), std::move(body)};
   } catch (const Poco::Exception&) {
--- a/src/acaciaferry/targets/state.cpp
+++ b/src/acaciaferry/targets/state.cpp
@@ -47,6 +47,7 @@
   listed.leaving = listed.leaving || known.leaving;
   listed.report = known.report;
   listed.reported_at = known.reported_at;
+  listed.stale = known.stale;
 }
 
 }  // namespace internal
@@ -101,9 +102,33 @@
   known.incarnation = report.incarnation;
   known.report = report;
   known.reported_at = now;
+  known.stale = false;
   return report_verdict::kAccepted;
 }
 
+bool MarkLeaving(targets_state& state,
+                 const target_id& id,
+                 std::uint64_t incarnation) {
+  const auto found = state.index.find(id);
+  if (found == state.index.end()) {
+    return false;
+  }
+  target& known = state.targets[found->second];
+  const bool is_news = incarnation > known.incarnation ||
+                       (incarnation == known.incarnation && !known.leaving);
+  if (is_news) {
+    known.incarnation = incarnation;
+    known.leaving = true;
+  }
+  return is_news;
+}
+
+void MarkStale(targets_state& state) noexcept {
+  for (target& each : state.targets) {
+    each.stale = true;
+  }
+}
+
 const target* FindTarget(const targets_state& state,
                          const target_id& id) noexcept {
   const auto found = state.index.find(id);
--- a/src/acaciaferry/targets/state.hpp
+++ b/src/acaciaferry/targets/state.hpp
@@ -57,6 +57,21 @@
                                              const load_report& report,
                                              time_point now);
 
+/**
+ * @brief Notes that a peer or the list said that a target is leaving.
+ * @param state The table.
+ * @param id The target.
+ * @param incarnation The process that is leaving; an earlier one than the
+ * known one changes nothing.
+ * @return Whether this was news.
+ */
+bool MarkLeaving(targets_state& state,
+                 const target_id& id,
+                 std::uint64_t incarnation);
+
+/** @brief Marks the knowledge of every target as stale after a pause. */
+void MarkStale(targets_state& state) noexcept;
+
 /** @return The target of that id, or null. */
 [[nodiscard]] const target* FindTarget(const targets_state& state,
                                        const target_id& id) noexcept;
--- a/src/acaciaferry/targets/target.hpp
+++ b/src/acaciaferry/targets/target.hpp
@@ -68,6 +68,8 @@
   std::optional<load_report> report;
   /** When the report reached this VM. */
   time_point reported_at{};
+  /** Set after this process was paused, until a report arrives. */
+  bool stale{};
 };
 
 }  // namespace acaciaferry
