Add the message codec and the transport between daemons

Change: messages are msgpack maps from field numbers to values below an HMAC-SHA256 tag, at most 64 KB; fields and kinds of later versions are skipped and counted. The transport uses one nng pull socket and a push socket for each address with non-blocking sends and background reconnects.

--- a/src/acaciaferry/membership/event.hpp
+++ b/src/acaciaferry/membership/event.hpp
@@ -2,8 +2,10 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "acaciaferry/core/name.hpp"
+#include "acaciaferry/membership/message.hpp"
 
 namespace acaciaferry {
 
@@ -14,4 +16,27 @@
   std::string callers_address;
 };
 
+/** This process's listeners are open; the addresses are for peers. */
+struct listeners_bound {
+  std::string peers_address;
+  std::string callers_address;
+};
+
+/** An authenticated message arrived from a peer. */
+struct peer_message_received {
+  peer_message message;
+};
+
+/** A peer reported the fingerprints that it suspects. */
+struct suspects_learnt {
+  vm_id vm;
+  std::vector<suspect_weight> suspects;
+};
+
+/** A peer, or a remote failure domain, reported demand by workspace. */
+struct demand_learnt {
+  vm_id vm;
+  std::vector<workspace_demand> demand;
+};
+
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/membership/message.hpp
@@ -0,0 +1,165 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/targets/target.hpp"
+
+namespace acaciaferry {
+
+/** Bounds of the lists in one message; longer ones are cut by the sender and
+ * refused by the receiver. */
+inline constexpr std::size_t kMaxDemands = 64;
+inline constexpr std::size_t kMaxSuspects = 64;
+inline constexpr std::size_t kMaxLeavingTargets = 64;
+inline constexpr std::size_t kMaxSummaryMembers = 128;
+inline constexpr std::size_t kMaxRelayedReports = 256;
+
+/** Text bytes in one part of a document; leaves room for the envelope. */
+inline constexpr std::size_t kMaxPartBytes = 60'000;
+inline constexpr std::size_t kMaxDocumentBytes = 1 << 20;
+inline constexpr std::size_t kMaxDocumentParts =
+    (kMaxDocumentBytes + kMaxPartBytes - 1) / kMaxPartBytes;
+
+/** Predicted tokens a second that a workspace asks of one VM. */
+struct workspace_demand {
+  workspace_id workspace;
+  double tokens_per_second{};
+  [[nodiscard]] bool operator==(const workspace_demand&) const = default;
+};
+
+/** Evidence that requests of this fingerprint crash targets. */
+struct suspect_weight {
+  std::uint64_t fingerprint{};
+  double weight{};
+  [[nodiscard]] bool operator==(const suspect_weight&) const = default;
+};
+
+struct leaving_target {
+  target_id target;
+  std::uint64_t incarnation{};
+  [[nodiscard]] bool operator==(const leaving_target&) const = default;
+};
+
+/** A load report and its age when the message was sent. */
+struct relayed_report {
+  load_report report;
+  duration age{};
+  [[nodiscard]] bool operator==(const relayed_report&) const = default;
+};
+
+/** What the sender says of itself and of targets, once a second. */
+struct heartbeat {
+  bool leaving{};
+  /** Accepted configuration revision; zero when there is none. */
+  std::uint64_t revision{};
+  /** The next four are empty in most heartbeats. */
+  failure_domain_id failure_domain;
+  region_id region;
+  std::string address;
+  std::string callers_address;
+  std::vector<workspace_demand> demand;
+  std::vector<suspect_weight> suspects;
+  std::vector<leaving_target> leaving_targets;
+  [[nodiscard]] bool operator==(const heartbeat&) const = default;
+};
+
+/** Load reports that the sender polled. */
+struct load_relay {
+  std::vector<relayed_report> reports;
+  [[nodiscard]] bool operator==(const load_relay&) const = default;
+};
+
+struct member_summary {
+  vm_id vm;
+  std::uint64_t incarnation{};
+  std::string callers_address;
+  bool leaving{};
+  /** Time since a message of this VM was received. */
+  duration age{};
+  [[nodiscard]] bool operator==(const member_summary&) const = default;
+};
+
+/** What one failure domain tells another one through their delegates. */
+struct domain_summary {
+  failure_domain_id failure_domain;
+  /** Set by the delegate that passes it on inside its own domain. */
+  bool relayed{};
+  /** The sender's own accepted revision. */
+  std::uint64_t revision{};
+  std::vector<member_summary> members;
+  std::vector<relayed_report> reports;
+  std::vector<leaving_target> leaving_targets;
+  std::vector<suspect_weight> suspects;
+  std::vector<workspace_demand> demand;
+  [[nodiscard]] bool operator==(const domain_summary&) const = default;
+};
+
+/** Asks for the receiver's document when it is newer than `after`. */
+struct configuration_request {
+  std::uint64_t after{};
+  [[nodiscard]] bool operator==(const configuration_request&) const = default;
+};
+
+/** One part of a configuration document, or of its difference to a base. */
+struct configuration_part {
+  std::uint64_t revision{};
+  /** The revision that the difference applies to; zero for a whole document. */
+  std::uint64_t base{};
+  std::uint32_t index{};
+  std::uint32_t count{};
+  /** XXH64 of the whole document. */
+  std::uint64_t digest{};
+  std::string text;
+  [[nodiscard]] bool operator==(const configuration_part&) const = default;
+};
+
+/** A kind that a later version added. */
+struct unknown_body {
+  [[nodiscard]] bool operator==(const unknown_body&) const = default;
+};
+
+using peer_body = std::variant<heartbeat,
+                               load_relay,
+                               domain_summary,
+                               configuration_request,
+                               configuration_part,
+                               unknown_body>;
+
+/**
+ * @brief A message between two daemons.
+ */
+struct peer_message {
+  vm_id vm;
+  std::uint64_t incarnation{};
+  /** Grows with each message of one incarnation. */
+  std::uint64_t sequence{};
+  peer_body body;
+  [[nodiscard]] bool operator==(const peer_message&) const = default;
+};
+
+/** What became of a received message. */
+enum class peer_verdict {
+  kAccepted,
+  kOversized,
+  kMalformed,
+  kUnknownFormat,
+  kForged,
+  kReplayed,
+  kSupersededIncarnation,
+  kOwnName,
+  kTooManyPeers,
+  kUnknownKind,
+  /** Accepted, but some fields of a later version were skipped. */
+  kUnknownFields,
+};
+
+inline constexpr std::size_t kPeerVerdicts =
+    static_cast<std::size_t>(peer_verdict::kUnknownFields) + 1;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/peer/fwd.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+namespace acaciaferry {
+
+class peer_authenticator;
+class peer_transport;
+
+}  // namespace acaciaferry
--- /dev/null
+++ b/test/acaciaferry/peer/golden_messages.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "acaciaferry/membership/message.hpp"
+
+namespace acaciaferry::test {
+
+/** @return The files below test/golden/peer and what they must decode to. */
+inline std::vector<std::pair<std::string, peer_message>> GoldenMessages() {
+  const load_report report{.target = {"e1"},
+                           .incarnation = 1ULL << 57,
+                           .phase = target_phase::kLeaving,
+                           .sequence = 300,
+                           .running = 3,
+                           .waiting = 4,
+                           .queued_prefill_tokens = 90'000,
+                           .kv_used_tokens = 250'000,
+                           .kv_capacity_tokens = 400'000,
+                           .prefill_tokens_per_s = 8'192,
+                           .decode_ms_per_token = 20.5,
+                           .models = {"batch-model"},
+                           .fencing = 12};
+  const relayed_report relayed{report, std::chrono::milliseconds(250)};
+  const std::uint64_t incarnation = 0x0193'8F2A'7C00'BEEF;
+  const heartbeat beat{.leaving = true,
+                       .revision = 3'700,
+                       .failure_domain = {"tx-a"},
+                       .region = {"central-tx"},
+                       .address = "10.0.0.1:7000",
+                       .callers_address = "10.0.0.1:8080",
+                       .demand = {{{"floor-leads"}, 1'500.5}},
+                       .suspects = {{0xFEED'FACE'CAFE'BEEF, 0.25}},
+                       .leaving_targets = {{{"e2"}, 77}}};
+  const domain_summary summary{.failure_domain = {"tx-b"},
+                               .relayed = true,
+                               .revision = 3'699,
+                               .members = {{{"vm3"},
+                                            99,
+                                            "10.0.0.3:8080",
+                                            true,
+                                            std::chrono::milliseconds(900)}},
+                               .reports = {relayed},
+                               .leaving_targets = {{{"e3"}, 78}},
+                               .suspects = {{7, 1.0}},
+                               .demand = {{{"germination"}, 64.0}}};
+  const configuration_part part{.revision = 3'701,
+                                .base = 3'700,
+                                .index = 1,
+                                .count = 2,
+                                .digest = 0x1234'5678'9ABC'DEF0,
+                                .text = "[policy]\nentry_vms = 7\n"};
+  return {
+      {"v1_heartbeat.bin", {{"vm1"}, incarnation, 1, beat}},
+      {"v1_heartbeat_empty.bin", {{"vm1"}, incarnation, 2, heartbeat{}}},
+      {"v1_load_relay.bin", {{"vm1"}, incarnation, 3, load_relay{{relayed}}}},
+      {"v1_domain_summary.bin", {{"vm2"}, incarnation, 4, summary}},
+      {"v1_configuration_request.bin",
+       {{"vm2"}, incarnation, 5, configuration_request{3'700}}},
+      {"v1_configuration_part.bin", {{"vm2"}, incarnation, 6, part}}};
+}
+
+}  // namespace acaciaferry::test
