--- /dev/null
+++ b/src/acaciaferry/configuration/event.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "acaciaferry/configuration/effect.hpp"
+
+namespace acaciaferry {
+
+/** The configuration service answered with a document. */
+struct configuration_read {
+  std::uint64_t revision{};
+  document_text text;
+};
+
+/** A document was parsed; it is usable when there is no fault. */
+struct configuration_checked {
+  std::uint64_t revision{};
+  document_text text;
+  std::shared_ptr<const deployment> config;
+  std::vector<setting_fault> faults;
+};
+
+}  // namespace acaciaferry
