Let daemons exchange heartbeats, load reports and configurations

A watcher reads the configuration service with waiting reads; documents are parsed outside the loop. daemon.cpp keeps the wiring; effects, identity and checker have files of their own.

--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -29,6 +29,31 @@
     "accepted", "unknown_target", "superseded_incarnation", "old_sequence",
     "implausible"};
 
+constexpr std::array<std::string_view, kPeerVerdicts> kPeerVerdictNames{
+    "accepted",
+    "oversized",
+    "malformed",
+    "unknown_format",
+    "forged",
+    "replayed",
+    "superseded_incarnation",
+    "own_name",
+    "too_many_peers",
+    "unknown_kind",
+    "unknown_fields"};
+
+constexpr std::array<std::string_view, kConfigurationVerdicts>
+    kConfigurationVerdictNames{"accepted", "not_newer", "invalid", "too_large",
+                               "digest_mismatch"};
+
+void AppendCounter(std::string& text,
+                   std::string_view name,
+                   std::string_view help,
+                   std::uint64_t value) {
+  AppendHelp(text, name, help);
+  AppendValue(text, name, "", "", value);
+}
+
 }  // namespace internal
 
 void metrics_registry::Count(failure_code code) noexcept {
@@ -43,6 +68,57 @@
   ++reports_[static_cast<std::size_t>(verdict)];
 }
 
+void metrics_registry::Count(peer_verdict verdict) noexcept {
+  ++peer_messages_[static_cast<std::size_t>(verdict)];
+}
+
+void metrics_registry::Count(configuration_verdict verdict) noexcept {
+  ++documents_[static_cast<std::size_t>(verdict)];
+}
+
+void metrics_registry::AppendPeers(std::string& text) const {
+  internal::AppendHelp(text, "acaciaferry_peer_messages_total",
+                       "Messages from peers, by what became of them.");
+  for (std::size_t i = 0; i < peer_messages_.size(); ++i) {
+    internal::AppendValue(text, "acaciaferry_peer_messages_total", "verdict",
+                          internal::kPeerVerdictNames[i], peer_messages_[i]);
+  }
+  const transport_totals* const totals = peers_;
+  if (totals == nullptr) {
+    return;
+  }
+  using internal::AppendCounter;
+  AppendCounter(text, "acaciaferry_peer_sent_messages_total",
+                "Messages sent to peers.", totals->sent_messages);
+  AppendCounter(text, "acaciaferry_peer_sent_bytes_total",
+                "Bytes sent to peers.", totals->sent_bytes);
+  AppendCounter(text, "acaciaferry_peer_dropped_messages_total",
+                "Messages not sent to unreachable or slow peers.",
+                totals->dropped_messages);
+  AppendCounter(text, "acaciaferry_peer_received_messages_total",
+                "Messages received from peers.", totals->received_messages);
+  AppendCounter(text, "acaciaferry_peer_received_bytes_total",
+                "Bytes received from peers.", totals->received_bytes);
+}
+
+void metrics_registry::AppendConfiguration(std::string& text) const {
+  internal::AppendHelp(text, "acaciaferry_configuration_documents_total",
+                       "Configuration documents, by what became of them.");
+  for (std::size_t i = 0; i < documents_.size(); ++i) {
+    internal::AppendValue(text, "acaciaferry_configuration_documents_total",
+                          "verdict", internal::kConfigurationVerdictNames[i],
+                          documents_[i]);
+  }
+  internal::AppendCounter(text, "acaciaferry_configuration_reads_total",
+                          "Reads of the configuration service.",
+                          configuration_reads_);
+  text.append(
+      "# HELP acaciaferry_configuration_revision Revision in force.\n"
+      "# TYPE acaciaferry_configuration_revision gauge\n");
+  internal::AppendValue(text, "acaciaferry_configuration_revision", "", "",
+                        revision_);
+}
+
 std::string metrics_registry::ToPrometheusText() const {
   using internal::AppendHelp;
   using internal::AppendValue;
@@ -69,6 +145,8 @@
     AppendValue(text, "acaciaferry_load_reports_total", "verdict",
                 internal::kVerdictNames[i], reports_[i]);
   }
+  AppendPeers(text);
+  AppendConfiguration(text);
   return text;
 }
 
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -6,7 +6,10 @@
 #include <string>
 
 #include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/configuration/effect.hpp"
 #include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/membership/message.hpp"
+#include "acaciaferry/metrics/transport_totals.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -21,6 +24,14 @@
   void Count(failure_code code) noexcept;
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
+  void Count(peer_verdict verdict) noexcept;
+  void Count(configuration_verdict verdict) noexcept;
+  void CountConfigurationRead() noexcept { ++configuration_reads_; }
+  void SetRevision(std::uint64_t revision) noexcept { revision_ = revision; }
+
+  /** @brief Includes the bytes and messages between peers.
+   * @param totals Must outlive the registry's use. */
+  void Observe(const transport_totals& totals) noexcept { peers_ = &totals; }
 
   /** @return All counters in the Prometheus text format. */
   [[nodiscard]] std::string ToPrometheusText() const;
@@ -29,11 +40,19 @@
   static constexpr std::size_t kVerdicts =
       static_cast<std::size_t>(report_verdict::kImplausible) + 1;
 
+  void AppendPeers(std::string& text) const;
+  void AppendConfiguration(std::string& text) const;
+
   std::atomic<std::uint64_t> requests_{};
   std::atomic<std::uint64_t> answers_{};
   std::array<std::atomic<std::uint64_t>, kFailureCodes> refusals_{};
   std::array<std::atomic<std::uint64_t>, kRetryReasons> retries_{};
   std::array<std::atomic<std::uint64_t>, kVerdicts> reports_{};
+  std::array<std::atomic<std::uint64_t>, kPeerVerdicts> peer_messages_{};
+  std::array<std::atomic<std::uint64_t>, kConfigurationVerdicts> documents_{};
+  std::atomic<std::uint64_t> configuration_reads_{};
+  std::atomic<std::uint64_t> revision_{};
+  std::atomic<const transport_totals*> peers_{};
 };
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/platform/configuration_watcher.cpp
@@ -0,0 +1,79 @@
+#include "acaciaferry/platform/configuration_watcher.hpp"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+#include "acaciaferry/membership/message.hpp"
+#include "acaciaferry/platform/http_get.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+// Also the pause after a failure, so that a service that is down gets at most
+// two attempts a second from each watcher.
+constexpr duration kStepPause = std::chrono::milliseconds(500);
+// Short enough for a process that stops to wait for the answer.
+constexpr std::chrono::milliseconds kWait{2'000};
+constexpr duration kWatchTimeout = std::chrono::seconds(4);
+// JSON may write a character in six.
+constexpr std::size_t kMaxBodyBytes = 6 * kMaxDocumentBytes + 1'024;
+constexpr int kOk = 200;
+constexpr int kNotModified = 304;
+
+std::optional<configuration_read> ParseReply(const std::string& body) {
+  const auto value = nlohmann::json::parse(body, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    return configuration_read{value.at("revision").get<std::uint64_t>(),
+                              std::make_shared<const std::string>(
+                                  value.at("document").get<std::string>())};
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace internal
+
+bool ReadConfiguration(const std::string& address,
+                       std::uint64_t after,
+                       const std::function<void(event)>& sink) {
+  const auto reply =
+      HttpGet(address,
+              "/v1/configuration?after=" + std::to_string(after) +
+                  "&wait_ms=" + std::to_string(internal::kWait.count()),
+              internal::kWatchTimeout, internal::kMaxBodyBytes);
+  if (!reply || reply->status != internal::kOk) {
+    return reply && reply->status == internal::kNotModified;
+  }
+  auto read = internal::ParseReply(reply->body);
+  if (!read) {
+    return false;
+  }
+  sink(*std::move(read));
+  return true;
+}
+
+configuration_watcher::configuration_watcher(std::string address,
+                                             decision decide,
+                                             std::function<void()> count,
+                                             std::function<void(event)> sink)
+    : address_(std::move(address)),
+      decide_(std::move(decide)),
+      count_(std::move(count)),
+      sink_(std::move(sink)),
+      task_(internal::kStepPause, [this] { Step(); }) {}
+
+void configuration_watcher::Step() {
+  const watch_order order = decide_();
+  if (!order.reads) {
+    return;
+  }
+  count_();
+  ReadConfiguration(address_, order.after, sink_);
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/configuration/effect.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/membership/effect.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -89,7 +91,12 @@
                             drain_completed,
                             count_refusal,
                             count_retry,
-                            count_report>;
+                            count_report,
+                            send_to_peers,
+                            count_peer_message,
+                            check_configuration,
+                            configuration_in_force,
+                            count_configuration>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -3,8 +3,10 @@
 #include <variant>
 
 #include "acaciaferry/attempts/event.hpp"
+#include "acaciaferry/configuration/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/event.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -39,6 +41,13 @@
                            timer_expired,
                            vm_list_received,
                            load_report_received,
+                           listeners_bound,
+                           peer_message_received,
+                           peer_learnt,
+                           suspects_learnt,
+                           demand_learnt,
+                           configuration_read,
+                           configuration_checked,
                            attempt_sent,
                            attempt_accepted,
                            attempt_rejected,
--- /dev/null
+++ b/src/acaciaferry/reducer/peering.cpp
@@ -0,0 +1,201 @@
+#include "acaciaferry/reducer/peering.hpp"
+
+#include <utility>
+
+#include "acaciaferry/configuration/state.hpp"
+#include "acaciaferry/membership/exchange.hpp"
+#include "acaciaferry/membership/roles.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+exchange_view ViewOf(const state& state) noexcept {
+  return {state.targets, state.configuration.revision};
+}
+
+template <typename Effect>
+void Append(std::vector<Effect>& from, effects& out) {
+  for (Effect& each : from) {
+    out.emplace_back(std::move(each));
+  }
+}
+
+void Append(configuration_effects& from, effects& out) {
+  Append(from.messages, out);
+  Append(from.checks, out);
+  Append(from.counts, out);
+}
+
+void TellLeaving(state& state, leaving_source source, effects& out) {
+  std::vector<send_to_peers> messages;
+  AnnounceLeaving(state.membership, ViewOf(state), source, messages);
+  Append(messages, out);
+}
+
+void TellPeers(state& state, effects& out) {
+  std::vector<send_to_peers> messages;
+  AnnounceNow(state.membership, ViewOf(state), messages);
+  Append(messages, out);
+}
+
+void ApplyReports(state& state,
+                  const std::vector<relayed_report>& reports,
+                  time_point now,
+                  effects& out) {
+  for (const relayed_report& each : reports) {
+    out.push_back(count_report{
+        ApplyLoadReport(state.targets, each.report, now - each.age)});
+  }
+}
+
+void ApplyConfigurationNews(state& state,
+                            const peer_message& message,
+                            const peer_news& news,
+                            time_point now,
+                            effects& out) {
+  configuration_effects wanted;
+  configuration_state& known = state.configuration;
+  if (const auto* const request =
+          std::get_if<configuration_request>(&message.body)) {
+    OnConfigurationRequest(known, *request, news.address, now, wanted);
+  } else if (const auto* const part =
+                 std::get_if<configuration_part>(&message.body)) {
+    OnConfigurationPart(known, message.vm, *part, wanted);
+  } else {
+    OnPeerRevision(known, news.revision, news.address, now, wanted);
+  }
+  Append(wanted, out);
+}
+
+void PutInForce(state& state,
+                std::shared_ptr<const deployment> config,
+                effects& out) {
+  state.config = *config;
+  out.push_back(configuration_in_force{std::move(config)});
+  TellPeers(state, out);
+}
+
+std::vector<peering_event> EventsOf(const vm_id& vm, peer_news& news) {
+  std::vector<peering_event> events;
+  for (peer_learnt& each : news.learnt) {
+    events.emplace_back(std::move(each));
+  }
+  if (!news.suspects.empty()) {
+    events.emplace_back(suspects_learnt{vm, std::move(news.suspects)});
+  }
+  if (!news.demand.empty()) {
+    events.emplace_back(demand_learnt{vm, std::move(news.demand)});
+  }
+  return events;
+}
+
+}  // namespace internal
+
+void BeginTurn(state& state, time_point now) {
+  if (AdvancePeers(state.membership, now)) {
+    MarkStale(state.targets);
+  }
+}
+
+void OnPeerList(state& state, const vm_list_received& event, effects& out) {
+  ApplyPeerList(state.membership, event.vms);
+  // Every VM reads the list, so its news need no relay of their own.
+  internal::TellLeaving(state, leaving_source::kShared, out);
+}
+
+void OnReportApplied(state& state,
+                     const load_report& report,
+                     report_verdict verdict,
+                     time_point now,
+                     effects& out) {
+  if (verdict != report_verdict::kAccepted) {
+    return;
+  }
+  const target& reported = *FindTarget(state.targets, report.target);
+  if (IsResponsible(state.membership, role::kPoll,
+                    {reported.failure_domain, reported.id.value})) {
+    NoteReport(state.membership, report, now);
+  }
+  if (reported.leaving) {
+    internal::TellLeaving(state, leaving_source::kTarget, out);
+  }
+}
+
+std::vector<peering_event> OnPeerMessageReceived(
+    state& state,
+    const peer_message_received& event,
+    time_point now,
+    effects& out) {
+  std::vector<send_to_peers> relays;
+  peer_news news = OnPeerMessage(state.membership, event.message, now, relays);
+  out.push_back(count_peer_message{news.verdict});
+  if (news.verdict != peer_verdict::kAccepted) {
+    return {};
+  }
+  internal::Append(relays, out);
+  internal::ApplyReports(state, news.reports, now, out);
+  bool is_news = false;
+  for (const leaving_target& each : news.leaving_targets) {
+    is_news |= MarkLeaving(state.targets, each.target, each.incarnation);
+  }
+  if (is_news) {
+    internal::TellLeaving(state,
+                          news.is_remote ? leaving_source::kRemoteDomain
+                                         : leaving_source::kShared,
+                          out);
+  }
+  internal::ApplyConfigurationNews(state, event.message, news, now, out);
+  return internal::EventsOf(event.message.vm, news);
+}
+
+void OnDeploymentReceived(state& state,
+                          const deployment_received& event,
+                          effects& out) {
+  // A file has no revision of the service; peers do not get its text.
+  const bool is_newer =
+      !state.config || event.config.revision > state.configuration.revision;
+  if (is_newer) {
+    state.configuration.revision = event.config.revision;
+    internal::PutInForce(state,
+                         std::make_shared<const deployment>(event.config), out);
+  }
+}
+
+void OnConfigurationEvent(state& state,
+                          const configuration_read& event,
+                          effects& out) {
+  configuration_effects wanted;
+  OnConfigurationRead(state.configuration, event, wanted);
+  internal::Append(wanted, out);
+}
+
+void OnConfigurationEvent(state& state,
+                          const configuration_checked& event,
+                          effects& out) {
+  configuration_effects wanted;
+  auto config = OnConfigurationChecked(state.configuration, event, wanted);
+  internal::Append(wanted, out);
+  if (config) {
+    internal::PutInForce(state, std::move(config), out);
+  }
+}
+
+void AnnounceOwnLeaving(state& state, effects& out) {
+  state.membership.leaving = true;
+  internal::TellPeers(state, out);
+}
+
+void SendDueMessages(state& state, time_point now, effects& out) {
+  std::vector<send_to_peers> messages;
+  SendDue(state.membership, internal::ViewOf(state), now, messages);
+  internal::Append(messages, out);
+}
+
+std::optional<time_point> NextPeerMessage(const state& state) {
+  if (state.membership.peers.empty()) {
+    return std::nullopt;
+  }
+  return NextSend(state.membership);
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/peering.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -22,17 +23,14 @@
   }
 
   void operator()(const deployment_received& event) const {
-    const bool is_newer =
-        !state.config || event.config.revision > state.config->revision;
-    if (is_newer) {
-      state.config = event.config;
-    }
+    OnDeploymentReceived(state, event, out);
   }
 
   void operator()(const drain_requested& event) const {
     // A second request does not shorten the first one's grace.
     if (!state.accept_until) {
       state.accept_until = now + event.grace;
+      AnnounceOwnLeaving(state, out);
     }
   }
 
@@ -40,11 +38,38 @@
 
   void operator()(const vm_list_received& event) const {
     ApplyVmList(state.targets, event.vms);
+    OnPeerList(state, event, out);
   }
 
   void operator()(const load_report_received& event) const {
-    out.push_back(
-        count_report{ApplyLoadReport(state.targets, event.report, now)});
+    const auto verdict = ApplyLoadReport(state.targets, event.report, now);
+    out.push_back(count_report{verdict});
+    OnReportApplied(state, event.report, verdict, now, out);
+  }
+
+  void operator()(const listeners_bound& event) const {
+    state.membership.address = event.peers_address;
+    state.membership.callers_address = event.callers_address;
+  }
+
+  void operator()(const peer_message_received& event) const {
+    for (const peering_event& news :
+         OnPeerMessageReceived(state, event, now, out)) {
+      std::visit(*this, news);
+    }
+  }
+
+  // The modules that use these are not there yet.
+  void operator()(const peer_learnt& /*event*/) const {}
+  void operator()(const suspects_learnt& /*event*/) const {}
+  void operator()(const demand_learnt& /*event*/) const {}
+
+  void operator()(const configuration_read& event) const {
+    OnConfigurationEvent(state, event, out);
+  }
+
+  void operator()(const configuration_checked& event) const {
+    OnConfigurationEvent(state, event, out);
   }
 
   template <typename AttemptEvent>
@@ -57,9 +82,11 @@
 
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
+  BeginTurn(state, now);
   ExpireRequests(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  SendDueMessages(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -77,6 +104,9 @@
   if (state.accept_until && !state.closed) {
     consider(*state.accept_until);
   }
+  if (const auto send_at = NextPeerMessage(state)) {
+    consider(*send_at);
+  }
   return next;
 }
 
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -11,10 +11,12 @@
 
 #include "acaciaferry/attempts/answer_assembly.hpp"
 #include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/configuration/state.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/state.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/targets/state.hpp"
 
@@ -55,6 +57,8 @@
   identity self;
   random_engine random;
   std::optional<deployment> config;
+  configuration_state configuration;
+  membership_state membership;
   targets_state targets;
   routing_state routing;
   std::unordered_map<request_id, request_record> requests;
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -4,19 +4,22 @@
 
 #include <atomic>
 #include <chrono>
-#include <fstream>
-#include <random>
-#include <sstream>
+#include <memory>
 #include <utility>
-#include <variant>
 #include <vector>
 
+#include "acaciaferry/configuration/state.hpp"
 #include "acaciaferry/http/callers_listener.hpp"
 #include "acaciaferry/http/operators_listener.hpp"
-#include "acaciaferry/platform/http_get.hpp"
+#include "acaciaferry/membership/roles.hpp"
+#include "acaciaferry/peer/link.hpp"
+#include "acaciaferry/platform/configuration_watcher.hpp"
 #include "acaciaferry/platform/periodic_task.hpp"
 #include "acaciaferry/platform/pollers.hpp"
+#include "acaciaferry/runtime/configuration_checker.hpp"
+#include "acaciaferry/runtime/effect_executor.hpp"
 #include "acaciaferry/runtime/event_loop.hpp"
+#include "acaciaferry/runtime/process_identity.hpp"
 #include "acaciaferry/target_client/target_client.hpp"
 
 namespace acaciaferry {
@@ -25,34 +28,23 @@
 constexpr duration kVmListPause = std::chrono::seconds(1);
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
-std::uint64_t MakeIncarnation() {
-  constexpr unsigned kRandomBits = 16;
-  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-  const auto milliseconds =
-      std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
-          .count();
-  std::random_device random;
-  const std::uint64_t low = random() & ((1U << kRandomBits) - 1);
-  return (static_cast<std::uint64_t>(milliseconds) << kRandomBits) | low;
-}
-
-state MakeState(const daemon_settings& settings, std::uint64_t incarnation) {
-  state result;
-  result.self = {settings.vm, settings.failure_domain, settings.region,
-                 incarnation};
-  result.random.seed(incarnation);
-  return result;
+log4cplus::Logger Logger() {
+  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
 }
 
-std::string ReadFile(const std::string& path) {
-  const std::ifstream file(path);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
+std::vector<std::string> AddressesToPoll(const state& value) {
+  std::vector<std::string> addresses;
+  for (const target* const each :
+       TargetsToPoll(value.membership, value.targets)) {
+    addresses.push_back(each->address);
+  }
+  return addresses;
 }
 
-log4cplus::Logger Logger() {
-  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
+watch_order OrderFor(const state& value) {
+  const bool is_watcher = IsResponsible(value.membership, role::kWatch,
+                                        {value.self.failure_domain, ""});
+  return {!value.config || is_watcher, HighestKnown(value.configuration)};
 }
 
 }  // namespace internal
@@ -61,39 +53,33 @@
  public:
   explicit parts(daemon_settings checked)
       : settings_(std::move(checked)),
-        incarnation_(internal::MakeIncarnation()),
+        incarnation_(MakeIncarnation()),
         targets_(settings_.vm.value + "/" + std::to_string(incarnation_),
                  exchanges_,
-                 [this](event value) { loop_.Post(std::move(value)); }),
-        loop_(internal::MakeState(settings_, incarnation_),
+                 sink_),
+        loop_(MakeInitialState(settings_, incarnation_),
               clock_,
-              [this](effect& value) {
-                std::visit([this](auto& each) { Execute(each); }, value);
-              }),
-        callers_{settings_,
-                 clock_,
-                 incarnation_,
-                 exchanges_,
-                 workspaces_,
-                 metrics_,
-                 [this](event value) { loop_.Post(std::move(value)); }},
-        operators_{metrics_} {
-    loop_.Start();
-    LoadDeploymentFile();
+              [this](effect& value) { executor_->Execute(value); }),
+        callers_{settings_,   clock_,   incarnation_, exchanges_,
+                 workspaces_, metrics_, sink_},
+        operators_{metrics_},
+        checker_(sink_) {
+    OpenPeers();
+    executor_ = std::make_unique<effect_executor>(
+        effect_adapters{exchanges_, workspaces_, metrics_, targets_, operators_,
+                        checker_, peers_.get()});
     callers_server_ = std::make_unique<callers_listener>(callers_);
     operators_server_ = std::make_unique<operators_listener>(
         settings_.operators_address, operators_);
-    const auto sink = [this](event value) { loop_.Post(std::move(value)); };
-    vm_list_task_ = std::make_unique<periodic_task>(
-        internal::kVmListPause,
-        [this, sink] { PollVmList(settings_.vm_list, sink); });
-    load_task_ = std::make_unique<periodic_task>(
-        internal::kLoadPause,
-        [this, sink] { PollLoadReports(TargetAddresses(), sink); });
+    PostAddresses();
+    LoadDeploymentFile();
+    loop_.Start();
+    StartTasks();
     LOG4CPLUS_INFO(internal::Logger(),
-                   "event=started port=" << callers_server_->Port()
-                                         << " vm=" << settings_.vm.value
-                                         << " incarnation=" << incarnation_);
+                   "event=started port="
+                       << callers_server_->Port() << " vm="
+                       << settings_.vm.value << " incarnation=" << incarnation_
+                       << " peers=" << (peers_ ? PeersAddress() : "none"));
   }
 
   ~parts() {
@@ -101,6 +87,7 @@
     operators_server_.reset();
     load_task_.reset();
     vm_list_task_.reset();
+    watcher_.reset();
     loop_.Stop();
   }
 
@@ -111,67 +98,91 @@
     if (draining_.exchange(true)) {
       return;
     }
-    operators_.ready = false;
+    executor_->StartDrain();
     LOG4CPLUS_INFO(internal::Logger(), "event=drain_started");
     loop_.Post(drain_requested{settings_.drain_grace});
   }
 
-  std::atomic<bool> drained{};
+  [[nodiscard]] bool IsDrained() const noexcept {
+    return executor_->IsDrained();
+  }
 
  private:
+  void OpenPeers() {
+    if (settings_.peers_address.empty()) {
+      return;
+    }
+    peers_ = std::make_unique<peer_link>(
+        settings_.peers_address, clock_,
+        peer_link::identity{settings_.vm, incarnation_,
+                            ReadKey(settings_.key_file)},
+        [this](peer_message message) {
+          loop_.Post(peer_message_received{std::move(message)});
+        },
+        [this](peer_verdict verdict) { metrics_.Count(verdict); });
+    metrics_.Observe(peers_->Transport().Totals());
+  }
+
+  [[nodiscard]] const std::string& PeersAddress() const {
+    return peers_->Transport().Address();
+  }
+
+  void PostAddresses() {
+    if (peers_) {
+      loop_.Post(listeners_bound{
+          PeersAddress(),
+          AdvertisedAddress(settings_.callers_address, callers_server_->Port(),
+                            PeersAddress())});
+    }
+  }
+
   void LoadDeploymentFile() {
     if (settings_.deployment_file.empty()) {
       return;
     }
     std::vector<setting_fault> faults;
-    deployment config = ParseDeployment(
-        internal::ReadFile(settings_.deployment_file), 1, faults);
+    deployment config =
+        ParseDeployment(ReadWholeFile(settings_.deployment_file), 1, faults);
     for (const setting_fault& fault : faults) {
       LOG4CPLUS_ERROR(internal::Logger(),
                       "event=deployment_fault " << ToString(fault).c_str());
     }
     if (faults.empty()) {
-      workspaces_.Update(config);
       loop_.Post(deployment_received{std::move(config)});
-      operators_.ready = true;
     }
   }
 
-  std::vector<std::string> TargetAddresses() {
-    std::vector<std::string> addresses;
-    loop_.Inspect([&addresses](const state& value) {
-      for (const target& each : value.targets.targets) {
-        addresses.push_back(each.address);
-      }
+  void StartTasks() {
+    if (peers_) {
+      peers_->Start();
+    }
+    vm_list_task_ = std::make_unique<periodic_task>(
+        internal::kVmListPause,
+        [this] { PollVmList(settings_.vm_list, sink_); });
+    load_task_ = std::make_unique<periodic_task>(internal::kLoadPause, [this] {
+      PollLoadReports(Ask(internal::AddressesToPoll), sink_);
     });
-    return addresses;
-  }
-
-  template <typename Part>
-  void Push(Part& part) {
-    if (const auto link = exchanges_.Find(part.request)) {
-      link->Push(std::move(part));
+    if (!settings_.configuration_service.empty()) {
+      watcher_ = std::make_unique<configuration_watcher>(
+          settings_.configuration_service,
+          [this] { return Ask(internal::OrderFor); },
+          [this] { metrics_.CountConfigurationRead(); }, sink_);
     }
   }
 
-  void Execute(start_attempt& value) { targets_.Start(value); }
-  void Execute(resume_attempt& value) { targets_.Resume(value); }
-  void Execute(cancel_attempt& value) { targets_.Cancel(value); }
-  void Execute(deliver_head& value) { Push(value); }
-  void Execute(deliver_chunk& value) { Push(value); }
-  void Execute(finish_request& value) {
-    metrics_.CountAnswer();
-    Push(value);
+  // Runs a function on the state; gives a default result when the loop stops.
+  template <typename Result>
+  Result Ask(Result (*function)(const state&)) {
+    Result result{};
+    loop_.Inspect(
+        [&result, function](const state& value) { result = function(value); });
+    return result;
   }
-  void Execute(fail_request& value) { Push(value); }
-  void Execute(drain_completed& /*value*/) { drained = true; }
-  void Execute(count_refusal& value) { metrics_.Count(value.code); }
-  void Execute(count_retry& value) { metrics_.Count(value.reason); }
-  void Execute(count_report& value) { metrics_.Count(value.verdict); }
 
   const daemon_settings settings_;
   const std::uint64_t incarnation_;
   const steady_clock_source clock_;
+  const event_sink sink_{[this](event value) { loop_.Post(std::move(value)); }};
   exchange_registry exchanges_;
   workspace_directory workspaces_;
   metrics_registry metrics_;
@@ -179,10 +190,14 @@
   event_loop loop_;
   callers_context callers_;
   operators_context operators_;
+  configuration_checker checker_;
+  std::unique_ptr<peer_link> peers_;
+  std::unique_ptr<effect_executor> executor_;
   std::unique_ptr<callers_listener> callers_server_;
   std::unique_ptr<operators_listener> operators_server_;
   std::unique_ptr<periodic_task> vm_list_task_;
   std::unique_ptr<periodic_task> load_task_;
+  std::unique_ptr<configuration_watcher> watcher_;
   std::atomic<bool> draining_{};
 };
 
@@ -196,7 +211,7 @@
 }
 
 bool daemon::IsDrained() const noexcept {
-  return parts_->drained;
+  return parts_->IsDrained();
 }
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/src/acaciaferry/runtime/process_identity.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "acaciaferry/reducer/state.hpp"
+#include "acaciaferry/settings/daemon_settings.hpp"
+
+namespace acaciaferry {
+
+/** @return An incarnation for a process that starts now. */
+[[nodiscard]] std::uint64_t MakeIncarnation();
+
+/** @return The reducer's state at the start of a process. */
+[[nodiscard]] state MakeInitialState(const daemon_settings& settings,
+                                     std::uint64_t incarnation);
+
+/** @return A file's content; empty when it cannot be read. */
+[[nodiscard]] std::string ReadWholeFile(const std::string& path);
+
+/**
+ * @brief Reads the deployment's key.
+ * @param path File with the key; white space at its end does not count.
+ * @return The key.
+ * @throws Poco::DataException when the key is shorter than 16 bytes.
+ */
+[[nodiscard]] std::string ReadKey(const std::string& path);
+
+/**
+ * @brief Chooses the callers' address that peers are told.
+ * @param listen IP:PORT of the settings; the IP may be 0.0.0.0.
+ * @param port The bound port.
+ * @param peers_address The address that peers reach this VM at.
+ * @return IP:PORT.
+ */
+[[nodiscard]] std::string AdvertisedAddress(const std::string& listen,
+                                            std::uint16_t port,
+                                            const std::string& peers_address);
+
+}  // namespace acaciaferry
