Merge peers, membership and configuration

Cause: daemons must share reports, leaving targets and revisions. Change: sweeping and orders follow the rendezvous roles; a report or a leaving target heard from a peer goes through the same path as one that the target gave to this VM, so that routing's index follows. Without that path, the test LeavingReachesAllAndIsSticky failed: 1 of 6 VMs knew.

--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -6,8 +6,10 @@
 #include <vector>
 
 #include "acaciaferry/attempts/attempt.hpp"
+#include "acaciaferry/configuration/effect.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/membership/effect.hpp"
 #include "acaciaferry/orders/order.hpp"
 #include "acaciaferry/reclamation/holding.hpp"
 #include "acaciaferry/spans/reservation.hpp"
@@ -110,7 +112,12 @@
                             release_reservation,
                             list_holdings,
                             release_holding,
-                            issue_order>;
+                            issue_order,
+                            send_to_peers,
+                            count_peer_message,
+                            check_configuration,
+                            configuration_in_force,
+                            count_configuration>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -3,6 +3,7 @@
 #include <variant>
 
 #include "acaciaferry/attempts/event.hpp"
+#include "acaciaferry/configuration/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/membership/event.hpp"
@@ -45,6 +46,13 @@
                            timer_expired,
                            vm_list_received,
                            load_report_received,
+                           listeners_bound,
+                           peer_message_received,
+                           peer_learnt,
+                           suspects_learnt,
+                           demand_learnt,
+                           configuration_read,
+                           configuration_checked,
                            attempt_sent,
                            attempt_accepted,
                            attempt_rejected,
@@ -53,7 +61,6 @@
                            answer_ended,
                            attempt_failed,
                            operation_key_requested,
-                           peer_learnt,
                            suspects_heard,
                            reservation_granted,
                            reservation_renewed,
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -8,6 +8,7 @@
 #include "acaciaferry/reducer/lifecycle.hpp"
 #include "acaciaferry/reducer/maintenance.hpp"
 #include "acaciaferry/reducer/operation_events.hpp"
+#include "acaciaferry/reducer/peering.hpp"
 #include "acaciaferry/reducer/span_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
@@ -29,18 +30,14 @@
   }
 
   void operator()(const deployment_received& event) const {
-    const bool is_newer =
-        !state.config || event.config.revision > state.config->revision;
-    if (is_newer) {
-      state.config = event.config;
-      ConfigureWorkspaces(state.workspaces, event.config, now);
-    }
+    OnDeploymentReceived(state, event, now, out);
   }
 
   void operator()(const drain_requested& event) const {
     // A second request does not shorten the first one's grace.
     if (!state.accept_until) {
       state.accept_until = now + event.grace;
+      AnnounceOwnLeaving(state, out);
     }
   }
 
@@ -49,10 +46,12 @@
   void operator()(const vm_list_received& event) const {
     OnVmList(state, event.vms);
     ObserveVmList(state.reclamation, event.vms, now);
+    OnPeerList(state, event, out);
   }
 
   void operator()(const load_report_received& event) const {
-    OnLoadReport(state, event.report, now, out);
+    const auto verdict = OnLoadReport(state, event.report, now, out);
+    OnReportApplied(state, event.report, verdict, now, out);
   }
 
   void operator()(const operation_key_requested& event) const {
@@ -92,6 +91,30 @@
     OnSpanEvent(state, event, now, out);
   }
 
+  void operator()(const listeners_bound& event) const {
+    state.membership.address = event.peers_address;
+    state.membership.callers_address = event.callers_address;
+  }
+
+  void operator()(const peer_message_received& event) const {
+    for (const peering_event& news :
+         OnPeerMessageReceived(state, event, now, out)) {
+      std::visit(*this, news);
+    }
+  }
+
+  // The modules that use these are not there yet.
+  void operator()(const suspects_learnt& /*event*/) const {}
+  void operator()(const demand_learnt& /*event*/) const {}
+
+  void operator()(const configuration_read& event) const {
+    OnConfigurationEvent(state, event, now, out);
+  }
+
+  void operator()(const configuration_checked& event) const {
+    OnConfigurationEvent(state, event, now, out);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -102,6 +125,7 @@
 
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
+  BeginTurn(state, now);
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
   ExpireSuspects(state.quarantine, now);
@@ -112,6 +136,7 @@
   internal::StartWaitingSuspects(state, now, out);
   DispatchWaiting(state, now, out);
   MaintainTargets(state, now, out);
+  SendDueMessages(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -141,6 +166,9 @@
   if (const auto maintenance_at = NextMaintenance(state)) {
     consider(*maintenance_at);
   }
+  if (const auto send_at = NextPeerMessage(state)) {
+    consider(*send_at);
+  }
   return next;
 }
 
--- a/src/acaciaferry/reducer/responsibility.cpp
+++ b/src/acaciaferry/reducer/responsibility.cpp
@@ -1,15 +1,17 @@
 #include "acaciaferry/reducer/responsibility.hpp"
 
+#include "acaciaferry/membership/roles.hpp"
+
 namespace acaciaferry {
 
-// Release is idempotent, so every VM of the failure domain may sweep.
 bool IsSweeper(const state& state, const target& engine) {
-  return engine.failure_domain == state.self.failure_domain;
+  return IsResponsible(state.membership, role::kSweep,
+                       {engine.failure_domain, engine.id.value});
 }
 
-// Nobody issues orders before membership has chosen one VM.
-bool IsOrderIssuer(const state& /*state*/) {
-  return false;
+bool IsOrderIssuer(const state& state) {
+  return IsResponsible(state.membership, role::kOrder,
+                       {state.self.failure_domain, ""});
 }
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -15,11 +15,13 @@
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/attempts/event.hpp"
 #include "acaciaferry/attempts/retry_budget.hpp"
+#include "acaciaferry/configuration/state.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/state.hpp"
 #include "acaciaferry/operations/operations.hpp"
 #include "acaciaferry/orders/orders.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -82,6 +84,8 @@
   identity self;
   random_engine random;
   std::optional<deployment> config;
+  configuration_state configuration;
+  membership_state membership;
   targets_state targets;
   cost_state costs;
   workspaces_state workspaces;
--- a/src/acaciaferry/reducer/target_knowledge.hpp
+++ b/src/acaciaferry/reducer/target_knowledge.hpp
@@ -11,10 +11,19 @@
 /** @brief Takes over the platform's list in every module that follows it. */
 void OnVmList(state& state, std::span<const vm_entry> vms);
 
-/** @brief Takes over a load report, or counts why it was not used. */
-void OnLoadReport(state& state,
-                  const load_report& report,
-                  time_point now,
-                  effects& out);
+/**
+ * @brief Takes over a load report, or counts why it was not used.
+ * @return What became of the report.
+ */
+report_verdict OnLoadReport(state& state,
+                            const load_report& report,
+                            time_point now,
+                            effects& out);
+
+/**
+ * @brief Takes over a peer's word that a target is leaving.
+ * @return Whether it was news.
+ */
+bool OnTargetLeaving(state& state, const leaving_target& leaving);
 
 }  // namespace acaciaferry
