--- a/test/acaciaferry/reducer/crashing_request_test.cpp
+++ b/test/acaciaferry/reducer/crashing_request_test.cpp
@@ -192,3 +192,23 @@
   // Some did run beside the culprit.
   CHECK_TRUE(beside > 0);
 }
+
+// Guards against a bound that depends on peers: VMs that hear nothing of one
+// another each take their own evidence.
+TEST(CrashingRequest, TakesDownThreeTargetsForEachVmThatIsCutOff) {
+  CHECK_TRUE(rc::check([] {
+    crashing_fleet fleet;
+    for (int resend = 0; resend < 40; ++resend) {
+      fleet.Send(*rc::gen::inRange<std::size_t>(0, kVms), kCulprit);
+      const auto steps = *rc::gen::inRange(0, 10);
+      for (int step = 0; step < steps; ++step) {
+        fleet.AcceptOne(0);
+      }
+    }
+    for (int step = 0; step < 100; ++step) {
+      fleet.AcceptOne(0);
+    }
+    RC_LOG() << "crashes " << fleet.crashes << "\n";
+    RC_ASSERT(fleet.crashes <= 3 * static_cast<int>(kVms));
+  }));
+}
