--- a/src/acaciaferry/reducer/attempt_control.cpp
+++ b/src/acaciaferry/reducer/attempt_control.cpp
@@ -1,89 +1,32 @@
 #include "acaciaferry/reducer/attempt_control.hpp"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
-namespace acaciaferry::internal {
+#include "acaciaferry/reducer/dispatch.hpp"
+#include "acaciaferry/reducer/observation.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
 
-// Other requests of this VM that may run on a target where a suspect starts.
-constexpr std::size_t kFewOthers = 1;
+namespace acaciaferry::internal {
 
-struct occupancy {
-  std::size_t requests{};
-  bool has_suspect{};
-};
+// A refused connection puts no work on the pool. While the VM list still names
+// dead targets, a budget spent on these would be missing for real retries.
+// The limit bounds the connections of one request when all targets refuse.
+constexpr std::uint32_t kFreeConnectFailures = 3;
 
 bool MayHoldMemory(attempt_phase phase) noexcept {
   return phase == attempt_phase::kUnsent || phase == attempt_phase::kSent ||
          phase == attempt_phase::kAccepted;
 }
 
-std::unordered_map<target_id, occupancy> Occupancies(const state& state,
-                                                     time_point now) {
-  std::unordered_map<target_id, occupancy> result;
-  for (const auto& [id, record] : state.requests) {
-    if (record.current && !record.forwards) {
-      occupancy& seen = result[record.current->target];
-      ++seen.requests;
-      seen.has_suspect =
-          seen.has_suspect ||
-          IsSuspect(state.quarantine, FingerprintOf(record.request), now);
-    }
-  }
-  return result;
-}
-
-// Keeps suspects apart: from one another, and from all but a few requests.
-// Other requests avoid targets with a suspect as long as there are others.
-std::vector<const target*> Separate(const state& state,
-                                    const request_record& record,
-                                    std::vector<const target*> live,
-                                    time_point now) {
-  if (state.quarantine.suspects.empty()) {
-    return live;
-  }
-  const auto seen = Occupancies(state, now);
-  const bool suspect =
-      IsSuspect(state.quarantine, FingerprintOf(record.request), now);
-  std::vector<const target*> separate;
-  for (const target* const candidate : live) {
-    const auto found = seen.find(candidate->id);
-    const occupancy there = found == seen.end() ? occupancy{} : found->second;
-    const bool fits =
-        !there.has_suspect && (!suspect || there.requests <= kFewOthers);
-    if (fits) {
-      separate.push_back(candidate);
-    }
-  }
-  return suspect || !separate.empty() ? separate : live;
-}
-
-// The pool's targets that the request has not failed on.
-std::vector<const target*> UntriedTargets(const state& state,
-                                          const request_record& record) {
-  auto targets = LiveTargets(state.targets, record.request.pool);
-  std::erase_if(targets, [&record](const target* candidate) {
-    return std::find(record.excluded.begin(), record.excluded.end(),
-                     candidate->id) != record.excluded.end();
-  });
-  return targets;
-}
-
-// VMs do not know where the others' suspects run. Were they all to choose the
-// least loaded target, a culprit and an innocent would meet again; a choice by
-// hash sends different requests different ways.
-std::optional<target_id> ChooseForSuspect(
-    const request_record& record,
-    const std::vector<const target*>& separate) {
-  const auto score = [&record](const target* candidate) {
-    return CallFingerprint(FingerprintOf(record.request), "",
-                           candidate->id.value);
-  };
-  const auto best = std::max_element(
-      separate.begin(), separate.end(),
-      [&score](const auto* a, const auto* b) { return score(a) < score(b); });
-  return best == separate.end() ? std::nullopt : std::optional((*best)->id);
+// Whether the pool has a target that the request has not failed on.
+bool HasUntriedTarget(const state& state, const request_record& record) {
+  const auto targets = LiveTargets(state.targets, record.request.pool);
+  return std::any_of(
+      targets.begin(), targets.end(), [&record](const target* candidate) {
+        return std::find(record.excluded.begin(), record.excluded.end(),
+                         candidate->id) == record.excluded.end();
+      });
 }
 
 // Whether running the request a second time does no harm.
@@ -148,14 +91,23 @@
   out.push_back(fail_request{id, reason, {}});
 }
 
-void Remove(state& state, const request_id& id) {
+void Remove(state& state, const request_id& id, time_point now) {
   const auto found = state.requests.find(id);
+  const request_record& record = found->second;
+  RemoveWaiting(state.waiting, id, now);
+  if (record.attempts_made == 0) {
+    Refund(state.workspaces, record.request.workspace, record.charged_tokens);
+  }
   state.deadlines.erase({found->second.deadline, id});
   std::erase(state.waiting_suspects, id);
   state.requests.erase(found);
 }
 
-void ReleaseAttempt(state& state, request_record& record, effects& out) {
+void ReleaseAttempt(state& state,
+                    request_record& record,
+                    time_point now,
+                    effects& out) {
+  ReleaseSpan(state, record.request.id, out);
   if (!record.current) {
     return;
   }
@@ -165,7 +117,8 @@
         cancel_attempt{current.id, current.address, record.request.kind});
   }
   if (!record.forwards) {
-    RecordEnd(state.routing, current.target, record.request);
+    ObserveAttemptEnd(state, record, current.phase == attempt_phase::kFinished,
+                      now);
   }
   record.current.reset();
 }
@@ -173,9 +126,10 @@
 void Fail(state& state,
           request_record& record,
           const failure& reason,
+          time_point now,
           effects& out) {
   const request_id id = record.request.id;
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   if (record.operation) {
     StoreFailure(state.operations, *record.operation, reason);
   }
@@ -183,7 +137,7 @@
   if (!record.caller_gone) {
     out.push_back(fail_request{id, reason, {}});
   }
-  Remove(state, id);
+  Remove(state, id, now);
 }
 
 void Finish(state& state,
@@ -192,7 +146,7 @@
             effects& out) {
   const request_id id = record.request.id;
   record.current->phase = attempt_phase::kFinished;
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   if (!record.forwards) {
     EarnRetry(state.retries, record.request.pool, RetryFraction(state), now);
     RecordCompletion(state.quarantine, Self(state),
@@ -204,7 +158,7 @@
   if (!record.caller_gone) {
     out.push_back(finish_request{id, record.finish_reason});
   }
-  Remove(state, id);
+  Remove(state, id, now);
 }
 
 void StartAttempt(state& state,
@@ -212,36 +166,20 @@
                   const failure& when_none,
                   time_point now,
                   effects& out) {
-  const auto untried = UntriedTargets(state, record);
-  if (untried.empty()) {
-    Fail(state, record, when_none, out);
+  if (!HasUntriedTarget(state, record)) {
+    Fail(state, record, when_none, now, out);
+    return;
+  }
+  if (NeedsSpan(state, record)) {
+    StartSpan(state, record, now, out);
     return;
   }
-  const auto separate = Separate(state, record, untried, now);
-  const bool suspect =
-      IsSuspect(state.quarantine, FingerprintOf(record.request), now);
-  const auto chosen =
-      suspect ? ChooseForSuspect(record, separate)
-              : ChooseTarget(state.routing, {record.request, record.excluded},
-                             separate);
-  if (!chosen) {
+  const auto choice = ChooseFor(state, record, now);
+  if (!choice) {
     state.waiting_suspects.push_back(record.request.id);
     return;
   }
-  const target& target = *FindTarget(state.targets, *chosen);
-  const attempt_id id{record.request.id, ++record.attempts_made};
-  ForgetAnswer(record);
-  record.current =
-      attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
-  RecordDispatch(state.routing, target.id, record.request);
-  out.push_back(start_attempt{.attempt = id,
-                              .target = target.id,
-                              .address = target.address,
-                              .kind = record.request.kind,
-                              .prompt_tokens = record.request.prompt_tokens,
-                              .remaining = record.deadline - now,
-                              .priority = record.work.priority,
-                              .reservations = {}});
+  LaunchAttempt(state, record, *choice, now, out);
 }
 
 void StartForward(state& /*state*/,
@@ -271,7 +209,7 @@
     const outcome result = OutcomeNow(record, attempt_end::kAbandoned);
     if (const auto left = QuarantinedFor(state.quarantine,
                                          FingerprintOf(record.request), now)) {
-      Fail(state, record, {failure_code::kQuarantined, result, left}, out);
+      Fail(state, record, {failure_code::kQuarantined, result, left}, now, out);
       continue;
     }
     const failure_code code = record.may_have_run ? failure_code::kTargetLost
@@ -286,8 +224,8 @@
   }
   std::vector<request_id> quarantined;
   for (const auto& [id, record] : state.requests) {
-    const bool may_end = record.current && !record.forwards &&
-                         !record.operation && !record.committed;
+    const bool runs_on = record.operation && record.current;
+    const bool may_end = !record.forwards && !runs_on && !record.committed;
     if (may_end &&
         QuarantinedFor(state.quarantine, FingerprintOf(record.request), now)) {
       quarantined.push_back(id);
@@ -299,7 +237,7 @@
     const auto left =
         QuarantinedFor(state.quarantine, FingerprintOf(record.request), now);
     const outcome result = OutcomeNow(record, attempt_end::kAbandoned);
-    Fail(state, record, {failure_code::kQuarantined, result, left}, out);
+    Fail(state, record, {failure_code::kQuarantined, result, left}, now, out);
   }
 }
 
@@ -312,7 +250,7 @@
                  effects& out) {
   const outcome result = OutcomeNow(record, end);
   const auto fail = [&](failure_code why, std::optional<duration> after) {
-    Fail(state, record, {why, result, after}, out);
+    Fail(state, record, {why, result, after}, now, out);
   };
   if (record.forwards) {
     return fail(failure_code::kOperationOwnerLost, std::nullopt);
@@ -325,15 +263,18 @@
     return fail(failure_code::kQuarantined, left);
   }
   record.excluded.push_back(record.current->target);
-  if (UntriedTargets(state, record).empty()) {
+  if (!HasUntriedTarget(state, record)) {
     return fail(code, std::nullopt);
   }
-  if (!SpendRetry(state.retries, record.request.pool, RetryFraction(state),
-                  now)) {
+  const bool is_free = end == attempt_end::kConnectFailed &&
+                       result == outcome::kNotRun &&
+                       record.attempts_made <= kFreeConnectFailures;
+  if (!is_free && !SpendRetry(state.retries, record.request.pool,
+                              RetryFraction(state), now)) {
     return fail(failure_code::kRetryBudgetExhausted, std::nullopt);
   }
   record.may_have_run = result == outcome::kUnknown;
-  ReleaseAttempt(state, record, out);
+  ReleaseAttempt(state, record, now, out);
   out.push_back(count_retry{reason});
   StartAttempt(state, record, {code, result, std::nullopt}, now, out);
 }
--- a/src/acaciaferry/reducer/attempt_control.hpp
+++ b/src/acaciaferry/reducer/attempt_control.hpp
@@ -10,15 +10,22 @@
 void Refuse(const request_id& id, const failure& reason, effects& out);
 
 /** @brief Removes a request's record. */
-void Remove(state& state, const request_id& id);
+void Remove(state& state, const request_id& id, time_point now);
 
 /** @brief Ends a request's current attempt and cancels what it holds. */
-void ReleaseAttempt(state& state, request_record& record, effects& out);
+void ReleaseAttempt(state& state,
+                    request_record& record,
+                    time_point now,
+                    effects& out);
+
+/** @brief Makes room for the answer of a new attempt. */
+void ForgetAnswer(request_record& record);
 
 /** @brief Ends a request with a failure; its record is gone afterwards. */
 void Fail(state& state,
           request_record& record,
           const failure& reason,
+          time_point now,
           effects& out);
 
 /** @brief Ends a request whose answer is whole; its record is gone
@@ -49,9 +56,11 @@
 void StartWaitingSuspects(state& state, time_point now, effects& out);
 
 /**
- * @brief Cancels the running copies of requests that are quarantined now.
+ * @brief Ends the waiting and running copies of requests that are quarantined
+ * now.
  *
- * Operations run on, since a cancelled one would stay unknown.
+ * Operations that were started run on, since a cancelled one would stay
+ * unknown.
  */
 void EndQuarantined(state& state, time_point now, effects& out);
 
--- a/src/acaciaferry/reducer/attempt_events.cpp
+++ b/src/acaciaferry/reducer/attempt_events.cpp
@@ -8,6 +8,7 @@
 
 #include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/observation.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -41,9 +42,13 @@
              : retry_reason::kConnectionLost;
 }
 
-void FailCorrupt(state& state, request_record& record, effects& out) {
+void FailCorrupt(state& state,
+                 request_record& record,
+                 time_point now,
+                 effects& out) {
   Fail(state, record,
-       {failure_code::kAnswerCorrupt, outcome::kUnknown, std::nullopt}, out);
+       {failure_code::kAnswerCorrupt, outcome::kUnknown, std::nullopt}, now,
+       out);
 }
 
 void DeliverHeldBack(request_record& record, effects& out) {
@@ -71,7 +76,7 @@
   }
   if (record.request.kind == request_kind::kCompletion) {
     if (!record.delivered.IsCovered()) {
-      return FailCorrupt(state, record, out);
+      return FailCorrupt(state, record, now, out);
     }
     return Finish(state, record, now, out);
   }
@@ -242,7 +247,7 @@
   }
   if (record->current->phase == attempt_phase::kAccepted) {
     // The target contradicts itself: it has begun to answer.
-    internal::FailCorrupt(state, *record, out);
+    internal::FailCorrupt(state, *record, now, out);
     return;
   }
   record->current->phase = attempt_phase::kRejected;
@@ -270,11 +275,12 @@
   }
   record->current->phase = attempt_phase::kAccepted;
   internal::NoteProgress(*record, now);
+  ObserveChunk(state, *record, event.text.size(), now);
   std::string ready;
   const auto verdict = record->answer.Add(event.offset, event.text, ready);
   if (verdict != assembly_verdict::kOk ||
       !internal::TakeInOrder(*record, ready, out)) {
-    internal::FailCorrupt(state, *record, out);
+    internal::FailCorrupt(state, *record, now, out);
     return;
   }
   internal::FinishIfComplete(state, *record, now, out);
@@ -292,7 +298,7 @@
   internal::NoteProgress(*record, now);
   record->finish_reason = event.finish_reason;
   if (record->answer.SetLength(event.length) != assembly_verdict::kOk) {
-    internal::FailCorrupt(state, *record, out);
+    internal::FailCorrupt(state, *record, now, out);
     return;
   }
   internal::FinishIfComplete(state, *record, now, out);
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -3,11 +3,15 @@
 #include <variant>
 
 #include "acaciaferry/attempts/event.hpp"
+#include "acaciaferry/configuration/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/membership/event.hpp"
 #include "acaciaferry/operations/event.hpp"
+#include "acaciaferry/orders/order.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -42,6 +46,13 @@
                            timer_expired,
                            vm_list_received,
                            load_report_received,
+                           listeners_bound,
+                           peer_message_received,
+                           peer_learnt,
+                           suspects_learnt,
+                           demand_learnt,
+                           configuration_read,
+                           configuration_checked,
                            attempt_sent,
                            attempt_accepted,
                            attempt_rejected,
@@ -50,7 +61,12 @@
                            answer_ended,
                            attempt_failed,
                            operation_key_requested,
-                           peer_learnt,
-                           suspects_heard>;
+                           suspects_heard,
+                           reservation_granted,
+                           reservation_renewed,
+                           reservation_refused,
+                           reservation_lost,
+                           holdings_listed,
+                           order_answered>;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -2,9 +2,15 @@
 
 #include <algorithm>
 
+#include "acaciaferry/reducer/arrival.hpp"
 #include "acaciaferry/reducer/attempt_control.hpp"
+#include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/maintenance.hpp"
 #include "acaciaferry/reducer/operation_events.hpp"
+#include "acaciaferry/reducer/peering.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
+#include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -20,33 +26,32 @@
   }
 
   void operator()(const caller_gone& event) const {
-    OnCallerGone(state, event.request, out);
+    OnCallerGone(state, event.request, now, out);
   }
 
   void operator()(const deployment_received& event) const {
-    const bool is_newer =
-        !state.config || event.config.revision > state.config->revision;
-    if (is_newer) {
-      state.config = event.config;
-    }
+    OnDeploymentReceived(state, event, now, out);
   }
 
   void operator()(const drain_requested& event) const {
     // A second request does not shorten the first one's grace.
     if (!state.accept_until) {
       state.accept_until = now + event.grace;
+      AnnounceOwnLeaving(state, out);
     }
   }
 
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ApplyVmList(state.targets, event.vms);
+    OnVmList(state, event.vms);
+    ObserveVmList(state.reclamation, event.vms, now);
+    OnPeerList(state, event, out);
   }
 
   void operator()(const load_report_received& event) const {
-    out.push_back(
-        count_report{ApplyLoadReport(state.targets, event.report, now)});
+    const auto verdict = OnLoadReport(state, event.report, now, out);
+    OnReportApplied(state, event.report, verdict, now, out);
   }
 
   void operator()(const operation_key_requested& event) const {
@@ -55,6 +60,7 @@
 
   void operator()(const peer_learnt& event) const {
     LearnOwner(state.operations, event);
+    ObserveIncarnation(state.reclamation, event.vm, event.incarnation);
   }
 
   void operator()(const suspects_heard& event) const {
@@ -62,6 +68,54 @@
     internal::EndQuarantined(state, now, out);
   }
 
+  void operator()(const holdings_listed& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const order_answered& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_granted& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_renewed& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_refused& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_lost& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const listeners_bound& event) const {
+    state.membership.address = event.peers_address;
+    state.membership.callers_address = event.callers_address;
+  }
+
+  void operator()(const peer_message_received& event) const {
+    for (const peering_event& news :
+         OnPeerMessageReceived(state, event, now, out)) {
+      std::visit(*this, news);
+    }
+  }
+
+  // The modules that use these are not there yet.
+  void operator()(const suspects_learnt& /*event*/) const {}
+  void operator()(const demand_learnt& /*event*/) const {}
+
+  void operator()(const configuration_read& event) const {
+    OnConfigurationEvent(state, event, now, out);
+  }
+
+  void operator()(const configuration_checked& event) const {
+    OnConfigurationEvent(state, event, now, out);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -72,13 +126,18 @@
 
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
+  BeginTurn(state, now);
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
   ExpireSuspects(state.quarantine, now);
+  MaintainSpans(state, now, out);
   CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
   internal::StartWaitingSuspects(state, now, out);
+  DispatchWaiting(state, now, out);
+  MaintainTargets(state, now, out);
+  SendDueMessages(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -99,6 +158,18 @@
   if (state.accept_until && !state.closed) {
     consider(*state.accept_until);
   }
+  if (const auto dispatch_at = NextDispatch(state)) {
+    consider(*dispatch_at);
+  }
+  if (const auto spans_at = NextSpanTimer(state.spans)) {
+    consider(*spans_at);
+  }
+  if (const auto maintenance_at = NextMaintenance(state)) {
+    consider(*maintenance_at);
+  }
+  if (const auto send_at = NextPeerMessage(state)) {
+    consider(*send_at);
+  }
   return next;
 }
 
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -9,19 +9,27 @@
 #include <utility>
 #include <vector>
 
+#include "acaciaferry/admission/queues.hpp"
 #include "acaciaferry/attempts/answer_assembly.hpp"
 #include "acaciaferry/attempts/answer_prefix.hpp"
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/attempts/event.hpp"
 #include "acaciaferry/attempts/retry_budget.hpp"
+#include "acaciaferry/configuration/state.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/state.hpp"
 #include "acaciaferry/operations/operations.hpp"
+#include "acaciaferry/orders/orders.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/routing/routing.hpp"
+#include "acaciaferry/spans/span.hpp"
 #include "acaciaferry/targets/state.hpp"
+#include "acaciaferry/workspaces/limits.hpp"
 
 namespace acaciaferry {
 
@@ -50,6 +58,8 @@
   answer_assembly answer;
   std::string finish_reason;
   std::vector<target_id> excluded;
+  /** Spent from the workspace's limit; returned when nothing was started. */
+  double charged_tokens{};
   /** What of a completion's answer the caller has. */
   answer_prefix delivered;
   /** Whether the last connection of an earlier attempt may have run it. */
@@ -74,7 +84,12 @@
   identity self;
   random_engine random;
   std::optional<deployment> config;
+  configuration_state configuration;
+  membership_state membership;
   targets_state targets;
+  cost_state costs;
+  workspaces_state workspaces;
+  waiting_queues waiting;
   routing_state routing;
   std::unordered_map<request_id, request_record> requests;
   /** Deadlines of the requests, earliest first. */
@@ -84,12 +99,17 @@
   /** Whether the drain's grace has passed, so that new requests are refused. */
   bool closed{};
   retry_budgets retries;
+  spans_state spans;
+  reclamation_state reclamation;
+  orders_state orders;
   operations_state operations;
   quarantine_state quarantine;
   /** Suspects that wait for a target where few others run, oldest first. */
   std::vector<request_id> waiting_suspects;
   /** When streams are next checked for silence. */
   time_point progress_check_at{};
+  /** When holdings and orders were last looked after. */
+  time_point maintained_at{};
   /** When the last event was handled. */
   time_point last_turn{};
 };
