--- a/src/acaciaferry/reducer/arrival.cpp
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -61,15 +61,23 @@
   return refusal;
 }
 
+// Keeps the refusal under the call's key, so that the operation never starts.
+void RefuseArrival(state& state,
+                   const request_record& record,
+                   const failure& reason,
+                   effects& out) {
+  if (record.operation) {
+    StoreFailure(state.operations, *record.operation, reason);
+  }
+  Refuse(record.request.id, reason, out);
+}
+
 // A suspect does not queue behind others: it waits for a target of its own.
 void StartSuspect(state& state,
                   request_record record,
                   time_point now,
                   effects& out) {
   const request_id id = record.request.id;
-  if (!SpendKey(state, record)) {
-    return Refuse(id, NotRun(failure_code::kOperationsFull), out);
-  }
   state.deadlines.emplace(record.deadline, id);
   request_record& kept =
       state.requests.emplace(id, std::move(record)).first->second;
@@ -88,27 +96,26 @@
   }
   const auto choice = ChooseFor(state, record, now);
   if (!choice) {
-    return Refuse(id, NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter),
-                  out);
+    return RefuseArrival(
+        state, record, NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter),
+        out);
   }
   const waiting_request waiting = MakeWaiting(state, record, *choice);
   if (const auto refusal = RefusalOf(state, record, waiting, *choice, now)) {
-    return Refuse(id, *refusal, out);
+    return RefuseArrival(state, record, *refusal, out);
   }
   if (!MakeRoom(state, waiting, now, out)) {
-    return Refuse(id, NotRun(failure_code::kQueueFull, kNoTargetRetryAfter),
-                  out);
+    return RefuseArrival(state, record,
+                         NotRun(failure_code::kQueueFull, kNoTargetRetryAfter),
+                         out);
   }
   const auto wait =
       Spend(state.workspaces, waiting.workspace, waiting.cost, now);
   if (wait) {
-    return Refuse(id, NotRun(failure_code::kWorkspaceLimit, wait), out);
+    return RefuseArrival(state, record,
+                         NotRun(failure_code::kWorkspaceLimit, wait), out);
   }
   record.charged_tokens = waiting.cost;
-  if (!SpendKey(state, record)) {
-    Refund(state.workspaces, waiting.workspace, waiting.cost);
-    return Refuse(id, NotRun(failure_code::kOperationsFull), out);
-  }
   Enqueue(state.waiting, waiting, now);
   state.deadlines.emplace(record.deadline, id);
   state.requests.emplace(id, std::move(record));
@@ -120,38 +127,40 @@
                       const request& request,
                       time_point now,
                       effects& out) {
-  const auto refuse = [&](failure_code code) {
-    internal::Refuse(request.id, NotRun(code), out);
-  };
   // A request id names one request: a duplicated event changes nothing.
   if (state.requests.contains(request.id)) {
     return;
   }
-  if (ReplyFromOperations(state, request, now, out)) {
+  const auto consulted = ConsultOperations(state, request, now, out);
+  const auto* const may_run = std::get_if<call_may_run>(&consulted);
+  if (may_run == nullptr) {
     return;
   }
+  request_record record;
+  record.request = request;
+  record.operation = may_run->operation;
+  const auto refuse = [&](const failure& reason) {
+    internal::RefuseArrival(state, record, reason, out);
+  };
   if (state.closed) {
-    return refuse(failure_code::kDraining);
+    return refuse(NotRun(failure_code::kDraining));
   }
   if (!state.config) {
-    return refuse(failure_code::kNoConfiguration);
+    return refuse(NotRun(failure_code::kNoConfiguration));
   }
   const auto verdict = Admit(*state.config, request, now);
   if (const auto* const refusal = std::get_if<failure>(&verdict)) {
-    return internal::Refuse(request.id, *refusal, out);
+    return refuse(*refusal);
   }
   if (const auto left = QuarantinedFor(state.quarantine,
                                        internal::FingerprintOf(request), now)) {
-    return internal::Refuse(request.id,
-                            NotRun(failure_code::kQuarantined, left), out);
+    return refuse(NotRun(failure_code::kQuarantined, left));
   }
   const auto& [work, deadline] = std::get<admitted>(verdict);
   const routing_view view{state.targets, state.costs, state.config->policy,
                           state.self.failure_domain, now};
   NoteArrival(state.routing, view, request,
               PredictCost(state.costs, request, work, 0));
-  request_record record;
-  record.request = request;
   record.work = work;
   record.deadline = deadline;
   internal::QueueOrRefuse(state, std::move(record), now, out);
--- a/src/acaciaferry/reducer/attempt_control.cpp
+++ b/src/acaciaferry/reducer/attempt_control.cpp
@@ -9,6 +9,11 @@
 
 namespace acaciaferry::internal {
 
+// A refused connection puts no work on the pool. While the VM list still names
+// dead targets, a budget spent on these would be missing for real retries.
+// The limit bounds the connections of one request when all targets refuse.
+constexpr std::uint32_t kFreeConnectFailures = 3;
+
 bool MayHoldMemory(attempt_phase phase) noexcept {
   return phase == attempt_phase::kUnsent || phase == attempt_phase::kSent ||
          phase == attempt_phase::kAccepted;
@@ -213,6 +218,29 @@
   }
 }
 
+void EndQuarantined(state& state, time_point now, effects& out) {
+  if (state.quarantine.suspects.empty()) {
+    return;
+  }
+  std::vector<request_id> quarantined;
+  for (const auto& [id, record] : state.requests) {
+    const bool runs_on = record.operation && record.current;
+    const bool may_end = !record.forwards && !runs_on && !record.committed;
+    if (may_end &&
+        QuarantinedFor(state.quarantine, FingerprintOf(record.request), now)) {
+      quarantined.push_back(id);
+    }
+  }
+  std::sort(quarantined.begin(), quarantined.end());
+  for (const request_id& id : quarantined) {
+    request_record& record = state.requests.at(id);
+    const auto left =
+        QuarantinedFor(state.quarantine, FingerprintOf(record.request), now);
+    const outcome result = OutcomeNow(record, attempt_end::kAbandoned);
+    Fail(state, record, {failure_code::kQuarantined, result, left}, now, out);
+  }
+}
+
 void RetryOrFail(state& state,
                  request_record& record,
                  attempt_end end,
@@ -238,8 +266,11 @@
   if (!HasUntriedTarget(state, record)) {
     return fail(code, std::nullopt);
   }
-  if (!SpendRetry(state.retries, record.request.pool, RetryFraction(state),
-                  now)) {
+  const bool is_free = end == attempt_end::kConnectFailed &&
+                       result == outcome::kNotRun &&
+                       record.attempts_made <= kFreeConnectFailures;
+  if (!is_free && !SpendRetry(state.retries, record.request.pool,
+                              RetryFraction(state), now)) {
     return fail(failure_code::kRetryBudgetExhausted, std::nullopt);
   }
   record.may_have_run = result == outcome::kUnknown;
--- a/src/acaciaferry/reducer/attempt_control.hpp
+++ b/src/acaciaferry/reducer/attempt_control.hpp
@@ -55,6 +55,15 @@
 /** @brief Starts the waiting suspects that have a place now. */
 void StartWaitingSuspects(state& state, time_point now, effects& out);
 
+/**
+ * @brief Ends the waiting and running copies of requests that are quarantined
+ * now.
+ *
+ * Operations that were started run on, since a cancelled one would stay
+ * unknown.
+ */
+void EndQuarantined(state& state, time_point now, effects& out);
+
 /**
  * @brief Ends the current attempt, and tries again where that is safe and the
  * budget allows it.
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -62,6 +62,12 @@
                        time_point now,
                        effects& out) {
   request_record& record = state.requests.at(id);
+  if (IsSuspectRequest(state, record, now)) {
+    // It has become one in the queue; it must not hold up those behind it.
+    RemoveWaiting(state.waiting, id, now);
+    StartAttempt(state, record, NotRun(failure_code::kNoLiveTarget), now, out);
+    return start_result::kStarted;
+  }
   if (NeedsSpan(state, record)) {
     RemoveWaiting(state.waiting, id, now);
     StartSpan(state, record, now, out);
--- a/src/acaciaferry/reducer/isolation.cpp
+++ b/src/acaciaferry/reducer/isolation.cpp
@@ -1,6 +1,9 @@
 #include "acaciaferry/reducer/isolation.hpp"
 
+#include <algorithm>
+#include <cstdint>
 #include <unordered_map>
+#include <utility>
 
 #include "acaciaferry/reducer/attempt_control.hpp"
 
@@ -29,6 +32,31 @@
   return result;
 }
 
+// VMs do not know where the others' suspects run. Were they all to choose the
+// least loaded target, a culprit and an innocent would meet again; a choice by
+// hash sends different requests different ways.
+void LeaveOneByHash(const state& state,
+                    const request_record& record,
+                    std::vector<target_id>& avoided) {
+  const auto contains = [](const std::vector<target_id>& list,
+                           const target_id& id) {
+    return std::find(list.begin(), list.end(), id) != list.end();
+  };
+  std::vector<std::pair<std::uint64_t, target_id>> scored;
+  for (const target* const each :
+       LiveTargets(state.targets, record.request.pool)) {
+    if (!contains(avoided, each->id) && !contains(record.excluded, each->id)) {
+      scored.emplace_back(
+          CallFingerprint(FingerprintOf(record.request), "", each->id.value),
+          each->id);
+    }
+  }
+  std::sort(scored.begin(), scored.end());
+  for (std::size_t i = 0; i + 1 < scored.size(); ++i) {
+    avoided.push_back(scored[i].second);
+  }
+}
+
 }  // namespace internal
 
 bool IsSuspectRequest(const state& state,
@@ -52,6 +80,9 @@
       avoided.push_back(target);
     }
   }
+  if (is_suspect) {
+    internal::LeaveOneByHash(state, record, avoided);
+  }
   return avoided;
 }
 
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -64,7 +64,8 @@
   }
 
   void operator()(const suspects_heard& event) const {
-    MergeSuspects(state.quarantine, Self(state), event, now);
+    MergeSuspects(state.quarantine, internal::Self(state), event, now);
+    internal::EndQuarantined(state, now, out);
   }
 
   void operator()(const holdings_listed& event) const {
