Avoid targets that cannot be reached

Cause: a dead target reports no load and looks idle, so each request tried it again until the VM list dropped it; in process_failover the requests after three kills ended as retry_budget_exhausted. Change: a failed connection avoids the target for 1 s, doubled with each failure in a row up to 30 s; a report or an answer ends it. When all are avoided, they are tried all the same.

--- a/src/acaciaferry/reducer/attempt_events.cpp
+++ b/src/acaciaferry/reducer/attempt_events.cpp
@@ -230,6 +230,7 @@
     return;
   }
   record->current->phase = attempt_phase::kAccepted;
+  NoteContact(state.reachability, record->current->target);
   internal::NoteProgress(*record, now);
   if (record->request.kind == request_kind::kServiceCall && !record->head) {
     record->head = event;
@@ -316,6 +317,9 @@
   if (!record->forwards && internal::IsCrash(*record->current, event.error)) {
     internal::CountCrash(state, *record->current, now);
   }
+  if (!record->forwards && event.error == transport_error::kConnectFailed) {
+    NoteConnectFailure(state.reachability, record->current->target, now);
+  }
   const failure_code code = event.error == transport_error::kMalformedAnswer
                                 ? failure_code::kAnswerCorrupt
                                 : failure_code::kTargetLost;
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -123,18 +123,23 @@
                         {record.request, record.work, excluded, cached},
                         internal::ViewOf(state, now), state.random);
   };
-  std::vector<target_id> excluded = TargetsToAvoid(state, record, now);
-  if (excluded.empty()) {
+  const std::vector<target_id> apart = TargetsToAvoid(state, record, now);
+  const auto unreachable = UnreachableTargets(state.reachability, now);
+  if (apart.empty() && unreachable.empty()) {
     return choose(record.excluded);
   }
-  excluded.insert(excluded.end(), record.excluded.begin(),
-                  record.excluded.end());
-  auto choice = choose(excluded);
-  // A suspect waits; others rather share a target with one than wait.
-  if (!choice && !IsSuspectRequest(state, record, now)) {
-    choice = choose(record.excluded);
+  std::vector<target_id> avoided = record.excluded;
+  avoided.insert(avoided.end(), apart.begin(), apart.end());
+  const std::size_t required = avoided.size();
+  avoided.insert(avoided.end(), unreachable.begin(), unreachable.end());
+  if (auto choice = choose(avoided)) {
+    return choice;
   }
-  return choice;
+  // A suspect waits; others rather share a target with one than wait, and any
+  // request rather tries an unreachable target than none.
+  avoided.resize(required);
+  const bool is_suspect = IsSuspectRequest(state, record, now);
+  return choose(is_suspect ? avoided : record.excluded);
 }
 
 void LaunchAttempt(state& state,
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -28,6 +28,7 @@
 #include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/spans/span.hpp"
+#include "acaciaferry/targets/reachability.hpp"
 #include "acaciaferry/targets/state.hpp"
 #include "acaciaferry/workspaces/limits.hpp"
 
@@ -87,6 +88,7 @@
   configuration_state configuration;
   membership_state membership;
   targets_state targets;
+  reachability_state reachability;
   cost_state costs;
   workspaces_state workspaces;
   waiting_queues waiting;
--- a/src/acaciaferry/reducer/target_knowledge.cpp
+++ b/src/acaciaferry/reducer/target_knowledge.cpp
@@ -21,6 +21,7 @@
   if (verdict != report_verdict::kAccepted) {
     return verdict;
   }
+  NoteContact(state.reachability, report.target);
   FadeRates(state.costs, report.target);
   // `known` still points into the table, which the report does not resize.
   if (known->leaving != was_leaving) {
