--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -18,6 +18,7 @@
 #include <ostream>
 #include <variant>
 
+#include "acaciaferry/core/length_class.hpp"
 #include "acaciaferry/http/completion_body.hpp"
 #include "acaciaferry/http/reply_writer.hpp"
 
@@ -100,8 +101,8 @@
   return std::chrono::milliseconds(value);
 }
 
-workspace_id Authenticate(const HTTPServerRequest& request,
-                          const workspace_directory& workspaces) {
+authenticated_workspace Authenticate(const HTTPServerRequest& request,
+                                     const workspace_directory& workspaces) {
   constexpr std::string_view kScheme = "Bearer ";
   const std::string header = request.get("Authorization", "");
   if (!header.starts_with(kScheme)) {
@@ -129,15 +130,49 @@
   }
 }
 
+// Measures how long the parts of one request's reply take.
+class reply_timer {
+ public:
+  // Without labels nothing is measured.
+  reply_timer(callers_context& context, std::optional<latency_labels> labels)
+      : context_(context), labels_(labels), received_(context.clock.Now()) {}
+
+  void Note(const reply_part& part) {
+    if (!labels_) {
+      return;
+    }
+    const duration since = context_.clock.Now() - received_;
+    const bool is_end = std::holds_alternative<finish_request>(part);
+    if (!begun_ && (is_end || std::holds_alternative<deliver_chunk>(part))) {
+      begun_ = true;
+      context_.metrics.FirstToken().Observe(*labels_, since);
+    }
+    if (is_end) {
+      context_.metrics.LastByte().Observe(*labels_, since);
+    }
+  }
+
+ private:
+  callers_context& context_;
+  const std::optional<latency_labels> labels_;
+  const time_point received_;
+  bool begun_{};
+};
+
 // One request that the reducer works on, registered for its lifetime.
 class session {
  public:
   session(callers_context& context,
           HTTPServerRequest& http,
           const request_id& id,
+          std::optional<latency_labels> labels,
           std::shared_ptr<exchange> link,
           event first)
-      : context_(context), http_(http), id_(id), link_(std::move(link)) {
+      : context_(context),
+        http_(http),
+        id_(id),
+        timer_(context, labels),
+        link_(std::move(link)) {
     context_.exchanges.Add(id_, link_);
     context_.post(std::move(first));
   }
@@ -162,6 +197,7 @@
       if (auto part = link_->Pop(kCallerCheckInterval)) {
         ended_ = std::holds_alternative<finish_request>(*part) ||
                  std::holds_alternative<fail_request>(*part);
+        timer_.Note(*part);
         return part;
       }
       if (!IsConnected(http_)) {
@@ -175,6 +211,7 @@
   callers_context& context_;
   HTTPServerRequest& http_;
   const request_id id_;
+  reply_timer timer_;
   std::shared_ptr<exchange> link_;
   bool ended_{};
 };
@@ -324,6 +361,10 @@
               refused refusal,
               const HTTPServerRequest& request,
               HTTPServerResponse& response) {
+    if (!refusal.decided) {
+      // The reducer counts its own.
+      context_.metrics.Count(refusal.reason.code);
+    }
     if (response.sent()) {
       return;
     }
@@ -343,7 +384,8 @@
   void Route(const request_id& id,
              HTTPServerRequest& http,
              HTTPServerResponse& response) {
-    const workspace_id workspace = Authenticate(http, context_.workspaces);
+    const authenticated_workspace workspace =
+        Authenticate(http, context_.workspaces);
     const std::string& path = http.getURI();
     const bool is_post = http.getMethod() == Poco::Net::HTTPRequest::HTTP_POST;
     if (path == "/v1/models") {
@@ -371,7 +413,7 @@
   }
 
   void Complete(const request_id& id,
-                const workspace_id& workspace,
+                const authenticated_workspace& workspace,
                 answer_shape shape,
                 HTTPServerRequest& http,
                 HTTPServerResponse& response) {
@@ -382,20 +424,22 @@
     }
     acaciaferry::request request{
         .id = id,
-        .workspace = workspace,
+        .workspace = workspace.id,
         .kind = request_kind::kCompletion,
         .pool = {body->model},
         .prompt_tokens = EstimateTokens(body->prompt.size()),
         .max_output_tokens = body->max_tokens,
         .prefix_blocks = HashPrefixBlocks(body->prompt),
-        .fingerprint = Fingerprint(workspace.value, body->model, text),
+        .fingerprint = Fingerprint(workspace.id.value, body->model, text),
         .method = {},
         .path = {},
         .idempotency_key = {},
         .timeout = ReadTimeout(http)};
+    const latency_labels labels{
+        request.kind, ClassifyLength(request.prompt_tokens), workspace.size};
     auto link = std::make_shared<exchange>(std::move(text), "POST",
                                            http.getURI(), "application/json");
-    session source(context_, http, id, std::move(link),
+    session source(context_, http, id, labels, std::move(link),
                    request_arrived{std::move(request)});
     if (body->stream) {
       stream_reply(source, response, shape, body->model).Run();
@@ -411,7 +455,7 @@
                HTTPServerRequest& http,
                HTTPServerResponse& response) {
     static_cast<void>(ReadBody(http, response, context_));
-    session source(context_, http, id,
+    session source(context_, http, id, std::nullopt,
                    std::make_shared<exchange>("", "", "", ""),
                    operation_key_requested{id});
     const collected_reply reply = Collect(source);
@@ -421,7 +465,7 @@
   }
 
   void CallService(const request_id& id,
-                   const workspace_id& workspace,
+                   const authenticated_workspace& workspace,
                    HTTPServerRequest& http,
                    HTTPServerResponse& response) {
     const std::string rest = http.getURI().substr(kServicePrefix.size());
@@ -431,10 +475,10 @@
     std::string text = ReadBody(http, response, context_);
     acaciaferry::request request{
         .id = id,
-        .workspace = workspace,
+        .workspace = workspace.id,
         .kind = request_kind::kServiceCall,
         .pool = {service},
-        .fingerprint = Fingerprint(workspace.value, service, text),
+        .fingerprint = Fingerprint(workspace.id.value, service, text),
         .method = http.getMethod(),
         .path = path,
         .idempotency_key = http.get("Idempotency-Key", ""),
@@ -445,7 +489,8 @@
     link->idempotency_key = request.idempotency_key;
     link->authorization = http.get("Authorization", "");
     link->caller_path = http.getURI();
-    session source(context_, http, id, std::move(link),
+    const latency_labels labels{request.kind, {}, workspace.size};
+    session source(context_, http, id, labels, std::move(link),
                    request_arrived{std::move(request)});
     const collected_reply reply = Collect(source);
     response.setStatusAndReason(
--- a/src/acaciaferry/http/workspace_directory.cpp
+++ b/src/acaciaferry/http/workspace_directory.cpp
@@ -7,7 +7,9 @@
 void workspace_directory::Update(const deployment& config) {
   auto next = std::make_shared<content>();
   for (const workspace& each : config.workspaces) {
-    next->by_digest.emplace(each.token_digest, each.id);
+    next->by_digest.emplace(
+        each.token_digest,
+        authenticated_workspace{each.id, ClassifyWeight(each.weight)});
   }
   for (const pool& each : config.pools) {
     if (each.kind == request_kind::kCompletion) {
@@ -20,7 +22,7 @@
 
 // The table is searched by digest. What the search time tells about the digest
 // of a guessed token does not help to find another token.
-std::optional<workspace_id> workspace_directory::Authenticate(
+std::optional<authenticated_workspace> workspace_directory::Authenticate(
     std::string_view token) const {
   const auto content = Current();
   const auto found = content->by_digest.find(TokenDigest(token));
--- a/src/acaciaferry/http/workspace_directory.hpp
+++ b/src/acaciaferry/http/workspace_directory.hpp
@@ -10,9 +10,18 @@
 
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/metrics/latency.hpp"
 
 namespace acaciaferry {
 
+/**
+ * @brief The workspace that a bearer token names.
+ */
+struct authenticated_workspace {
+  workspace_id id;
+  workspace_class size{};
+};
+
 /**
  * @brief Finds a workspace by its bearer token, and lists the models.
  * Thread-safe; replaced as a whole when a configuration comes into force.
@@ -27,7 +36,7 @@
    * @param token The bearer token as presented.
    * @return Its workspace, or nothing when the token is unknown.
    */
-  [[nodiscard]] std::optional<workspace_id> Authenticate(
+  [[nodiscard]] std::optional<authenticated_workspace> Authenticate(
       std::string_view token) const;
 
   /** @return The ids of the model pools. */
@@ -35,7 +44,7 @@
 
  private:
   struct content {
-    std::unordered_map<std::string, workspace_id> by_digest;
+    std::unordered_map<std::string, authenticated_workspace> by_digest;
     std::vector<std::string> models;
   };
 
--- a/src/acaciaferry/metrics/fwd.hpp
+++ b/src/acaciaferry/metrics/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace acaciaferry {
 
+class latency_histogram;
 class metrics_registry;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -171,6 +171,12 @@
   }
   AppendPeers(text);
   AppendConfiguration(text);
+  first_token_.AppendPrometheusText(
+      text, "acaciaferry_time_to_first_token_seconds",
+      "From a request's receipt to the first part of its answer.");
+  last_byte_.AppendPrometheusText(
+      text, "acaciaferry_time_to_last_byte_seconds",
+      "From a request's receipt to the end of its whole answer.");
   return text;
 }
 
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -9,6 +9,7 @@
 #include "acaciaferry/configuration/effect.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/membership/message.hpp"
+#include "acaciaferry/metrics/latency.hpp"
 #include "acaciaferry/metrics/transport_totals.hpp"
 #include "acaciaferry/orders/order.hpp"
 #include "acaciaferry/reclamation/reclamation.hpp"
@@ -36,6 +37,17 @@
   void CountConfigurationRead() noexcept { ++configuration_reads_; }
   void SetRevision(std::uint64_t revision) noexcept { revision_ = revision; }
 
+  /** From a request's complete receipt to the first part of its answer. */
+  [[nodiscard]] latency_histogram& FirstToken() noexcept {
+    return first_token_;
+  }
+  [[nodiscard]] const latency_histogram& FirstToken() const noexcept {
+    return first_token_;
+  }
+
+  /** From a request's complete receipt to the end of its whole answer. */
+  [[nodiscard]] latency_histogram& LastByte() noexcept { return last_byte_; }
+
   /** @brief Includes the bytes and messages between peers.
    * @param totals Must outlive the registry's use. */
   void Observe(const transport_totals& totals) noexcept { peers_ = &totals; }
@@ -62,6 +74,8 @@
   std::atomic<std::uint64_t> configuration_reads_{};
   std::atomic<std::uint64_t> revision_{};
   std::atomic<const transport_totals*> peers_{};
+  latency_histogram first_token_;
+  latency_histogram last_byte_;
 };
 
 }  // namespace acaciaferry
--- /dev/null
+++ b/test/process/metrics.sh
@@ -0,0 +1,40 @@
+#!/usr/bin/env bash
+# Guards against latencies and refusals that are missing from /metrics, and
+# against names of workspaces in it.
+set -euo pipefail
+source "$(dirname "$0")/processes.bash"
+
+vms=
+start "$work/e1" "$bin/acaciaferry-standin-engine" --address 127.0.0.1:0 --name e1
+list_vm e1 "$port" engine batch-model
+start_daemon vm1
+operators=$(operators_port "$work/vm1")
+ask() { call /v1/completions -d "{\"model\":\"batch-model\",\"prompt\":\"hello\",\"max_tokens\":2,\"stream\":$1}"; }
+for _ in $(seq 100); do
+  reply=$(ask true)
+  grep -q 'no_live_target\|no_configuration' <<<"$reply" || break
+  sleep 0.1
+done
+expect 'Acaciaferry-Outcome: ran' <<<"$reply"
+ask false | expect 'Acaciaferry-Outcome: ran'
+curl -sS "http://127.0.0.1:$port/v1/models" | expect '"code":"unauthenticated"'
+call /v1/completions -d '{"prompt":' | expect '"code":"malformed_request"'
+
+metrics=$(curl -sS "http://127.0.0.1:$operators/metrics")
+answers=$(sed -n 's/^acaciaferry_answers_total //p' <<<"$metrics")
+[ "$answers" -ge 2 ]
+for name in first_token last_byte; do
+  sed -n "s/^acaciaferry_time_to_${name}_seconds_count{kind=\"completion\",length_class=\"up_to_4k\".*} //p" \
+    <<<"$metrics" | awk '{ sum += $1 } END { print sum }' | expect "^$answers\$"
+done
+expect 'acaciaferry_refusals_total{code="unauthenticated"} 1' <<<"$metrics"
+expect 'acaciaferry_refusals_total{code="malformed_request"} 1' <<<"$metrics"
+workspaces=$(sed -n 's/^\[workspace\.\(.*\)\]/\1/p' "$root/examples/works/deployment.ini")
+[ -n "$workspaces" ] || { echo "the example has no workspaces"; exit 1; }
+for workspace in $workspaces; do
+  if grep -q "$workspace" <<<"$metrics"; then
+    echo "the metrics name the workspace $workspace"
+    exit 1
+  fi
+done
+echo "metrics: $answers answers measured; refusals before admission counted"
--- a/test/process/processes.bash
+++ b/test/process/processes.bash
@@ -66,6 +66,9 @@
   start "$work/$1" "$bin/acaciaferryd" --config "$work/$1.ini"
 }
 
+# Prints the port of the operators' listener from a daemon's log.
+operators_port() { sed -n 's/.*operators=\([0-9]*\).*/\1/p' "$1" | head -1; }
+
 # Calls the daemon at $port; prints the head and the body of the reply.
 call() {
   local path=$1
