Keep the history of the last requests and explain them

Cause: acaciaferryctl had the commands explain and peers, but the API had neither path, and nothing was kept of a request after its end. Change: module history, a ring of 1,024 requests with prediction, attempts and end, filled from the reducer; the ends come from the effects that tell them to callers, so none is missed. GET /admin/v1/requests/{id} and /admin/v1/peers show them.

--- a/src/acaciaferry/administration/api.cpp
+++ b/src/acaciaferry/administration/api.cpp
@@ -5,7 +5,9 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "acaciaferry/administration/explanation.hpp"
 #include "acaciaferry/administration/views.hpp"
+#include "acaciaferry/core/request_id.hpp"
 #include "acaciaferry/questionnaire/answers.hpp"
 #include "acaciaferry/questionnaire/document.hpp"
 
@@ -78,6 +80,27 @@
   return Reply(kOk, {{"document", GenerateDocument(given)}});
 }
 
+constexpr std::string_view kRequestPrefix = "/admin/v1/requests/";
+
+administration_reply ExplainRequest(const administration_context& context,
+                                    std::string_view text) {
+  const auto id = ParseRequestId(text);
+  if (!id) {
+    return Error(kNotFound, "malformed_request_id");
+  }
+  const time_point now = context.clock.Now();
+  std::optional<json> explanation;
+  context.inspect([&](const state& value) {
+    if (const auto* const found = FindHistory(value.history, *id)) {
+      explanation = ExplanationView(*found, now);
+    }
+  });
+  // Requests that failed before admission, such as unauthenticated ones, and
+  // those of other VMs are not here either.
+  return explanation ? Reply(kOk, *explanation)
+                     : Error(kNotFound, "unknown_request");
+}
+
 struct route {
   std::string_view method;
   std::string_view path;
@@ -105,6 +128,13 @@
           [](const administration_context& context, std::string_view) {
             return Show(context, ConfigurationView);
           }},
+    route{"GET", "/admin/v1/peers",
+          [](const administration_context& context, std::string_view) {
+            const time_point now = context.clock.Now();
+            return Show(context, [now](const state& value) {
+              return PeersView(value, now);
+            });
+          }},
     route{"GET", "/admin/v1/requests",
           [](const administration_context& context, std::string_view) {
             const time_point now = context.clock.Now();
@@ -137,6 +167,12 @@
                                   std::string_view method,
                                   std::string_view path,
                                   std::string_view body) {
+  if (path.starts_with(internal::kRequestPrefix)) {
+    path.remove_prefix(internal::kRequestPrefix.size());
+    return method == "GET" ? internal::ExplainRequest(context, path)
+                           : internal::Error(internal::kMethodNotAllowed,
+                                             "method_not_allowed");
+  }
   bool is_known_path = false;
   for (const internal::route& each : internal::kRoutes) {
     if (each.path != path) {
--- /dev/null
+++ b/src/acaciaferry/administration/explanation.cpp
@@ -0,0 +1,153 @@
+#include "acaciaferry/administration/explanation.hpp"
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry {
+namespace internal {
+
+using nlohmann::json;
+
+// Adds how the request ended.
+struct end_view {
+  json& view;
+
+  void operator()(const answered_whole& /*end*/) const {
+    view["result"] = "answered";
+  }
+  void operator()(const caller_left& /*end*/) const {
+    view["result"] = "caller_gone";
+  }
+  void operator()(const failure& end) const {
+    const failure_description& described = Describe(end.code);
+    view["result"] = "failed";
+    view["failure"] = {{"code", described.code},
+                       {"outcome", ToString(end.result)},
+                       {"meaning", described.sentence},
+                       {"retryable", described.retryable}};
+    if (end.retry_after) {
+      view["failure"]["retry_after_ms"] = ToMilliseconds(*end.retry_after);
+    }
+  }
+};
+
+bool WasAdmitted(const request_history& value) noexcept {
+  return value.admitted_at || value.attempts_made > 0;
+}
+
+// The first attempt's start ends the time in the queue; so does the end of a
+// request that was never started.
+time_point LeftQueueAt(const request_history& value, time_point now) {
+  if (!value.attempts.empty()) {
+    return value.attempts.front().started_at;
+  }
+  return value.ended_at.value_or(now);
+}
+
+std::string AdmissionReason(const request_history& value) {
+  const auto milliseconds = [](duration time) {
+    return std::to_string(static_cast<std::int64_t>(ToMilliseconds(time)));
+  };
+  if (!WasAdmitted(value)) {
+    const auto* const reason =
+        value.end ? std::get_if<failure>(&*value.end) : nullptr;
+    return reason == nullptr ? "answered without a run"
+                             : std::string(Describe(reason->code).sentence);
+  }
+  if (!value.predicted) {
+    return "started without a prediction";
+  }
+  const duration end = value.predicted->wait + value.predicted->run;
+  const std::string limit =
+      " of the time limit of " + milliseconds(value.time_limit) + " ms";
+  return value.predicted->is_grounded
+             ? "predicted to take " + milliseconds(end) + " ms" + limit
+             : "no target has reported its rates, so only the length of the "
+               "queue was checked";
+}
+
+std::string_view AttemptResult(const request_history& value,
+                               const attempt_history& each) {
+  if (each.ended_by) {
+    return ToString(*each.ended_by);
+  }
+  if (!value.end) {
+    return "running";
+  }
+  return std::holds_alternative<answered_whole>(*value.end) ? "answered"
+                                                            : "given_up";
+}
+
+json AttemptView(const request_history& value,
+                 const attempt_history& each,
+                 time_point now) {
+  const time_point end = each.ended_at.value_or(value.ended_at.value_or(now));
+  json view{{"number", each.number},
+            {"target", each.target.value},
+            {"started_ms", ToMilliseconds(each.started_at - value.arrived_at)},
+            {"took_ms", ToMilliseconds(end - each.started_at)},
+            {"resumes", each.resumes},
+            {"result", AttemptResult(value, each)}};
+  if (each.predicted_first_token) {
+    view["predicted_first_token_ms"] =
+        ToMilliseconds(*each.predicted_first_token);
+  }
+  return view;
+}
+
+void AddRequest(const request_history& value, json& view) {
+  const bool is_completion = value.kind == request_kind::kCompletion;
+  view["id"] = ToString(value.id);
+  view["workspace"] = value.workspace.value;
+  view["kind"] = is_completion ? "completion" : "service_call";
+  if (is_completion) {
+    view["prompt_tokens"] = value.prompt_tokens;
+    view["length_class"] = ToString(ClassifyLength(value.prompt_tokens));
+  }
+  if (!value.workload.empty()) {
+    view["workload"] = value.workload.value;
+    view["pool"] = value.pool.value;
+    view["time_limit_ms"] = ToMilliseconds(value.time_limit);
+  }
+  if (value.predicted) {
+    view["predicted_wait_ms"] = ToMilliseconds(value.predicted->wait);
+    view["predicted_first_token_ms"] =
+        ToMilliseconds(value.predicted->first_token);
+    view["predicted_run_ms"] = ToMilliseconds(value.predicted->run);
+  }
+}
+
+}  // namespace internal
+
+nlohmann::json ExplanationView(const request_history& value, time_point now) {
+  nlohmann::json view;
+  internal::AddRequest(value, view);
+  view["admission"] = internal::WasAdmitted(value) ? "admitted" : "refused";
+  view["admission_reason"] = internal::AdmissionReason(value);
+  view["arrived_ago_ms"] = ToMilliseconds(now - value.arrived_at);
+  view["queue_ms"] =
+      ToMilliseconds(internal::LeftQueueAt(value, now) - value.arrived_at);
+  if (value.first_part_at) {
+    view["first_part_ms"] =
+        ToMilliseconds(*value.first_part_at - value.arrived_at);
+  }
+  if (value.ended_at) {
+    view["ended_ms"] = ToMilliseconds(*value.ended_at - value.arrived_at);
+  }
+  view["attempts_made"] = value.attempts_made;
+  view["attempts"] = nlohmann::json::array();
+  for (const attempt_history& each : value.attempts) {
+    view["attempts"].push_back(internal::AttemptView(value, each, now));
+  }
+  if (value.end) {
+    std::visit(internal::end_view{view}, *value.end);
+  } else {
+    view["result"] = "running";
+  }
+  return view;
+}
+
+}  // namespace acaciaferry
--- a/src/acaciaferry/administration/views.cpp
+++ b/src/acaciaferry/administration/views.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <string_view>
 
 #include "acaciaferry/core/length_class.hpp"
 
@@ -76,6 +77,36 @@
   return view;
 }
 
+std::string_view PhaseName(peer_phase phase) noexcept {
+  switch (phase) {
+    case peer_phase::kUnheard:
+      return "unheard";
+    case peer_phase::kAlive:
+      return "alive";
+    case peer_phase::kSuspected:
+      return "suspected";
+    case peer_phase::kDead:
+      return "dead";
+  }
+  return "unknown";
+}
+
+json PeerView(const peer& value, time_point now) {
+  json view{{"name", value.vm.value},
+            {"failure_domain", value.failure_domain.value},
+            {"region", value.region.value},
+            {"address", value.address},
+            {"state", PhaseName(value.phase)},
+            {"leaving", value.leaving},
+            {"stale", value.stale},
+            {"listed", value.listed},
+            {"incarnation", value.incarnation}};
+  if (value.phase != peer_phase::kUnheard) {
+    view["heard_ago_ms"] = ToMilliseconds(now - value.heard_at);
+  }
+  return view;
+}
+
 json RequestView(const request_record& value, time_point now) {
   const request& asked = value.request;
   json view{{"id", ToString(asked.id)},
@@ -147,6 +178,14 @@
   return view;
 }
 
+nlohmann::json PeersView(const state& state, time_point now) {
+  auto view = nlohmann::json::array();
+  for (const auto& [id, each] : state.membership.peers) {
+    view.push_back(internal::PeerView(each, now));
+  }
+  return view;
+}
+
 nlohmann::json RequestsView(const state& state, time_point now) {
   auto view = nlohmann::json::array();
   for (const auto& [id, record] : state.requests) {
--- a/src/acaciaferry/administration/views.hpp
+++ b/src/acaciaferry/administration/views.hpp
@@ -19,6 +19,9 @@
 /** @return The pools, workloads and policy in force. */
 [[nodiscard]] nlohmann::json ConfigurationView(const state& state);
 
+/** @return One object for each other entry VM that this one knows. */
+[[nodiscard]] nlohmann::json PeersView(const state& state, time_point now);
+
 /** @return One object for each request that has not ended. */
 [[nodiscard]] nlohmann::json RequestsView(const state& state, time_point now);
 
--- a/src/acaciaferry/reducer/arrival.cpp
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -54,6 +54,9 @@
                           .run = choice.run,
                           .is_grounded = choice.is_grounded,
                           .waiting = WaitingOf(state.waiting, record.work.id)};
+  RecordPrediction(
+      state.history, record.request.id,
+      {expected.wait, choice.first_token, choice.run, choice.is_grounded});
   auto refusal = CheckProspect(record.work, record.deadline - now, expected);
   if (refusal && refusal->code == failure_code::kDeadlineTooShort) {
     RelaxRunRatio(state.costs, record.request.pool);
@@ -79,6 +82,7 @@
                   effects& out) {
   const request_id id = record.request.id;
   state.deadlines.emplace(record.deadline, id);
+  RecordAdmission(state.history, id, now);
   request_record& kept =
       state.requests.emplace(id, std::move(record)).first->second;
   StartAttempt(state, kept,
@@ -118,6 +122,7 @@
   record.charged_tokens = waiting.cost;
   Enqueue(state.waiting, waiting, now);
   state.deadlines.emplace(record.deadline, id);
+  RecordAdmission(state.history, id, now);
   state.requests.emplace(id, std::move(record));
 }
 
@@ -131,6 +136,7 @@
   if (state.requests.contains(request.id)) {
     return;
   }
+  RecordArrival(state.history, request, now);
   const auto consulted = ConsultOperations(state, request, now, out);
   const auto* const may_run = std::get_if<call_may_run>(&consulted);
   if (may_run == nullptr) {
@@ -152,11 +158,12 @@
   if (const auto* const refusal = std::get_if<failure>(&verdict)) {
     return refuse(*refusal);
   }
+  const auto& [work, deadline] = std::get<admitted>(verdict);
+  RecordWorkload(state.history, request, work.id, deadline - now);
   if (const auto left = QuarantinedFor(state.quarantine,
                                        internal::FingerprintOf(request), now)) {
     return refuse(NotRun(failure_code::kQuarantined, left));
   }
-  const auto& [work, deadline] = std::get<admitted>(verdict);
   const routing_view view{state.targets, state.costs, state.config->policy,
                           state.self.failure_domain, now};
   NoteArrival(state.routing, view, request,
--- a/src/acaciaferry/reducer/attempt_control.cpp
+++ b/src/acaciaferry/reducer/attempt_control.cpp
@@ -182,7 +182,7 @@
   LaunchAttempt(state, record, *choice, now, out);
 }
 
-void StartForward(state& /*state*/,
+void StartForward(state& state,
                   request_record& record,
                   const forward_call& owner,
                   time_point now,
@@ -190,6 +190,7 @@
   const attempt_id id{record.request.id, ++record.attempts_made};
   const target_id target{owner.vm.value};
   record.forwards = true;
+  RecordAttempt(state.history, id, target, std::nullopt, now);
   record.current =
       attempt{id, target, owner.address, attempt_phase::kUnsent, now};
   out.push_back(start_attempt{.attempt = id,
@@ -249,6 +250,7 @@
                  time_point now,
                  effects& out) {
   const outcome result = OutcomeNow(record, end);
+  RecordAttemptEnd(state.history, record.request.id, reason, now);
   const auto fail = [&](failure_code why, std::optional<duration> after) {
     Fail(state, record, {why, result, after}, now, out);
   };
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -150,6 +150,7 @@
   const attempt_id id =
       internal::OpenAttempt(state, record, choice.target, {}, now, out);
   RecordDispatch(state.routing, id, choice, IsLongRequest(record.request), now);
+  RecordAttempt(state.history, id, choice.target, choice.first_token, now);
 }
 
 void LaunchSpanAttempt(state& state,
@@ -158,7 +159,9 @@
                        std::vector<std::string> reservations,
                        time_point now,
                        effects& out) {
-  internal::OpenAttempt(state, record, head, std::move(reservations), now, out);
+  const attempt_id id = internal::OpenAttempt(
+      state, record, head, std::move(reservations), now, out);
+  RecordAttempt(state.history, id, head, std::nullopt, now);
 }
 
 void DispatchWaiting(state& state, time_point now, effects& out) {
--- a/src/acaciaferry/reducer/operation_events.cpp
+++ b/src/acaciaferry/reducer/operation_events.cpp
@@ -83,6 +83,8 @@
   record.request = request;
   record.work = work;
   record.deadline = deadline;
+  RecordWorkload(state.history, request, work.id, deadline - now);
+  RecordAdmission(state.history, request.id, now);
   state.deadlines.emplace(deadline, request.id);
   StartForward(state, record, owner, now, out);
 }
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -9,6 +9,7 @@
 #include "acaciaferry/reducer/maintenance.hpp"
 #include "acaciaferry/reducer/operation_events.hpp"
 #include "acaciaferry/reducer/peering.hpp"
+#include "acaciaferry/reducer/recording.hpp"
 #include "acaciaferry/reducer/span_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
@@ -138,6 +139,7 @@
   DispatchWaiting(state, now, out);
   MaintainTargets(state, now, out);
   SendDueMessages(state, now, out);
+  RecordEffects(state.history, out, now);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -21,6 +21,7 @@
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/history/history.hpp"
 #include "acaciaferry/membership/state.hpp"
 #include "acaciaferry/operations/operations.hpp"
 #include "acaciaferry/orders/orders.hpp"
@@ -106,6 +107,7 @@
   orders_state orders;
   operations_state operations;
   quarantine_state quarantine;
+  history_state history;
   /** Suspects that wait for a target where few others run, oldest first. */
   std::vector<request_id> waiting_suspects;
   /** When streams are next checked for silence. */
--- a/test/acaciaferry/administration/api_test.cpp
+++ b/test/acaciaferry/administration/api_test.cpp
@@ -48,8 +48,8 @@
 TEST(AdministrationApi, EveryViewAnswersWithoutConfiguration) {
   for (const char* const path :
        {"/admin/v1/status", "/admin/v1/targets", "/admin/v1/workspaces",
-        "/admin/v1/configuration", "/admin/v1/requests",
-        "/admin/v1/refusals"}) {
+        "/admin/v1/configuration", "/admin/v1/requests", "/admin/v1/refusals",
+        "/admin/v1/peers"}) {
     CHECK_EQUAL(200, Status("GET", path, ""));
   }
 }
--- /dev/null
+++ b/test/acaciaferry/history/history_test.cpp
@@ -0,0 +1,61 @@
+#include "acaciaferry/history/history.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+
+TEST_GROUP(History) {
+  history_state state;
+  const time_point start{std::chrono::hours(1)};
+
+  static request Make(std::uint64_t sequence) {
+    request made;
+    made.id = {1, sequence};
+    return made;
+  }
+};
+
+// Guards against growth with the number of requests, and against a lookup of
+// an overwritten request that finds the one in its place.
+TEST(History, KeepsTheLastRequestsOnly) {
+  for (std::uint64_t i = 0; i <= kMaxHistory; ++i) {
+    RecordArrival(state, Make(i), start);
+  }
+  CHECK_EQUAL(kMaxHistory, state.entries.size());
+  CHECK_EQUAL(kMaxHistory, state.index.size());
+  POINTERS_EQUAL(nullptr, FindHistory(state, {1, 0}));
+  for (const std::uint64_t kept :
+       {std::uint64_t{1}, std::uint64_t{kMaxHistory}}) {
+    const auto* const entry = FindHistory(state, {1, kept});
+    CHECK(entry != nullptr);
+    CHECK_EQUAL(kept, entry->id.sequence);
+  }
+  RecordEnd(state, {1, 0}, answered_whole{}, start);
+  for (const request_history& each : state.entries) {
+    CHECK_FALSE(each.end.has_value());
+  }
+}
+
+// Guards against attempts without bound, and against the end of an attempt
+// that is not described being noted at another one.
+TEST(History, DescribesABoundedNumberOfAttempts) {
+  RecordArrival(state, Make(1), start);
+  for (std::uint32_t i = 1; i <= kMaxDescribedAttempts + 2; ++i) {
+    RecordAttempt(state, {{1, 1}, i}, {"e"}, std::nullopt, start);
+  }
+  RecordAttemptEnd(state, {1, 1}, retry_reason::kStalled, start);
+  const request_history& entry = *FindHistory(state, {1, 1});
+  CHECK_EQUAL(kMaxDescribedAttempts, entry.attempts.size());
+  CHECK_EQUAL(kMaxDescribedAttempts + 2, entry.attempts_made);
+  CHECK_FALSE(entry.attempts.back().ended_by.has_value());
+}
+
+// Guards against a late or repeated end that changes what the caller was told.
+TEST(History, TheFirstEndCounts) {
+  RecordArrival(state, Make(1), start);
+  RecordEnd(state, {1, 1}, caller_left{}, start);
+  RecordEnd(state, {1, 1}, answered_whole{}, start + std::chrono::seconds(1));
+  const request_history& entry = *FindHistory(state, {1, 1});
+  CHECK(std::holds_alternative<caller_left>(*entry.end));
+  CHECK(entry.ended_at == start);
+}
