Add a status page for operators

Cause: without a token and the tool, an operator could read a VM's state only from the Prometheus text. Change: / on the operators' listener renders this VM, the targets by failure domain, the time to first token by prompt length and the refusals by reason as plain HTML; a content security policy forbids scripts.

--- a/src/acaciaferry/http/operators_listener.cpp
+++ b/src/acaciaferry/http/operators_listener.cpp
@@ -13,6 +13,8 @@
 #include <istream>
 #include <ostream>
 
+#include "acaciaferry/administration/status_page.hpp"
+
 namespace acaciaferry {
 namespace internal {
 
@@ -21,6 +23,7 @@
 using Poco::Net::HTTPServerResponse;
 
 const std::string kText = "text/plain; version=0.0.4";
+const std::string kHtml = "text/html; charset=utf-8";
 const std::string kJson = "application/json";
 // The size limit of the platform's configuration values.
 constexpr std::size_t kMaxAdministrationBytes = 1 << 20;
@@ -40,6 +43,11 @@
                             "not ready\n");
     } else if (path.starts_with("/admin/")) {
       Administer(request, response);
+    } else if (path == "/") {
+      response.set("Content-Security-Policy",
+                   "default-src 'none'; style-src 'unsafe-inline'");
+      Send(response, HTTPResponse::HTTP_OK,
+           StatusPage(context_.administration, context_.ready), kHtml);
     } else if (path == "/metrics") {
       Send(response, HTTPResponse::HTTP_OK,
            context_.metrics.ToPrometheusText());
@@ -49,7 +57,8 @@
   }
 
  private:
-  void Administer(HTTPServerRequest& request, HTTPServerResponse& response) {
+  void Administer(HTTPServerRequest& request,
+                  HTTPServerResponse& response) const {
     if (!context_.tokens.Accepts(request.get("Authorization", ""))) {
       Send(response, HTTPResponse::HTTP_UNAUTHORIZED,
            "{\"error\": {\"code\": \"unauthenticated\"}}\n", kJson);
--- a/src/acaciaferry/http/operators_listener.hpp
+++ b/src/acaciaferry/http/operators_listener.hpp
@@ -26,8 +26,8 @@
 };
 
 /**
- * @brief The HTTP listener for operators: /healthz, /readyz, /metrics and,
- * with a token, the administration API below /admin/v1.
+ * @brief The HTTP listener for operators: the status page at /, /healthz,
+ * /readyz, /metrics and, with a token, the administration API below /admin/v1.
  */
 class operators_listener {
  public:
--- a/src/acaciaferry/metrics/latency.cpp
+++ b/src/acaciaferry/metrics/latency.cpp
@@ -74,7 +74,8 @@
 }
 
 duration BoundOf(std::size_t bucket) noexcept {
-  return FromSeconds(kBounds.at(std::min(bucket, kBounds.size() - 1)));
+  return bucket < kBounds.size() ? FromSeconds(kBounds.at(bucket))
+                                 : duration::max();
 }
 
 using buckets = std::array<std::uint64_t, kBuckets>;
--- a/src/acaciaferry/metrics/latency.hpp
+++ b/src/acaciaferry/metrics/latency.hpp
@@ -35,8 +35,8 @@
  */
 struct latency_summary {
   std::uint64_t count{};
-  /** Upper bounds of the buckets that hold these quantiles; the largest bound
-   * when a quantile is above it, and zero when nothing was observed. */
+  /** Upper bounds of the buckets that hold these quantiles; the longest
+   * duration above the last bound, and zero when nothing was observed. */
   duration p50{};
   duration p95{};
 };
--- a/test/acaciaferry/metrics/latency_test.cpp
+++ b/test/acaciaferry/metrics/latency_test.cpp
@@ -70,6 +70,9 @@
   CHECK_EQUAL(100U, summary.count);
   CHECK(summary.p50 == milliseconds(100));
   CHECK(summary.p95 == milliseconds(1'500));
+  labels.length = length_class::kUpTo32k;
+  histogram.Observe(labels, std::chrono::hours(1));
+  CHECK(histogram.Summarize(length_class::kUpTo32k).p95 == duration::max());
   CHECK(histogram.Summarize(length_class::kUpTo4k).p95 == duration::zero());
 }
 
--- a/test/process/metrics.sh
+++ b/test/process/metrics.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Guards against latencies and refusals that are missing from /metrics, and
-# against names of workspaces in it.
+# Guards against latencies and refusals that are missing from /metrics or the
+# status page, and against names of workspaces on either.
 set -euo pipefail
 source "$(dirname "$0")/processes.bash"
 
@@ -20,6 +20,10 @@
 curl -sS "http://127.0.0.1:$port/v1/models" | expect '"code":"unauthenticated"'
 call /v1/completions -d '{"prompt":' | expect '"code":"malformed_request"'
 
+page=$(curl -sS -i "http://127.0.0.1:$operators/")
+expect 'Content-Type: text/html' <<<"$page"
+expect '<td>tx-a</td><td class="number">1</td>' <<<"$page"
+expect '<td>malformed_request</td><td class="number">1</td>' <<<"$page"
 metrics=$(curl -sS "http://127.0.0.1:$operators/metrics")
 answers=$(sed -n 's/^acaciaferry_answers_total //p' <<<"$metrics")
 [ "$answers" -ge 2 ]
@@ -32,8 +36,8 @@
 workspaces=$(sed -n 's/^\[workspace\.\(.*\)\]/\1/p' "$root/examples/works/deployment.ini")
 [ -n "$workspaces" ] || { echo "the example has no workspaces"; exit 1; }
 for workspace in $workspaces; do
-  if grep -q "$workspace" <<<"$metrics"; then
-    echo "the metrics name the workspace $workspace"
+  if grep -q "$workspace" <<<"$metrics$page"; then
+    echo "the workspace $workspace is named without a token"
     exit 1
   fi
 done
