--- a/apps/acaciaferry-bench/main.cpp
+++ b/apps/acaciaferry-bench/main.cpp
@@ -20,7 +20,9 @@
 constexpr int kExitBoundMissed = 1;
 constexpr int kExitFailed = 2;
 constexpr duration kQuickLength = std::chrono::seconds(120);
-constexpr duration kFullLength = std::chrono::seconds(900);
+constexpr duration kFullLength = std::chrono::seconds(600);
+// Twice the longest deadline, of which the first half is not measured.
+constexpr duration kOverloadLength = std::chrono::seconds(600);
 // Loads at which `mixed` is run to find the peak of the goodput.
 constexpr double kPeakLoad = 1.0;
 
--- a/src/acaciaferry/experiment/engine_model.cpp
+++ b/src/acaciaferry/experiment/engine_model.cpp
@@ -42,7 +42,9 @@
 
 engine_model::engine_model(const engine_parameters& parameters,
                            std::uint64_t incarnation)
-    : parameters_(parameters), incarnation_(incarnation) {}
+    : parameters_(parameters),
+      incarnation_(incarnation),
+      cache_(parameters.cache_events_kept) {}
 
 bool engine_model::Submit(engine_stream stream) {
   const bool fits = stream.KvTokens() <= parameters_.kv_capacity_tokens;
--- a/src/acaciaferry/experiment/engine_model.hpp
+++ b/src/acaciaferry/experiment/engine_model.hpp
@@ -108,9 +108,9 @@
   [[nodiscard]] std::uint64_t GeneratedTokens() const noexcept {
     return generated_;
   }
-  /** @return The cache events since the last call. */
-  [[nodiscard]] std::vector<cache_change> TakeCacheChanges() {
-    return cache_.TakeChanges();
+  /** @return The cache events after a sequence that are still kept. */
+  [[nodiscard]] cache_changes CacheChangesAfter(std::uint64_t sequence) const {
+    return cache_.ChangesAfter(sequence);
   }
 
  private:
--- a/src/acaciaferry/experiment/measurement.cpp
+++ b/src/acaciaferry/experiment/measurement.cpp
@@ -10,8 +10,11 @@
 namespace acaciaferry {
 namespace internal {
 
-// Requests sent before this share of the run find an empty fleet.
+// Requests sent before this share of the run find an empty fleet. Overload
+// needs longer: until queues have grown for as long as the longest deadline,
+// a fleet that answers nothing in time in the long run still looks well.
 constexpr int kWarmUpDivisor = 10;
+constexpr int kOverloadWarmUpDivisor = 2;
 constexpr double kRank50 = 0.50;
 constexpr double kRank95 = 0.95;
 constexpr double kRank99 = 0.99;
@@ -22,6 +25,18 @@
              : ToString(ClassifyLength(request.prompt_tokens));
 }
 
+bool IsOverload(const run_plan& plan) noexcept {
+  return plan.load > 1;
+}
+
+duration WarmUp(const run_plan& plan) noexcept {
+  if (plan.scenario == scenario_kind::kIdle) {
+    return duration{};
+  }
+  return plan.length /
+         (IsOverload(plan) ? kOverloadWarmUpDivisor : kWarmUpDivisor);
+}
+
 class class_measurement {
  public:
   class_measurement(const run_plan& plan, std::string_view name) {
@@ -34,20 +49,18 @@
         seen.result != request_result::kPending && seen.total <= seen.deadline;
     row_.late += in_time ? 0 : 1;
     row_.duplicated += !asked.idempotent && seen.executions > 1 ? 1 : 0;
-    const bool warm = row_.plan.scenario == scenario_kind::kIdle ||
-                      asked.sent >= row_.plan.length / kWarmUpDivisor;
-    if (!warm) {
+    const bool answered = seen.result == request_result::kAnswered;
+    if (answered && in_time && CountsForGoodput(asked, seen)) {
+      ++in_time_;
+      in_time_tokens_ += asked.prompt_tokens;
+    }
+    if (asked.sent < WarmUp(row_.plan)) {
       return;
     }
     ++row_.requests;
-    const bool answered = seen.result == request_result::kAnswered;
     row_.answered += answered ? 1 : 0;
     row_.refused += seen.result == request_result::kRefused ? 1 : 0;
     row_.failed += seen.result == request_result::kFailed ? 1 : 0;
-    if (answered && in_time) {
-      ++in_time_;
-      in_time_tokens_ += asked.prompt_tokens;
-    }
     const bool has_first = answered && seen.first_token;
     ttft_ms_.push_back(
         ToMilliseconds(has_first ? *seen.first_token : seen.deadline));
@@ -60,8 +73,7 @@
     row_.ttft_p99_ms = Percentile(ttft_ms_, kRank99);
     const bool idle = row_.plan.scenario == scenario_kind::kIdle;
     const duration window =
-        idle ? result.ended
-             : row_.plan.length - row_.plan.length / kWarmUpDivisor;
+        (idle ? result.ended : row_.plan.length) - WarmUp(row_.plan);
     const double seconds = ToSeconds(window);
     row_.goodput = static_cast<double>(in_time_) / seconds;
     row_.goodput_tokens = static_cast<double>(in_time_tokens_) / seconds;
@@ -70,6 +82,18 @@
   }
 
  private:
+  // In overload the window is one of answers, as the answers to the last
+  // requests meet a load that has ceased. Otherwise it is one of requests, so
+  // that policies which answer everything in time compare as equal.
+  [[nodiscard]] bool CountsForGoodput(const traffic_request& asked,
+                                      const request_record_seen& seen) const {
+    if (!IsOverload(row_.plan)) {
+      return asked.sent >= WarmUp(row_.plan);
+    }
+    const duration answered = asked.sent + seen.total;
+    return answered >= WarmUp(row_.plan) && answered < row_.plan.length;
+  }
+
   measurement_row row_;
   std::uint64_t in_time_{};
   std::uint64_t in_time_tokens_{};
--- a/src/acaciaferry/experiment/measurement.hpp
+++ b/src/acaciaferry/experiment/measurement.hpp
@@ -25,7 +25,8 @@
   /** p95 of `up_to_4k` over its p95 in `short_only`; nothing when
    * `short_only` was not run at the same rate. */
   std::optional<double> short_slowdown_p95;
-  /** Requests answered in time, a second. */
+  /** Requests answered in time, a second: of those sent in the measured part
+   * of the run or, in overload, of those whose answer ended in it. */
   double goodput{};
   /** Prompt tokens of requests answered in time, a second. */
   double goodput_tokens{};
@@ -45,9 +46,10 @@
 /**
  * @brief Simulates a run and measures it.
  *
- * Percentiles are exact, over requests sent after a tenth of the run. A
- * request that was not answered counts with its deadline as time to first
- * token, so that no policy gains by refusing or losing requests.
+ * Percentiles are exact, over requests sent after a tenth of the run, or after
+ * its first half in overload. A request that was not answered counts with its
+ * deadline as time to first token, so that no policy gains by refusing or
+ * losing requests.
  *
  * @param plan The run.
  * @return One row for each class that has requests.
--- a/src/acaciaferry/experiment/parameters.hpp
+++ b/src/acaciaferry/experiment/parameters.hpp
@@ -43,6 +43,9 @@
   std::size_t max_waiting{512};
   /** Tokens of one cached block, as the entry VMs hash them. */
   std::uint64_t block_tokens{2048};
+  /** Cache events that the engine keeps for readers; a poll that comes after
+   * more than these has a gap. */
+  std::size_t cache_events_kept{256};
   /** Generated tokens in one chunk after the first; engines coalesce. */
   std::uint64_t chunk_tokens{16};
   /** Bytes of KV memory for a token, to state leaks in bytes. */
--- a/src/acaciaferry/experiment/prefix_store.cpp
+++ b/src/acaciaferry/experiment/prefix_store.cpp
@@ -1,7 +1,6 @@
 #include "acaciaferry/experiment/prefix_store.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace acaciaferry {
 
@@ -30,21 +29,35 @@
     }
     order_.push_front(block);
     index_.emplace(block, order_.begin());
-    changes_.push_back({++sequence_, true, block});
+    Record(true, block);
   }
   Shrink(limit);
 }
 
 void prefix_store::Shrink(std::size_t limit) {
   while (order_.size() > limit) {
-    changes_.push_back({++sequence_, false, order_.back()});
+    Record(false, order_.back());
     index_.erase(order_.back());
     order_.pop_back();
   }
 }
 
-std::vector<cache_change> prefix_store::TakeChanges() {
-  return std::exchange(changes_, {});
+void prefix_store::Record(bool added, std::uint64_t block) {
+  changes_.push_back({++sequence_, added, block});
+  if (changes_.size() > events_kept_) {
+    changes_.pop_front();
+  }
+}
+
+cache_changes prefix_store::ChangesAfter(std::uint64_t sequence) const {
+  cache_changes result;
+  result.first = changes_.empty() ? sequence_ + 1 : changes_.front().sequence;
+  for (const cache_change& change : changes_) {
+    if (change.sequence > sequence) {
+      result.events.push_back(change);
+    }
+  }
+  return result;
 }
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/experiment/prefix_store.hpp
+++ b/src/acaciaferry/experiment/prefix_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <list>
 #include <span>
 #include <unordered_map>
@@ -15,12 +16,23 @@
   std::uint64_t block{};
 };
 
+/** The cache events that an engine still keeps, as a poll gets them. */
+struct cache_changes {
+  /** Sequence of the oldest event kept; later than the reader's position plus
+   * one when the reader has a gap. */
+  std::uint64_t first{1};
+  std::vector<cache_change> events;
+};
+
 /**
  * @brief The finished prefixes that a modelled engine keeps, least recently
  * used out first.
  */
 class prefix_store {
  public:
+  /** @param events_kept Cache events kept for readers. */
+  explicit prefix_store(std::size_t events_kept) : events_kept_(events_kept) {}
+
   /** @return How many leading blocks of the prompt are kept; they are marked
    * as used. */
   [[nodiscard]] std::size_t Match(std::span<const std::uint64_t> blocks);
@@ -38,13 +50,16 @@
   /** @return Blocks kept. */
   [[nodiscard]] std::size_t Blocks() const noexcept { return order_.size(); }
 
-  /** @return The changes since the last call, in order. */
-  [[nodiscard]] std::vector<cache_change> TakeChanges();
+  /** @return The events after a sequence that are still kept, in order. */
+  [[nodiscard]] cache_changes ChangesAfter(std::uint64_t sequence) const;
 
  private:
+  void Record(bool added, std::uint64_t block);
+
+  std::size_t events_kept_;
   std::list<std::uint64_t> order_;
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> index_;
-  std::vector<cache_change> changes_;
+  std::deque<cache_change> changes_;
   std::uint64_t sequence_{};
 };
 
