Measure reducer slopes and plot the time to first token

Cause: the design size is derived from slopes, and figures by prompt length are easier to compare in a plot.

--- a/apps/acaciaferry-bench/main.cpp
+++ b/apps/acaciaferry-bench/main.cpp
@@ -11,6 +11,8 @@
 
 #include "acaciaferry/experiment/bounds.hpp"
 #include "acaciaferry/experiment/measurement.hpp"
+#include "plot_data.hpp"
+#include "slopes.hpp"
 
 namespace {
 
@@ -30,10 +32,12 @@
   bool quick{};
   bool json{};
   bool check{};
+  bool slopes{};
   std::uint64_t seed{1};
   std::string deployment;
   std::string scenario;
   std::string policy;
+  std::string plot;
   unsigned threads{1};
 };
 
@@ -44,6 +48,11 @@
   TCLAP::SwitchArg json("", "json", "One JSON object a line.", command);
   TCLAP::SwitchArg check("", "check", "Exit with 1 on a missed bound.",
                          command);
+  TCLAP::SwitchArg slopes("", "slopes",
+                          "Measure the reducer by size of the fleet instead.",
+                          command);
+  TCLAP::ValueArg<std::string> plot("", "plot", "Write plot data there.", false,
+                                    "", "DIR", command);
   TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed of the traffic.", false,
                                       1, "N", command);
   TCLAP::ValueArg<std::string> deployment("", "deployment", "works or trust.",
@@ -56,10 +65,18 @@
   TCLAP::ValueArg<unsigned> threads("", "threads", "Runs at once.", false,
                                     cores, "N", command);
   command.parse(argc, argv);
-  return {quick.getValue(),      json.getValue(),
-          check.getValue(),      seed.getValue(),
-          deployment.getValue(), scenario.getValue(),
-          policy.getValue(),     std::max(1U, threads.getValue())};
+  options chosen;
+  chosen.quick = quick.getValue();
+  chosen.json = json.getValue();
+  chosen.check = check.getValue();
+  chosen.slopes = slopes.getValue();
+  chosen.seed = seed.getValue();
+  chosen.deployment = deployment.getValue();
+  chosen.scenario = scenario.getValue();
+  chosen.policy = policy.getValue();
+  chosen.plot = plot.getValue();
+  chosen.threads = std::max(1U, threads.getValue());
+  return chosen;
 }
 
 // The members of an enumeration whose name matches, or all for no name.
@@ -156,7 +173,27 @@
   }
 }
 
+void PrintSlopes(bool json) {
+  if (!json) {
+    std::printf("%8s %6s %-12s %14s %12s\n", "targets", "peers", "event",
+                "events/s", "state bytes");
+  }
+  for (const slope_row& row : MeasureSlopes()) {
+    if (json) {
+      std::cout << ToJson(row) << '\n';
+    } else {
+      std::printf("%8zu %6zu %-12s %14.0f %12zu\n", row.targets, row.peers,
+                  std::string(row.event).c_str(), row.events_per_s,
+                  row.state_bytes);
+    }
+  }
+}
+
 int Run(const options& chosen) {
+  if (chosen.slopes) {
+    PrintSlopes(chosen.json);
+    return kExitRan;
+  }
   std::vector<measurement_row> rows = RunAll(PlanRuns(chosen), chosen.threads);
   AddSlowdowns(rows);
   if (chosen.json) {
@@ -166,6 +203,9 @@
   } else {
     PrintTable(rows);
   }
+  if (!chosen.plot.empty()) {
+    WritePlotData(rows, chosen.plot);
+  }
   bool missed = false;
   std::ostream& report = chosen.json ? std::cerr : std::cout;
   std::cout.flush();
