--- a/src/acaciaferry/deployment/deployment.hpp
+++ b/src/acaciaferry/deployment/deployment.hpp
@@ -47,7 +47,7 @@
   std::uint32_t priority{};
   bool idempotent{true};
   /** Requests of this workload that may wait on one VM. */
-  std::uint64_t queue_limit{};
+  std::uint64_t queue_limit{256};
 };
 
 /**
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -3,8 +3,12 @@
 #include <algorithm>
 
 #include "acaciaferry/reducer/arrival.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/maintenance.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
@@ -44,12 +48,50 @@
 
   void operator()(const vm_list_received& event) const {
     OnVmList(state, event.vms);
+    ObserveVmList(state.reclamation, event.vms, now);
   }
 
   void operator()(const load_report_received& event) const {
     OnLoadReport(state, event.report, now, out);
   }
 
+  void operator()(const operation_key_requested& event) const {
+    OnOperationKeyRequested(state, event, now, out);
+  }
+
+  void operator()(const peer_learnt& event) const {
+    LearnOwner(state.operations, event);
+    ObserveIncarnation(state.reclamation, event.vm, event.incarnation);
+  }
+
+  void operator()(const suspects_heard& event) const {
+    MergeSuspects(state.quarantine, Self(state), event, now);
+  }
+
+  void operator()(const holdings_listed& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const order_answered& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_granted& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_renewed& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_refused& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_lost& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -61,9 +103,15 @@
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
   ExpireRequests(state, now, out);
+  ExpireOperations(state.operations, now);
+  ExpireSuspects(state.quarantine, now);
+  MaintainSpans(state, now, out);
+  CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  internal::StartWaitingSuspects(state, now, out);
   DispatchWaiting(state, now, out);
+  MaintainTargets(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -75,6 +123,9 @@
   const auto consider = [&next](time_point at) {
     next = next ? std::min(*next, at) : at;
   };
+  if (!state.requests.empty()) {
+    consider(state.progress_check_at);
+  }
   if (!state.deadlines.empty()) {
     consider(state.deadlines.begin()->first);
   }
@@ -84,6 +135,12 @@
   if (const auto dispatch_at = NextDispatch(state)) {
     consider(*dispatch_at);
   }
+  if (const auto spans_at = NextSpanTimer(state.spans)) {
+    consider(*spans_at);
+  }
+  if (const auto maintenance_at = NextMaintenance(state)) {
+    consider(*maintenance_at);
+  }
   return next;
 }
 
