Report failure codes and carry the connection of resumed streams

Cause: rows said how many requests were refused, not why, and the merged attempts tell connections of one attempt apart. Change: rows have the field reasons; failures of a resumed stream carry its connection's number.

--- a/src/acaciaferry/experiment/fleet_simulation.cpp
+++ b/src/acaciaferry/experiment/fleet_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <type_traits>
 #include <utility>
 #include <variant>
 
@@ -318,7 +319,8 @@
     } else if constexpr (std::is_same_v<Command, resume_attempt>) {
       heap_.Push(
           now_ + fleet_.connect_timeout,
-          vm_event{vm, attempt_failed{id, transport_error::kConnectFailed}});
+          vm_event{vm, attempt_failed{id, transport_error::kConnectFailed,
+                                      command.connection}});
     }
   }
 
@@ -337,6 +339,10 @@
 
   void Execute(std::size_t /*vm*/, const fail_request& effect) {
     const bool not_run = effect.reason.result == outcome::kNotRun;
+    request_record_seen& seen = result_.requests[effect.request.sequence];
+    if (seen.result == request_result::kPending) {
+      seen.reason = effect.reason.code;
+    }
     EndRequest(effect.request,
                not_run ? request_result::kRefused : request_result::kFailed);
   }
@@ -383,16 +389,32 @@
   void Do(target_command& work) {
     simulated_target& target = targets_[work.target];
     if (!target.alive) {
-      Answer(work.target, work.vm,
-             attempt_failed{std::visit([](const auto& c) { return c.attempt; },
-                                       work.command),
-                            transport_error::kConnectionLost});
+      std::visit(
+          [&](const auto& command) { Reset(work.target, work.vm, command); },
+          work.command);
       return;
     }
     std::visit([&](auto& command) { Serve(work.target, work.vm, command); },
                work.command);
   }
 
+  // The target died while the command was on its way.
+  void Reset(std::size_t index, std::size_t vm, const start_attempt& command) {
+    Answer(index, vm,
+           attempt_failed{command.attempt, transport_error::kConnectionLost});
+  }
+
+  void Reset(std::size_t index, std::size_t vm, const resume_attempt& command) {
+    Answer(index, vm,
+           attempt_failed{command.attempt, transport_error::kConnectionLost,
+                          command.connection});
+  }
+
+  // The outcome of a cancellation concerns nobody.
+  void Reset(std::size_t /*index*/,
+             std::size_t /*vm*/,
+             const cancel_attempt& /*command*/) const {}
+
   void Serve(std::size_t index, std::size_t vm, const start_attempt& command) {
     simulated_target& target = targets_[index];
     const traffic_request& asked = traffic_[command.attempt.request.sequence];
@@ -429,7 +451,8 @@
                                : std::nullopt;
     if (!generated) {
       Answer(index, vm,
-             attempt_failed{command.attempt, transport_error::kUnknownStream});
+             attempt_failed{command.attempt, transport_error::kUnknownStream,
+                            command.connection});
       return;
     }
     Answer(index, vm,
--- a/src/acaciaferry/experiment/fleet_simulation.hpp
+++ b/src/acaciaferry/experiment/fleet_simulation.hpp
@@ -6,6 +6,7 @@
 #include <span>
 #include <vector>
 
+#include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/experiment/baseline.hpp"
 #include "acaciaferry/experiment/fleet_document.hpp"
@@ -32,6 +33,8 @@
  */
 struct request_record_seen {
   request_result result{request_result::kPending};
+  /** Why it was refused or failed; nothing when it was answered. */
+  std::optional<failure_code> reason;
   /** From sending, as the client measures. */
   std::optional<duration> first_token;
   duration total{};
--- a/src/acaciaferry/experiment/measurement.cpp
+++ b/src/acaciaferry/experiment/measurement.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/length_class.hpp"
 
 namespace acaciaferry {
@@ -61,6 +62,9 @@
     row_.answered += answered ? 1 : 0;
     row_.refused += seen.result == request_result::kRefused ? 1 : 0;
     row_.failed += seen.result == request_result::kFailed ? 1 : 0;
+    if (seen.reason) {
+      ++row_.reasons[Describe(*seen.reason).code];
+    }
     const bool has_first = answered && seen.first_token;
     ttft_ms_.push_back(
         ToMilliseconds(has_first ? *seen.first_token : seen.deadline));
@@ -173,6 +177,7 @@
                               {"answered", row.answered},
                               {"refused", row.refused},
                               {"failed", row.failed},
+                              {"reasons", row.reasons},
                               {"late", row.late},
                               {"duplicated", row.duplicated},
                               {"leaked_bytes", row.leaked_bytes}};
--- a/src/acaciaferry/experiment/measurement.hpp
+++ b/src/acaciaferry/experiment/measurement.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -33,6 +34,8 @@
   std::uint64_t answered{};
   std::uint64_t refused{};
   std::uint64_t failed{};
+  /** Refused and failed requests by failure code. */
+  std::map<std::string_view, std::uint64_t> reasons;
   /** Ended after the deadline, or never. */
   std::uint64_t late{};
   /** Calls that are not idempotent and ran more than once. */
