Fix a dangling view in the derivation of loaded models

Cause: a conditional expression made a temporary string that the view of the adapters outlived; the address sanitizer reported stack-use-after-scope. Change: the view is taken of the answer itself.

--- a/src/acaciaferry/questionnaire/derive.cpp
+++ b/src/acaciaferry/questionnaire/derive.cpp
@@ -157,7 +157,10 @@
   static std::string LoadedModels(const model_answers& model) {
     const std::string base = model.name + "@" + model.version;
     std::string list = base;
-    std::string_view adapters = model.adapters == "-" ? "" : model.adapters;
+    std::string_view adapters = model.adapters;
+    if (adapters == "-") {
+      adapters = {};
+    }
     while (!adapters.empty()) {
       const std::size_t comma = std::min(adapters.find(','), adapters.size());
       list.append(",").append(base).append("+").append(
