Add complete stand-ins for engines, services and the platform

The thin stand-ins had no memory, no batching, no faults and no answers that a caller could verify.

The engine stand-in now batches under a token budget, chunks prefills, accounts for KV memory, keeps a prefix cache with late and lossy events, resumes and cancels streams, and serves reservations, holdings and orders.

A body that arrives byte by byte was never timed out, because the listener read whole 64 KiB buffers, and a negative Content-Length got 413. bad_input.sh fails on the old listener in the byte-by-byte case and passes on this one.

--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -50,6 +50,9 @@
                      HTTPServerResponse& response,
                      const callers_context& context) {
   const std::uint64_t limit = context.settings.max_body_bytes;
+  if (request.hasContentLength() && request.getContentLength64() < 0) {
+    throw Refused(failure_code::kMalformedRequest);
+  }
   if (request.hasContentLength() &&
       static_cast<std::uint64_t>(request.getContentLength64()) > limit) {
     throw Refused(failure_code::kRequestTooLarge);
@@ -61,9 +64,12 @@
   std::string body;
   std::string buffer(kReadBytes, '\0');
   std::istream& stream = request.stream();
-  while (stream.good()) {
-    stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
-    body.append(buffer, 0, static_cast<std::size_t>(stream.gcount()));
+  // Takes what one receive gives: a blocking read of a whole buffer would never
+  // look at the time limit of a caller that sends byte by byte.
+  while (stream.peek() != std::istream::traits_type::eof()) {
+    const std::streamsize count = stream.readsome(
+        buffer.data(), static_cast<std::streamsize>(buffer.size()));
+    body.append(buffer, 0, static_cast<std::size_t>(count));
     if (body.size() > limit) {
       throw Refused(failure_code::kRequestTooLarge);
     }
@@ -74,6 +80,10 @@
   const bool half_sent =
       request.hasContentLength() &&
       body.size() != static_cast<std::uint64_t>(request.getContentLength64());
+  // A receive that times out ends the stream as a closed connection does.
+  if (half_sent && context.clock.Now() > end) {
+    throw Refused(failure_code::kRequestTooSlow);
+  }
   if (half_sent) {
     throw Refused(failure_code::kMalformedRequest);
   }
--- a/standin/acaciaferry-standin-engine/main.cpp
+++ b/standin/acaciaferry-standin-engine/main.cpp
@@ -1,126 +1,75 @@
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerResponse.h>
-#include <Poco/Net/ServerSocket.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
-#include <signal.h>
 #include <tclap/CmdLine.h>
 
-#include <atomic>
 #include <chrono>
-#include <iostream>
-#include <nlohmann/json.hpp>
-#include <thread>
+#include <cstdint>
+#include <string>
 
-namespace {
-
-using nlohmann::json;
-using Poco::Net::HTTPServerRequest;
-using Poco::Net::HTTPServerResponse;
-
-struct engine {
-  std::string name;
-  std::uint64_t incarnation{};
-  std::chrono::milliseconds per_token{};
-  std::atomic<std::uint64_t> running{};
-  std::atomic<std::uint64_t> sequence{};
-};
-
-class handler final : public Poco::Net::HTTPRequestHandler {
- public:
-  explicit handler(engine& engine) : engine_(engine) {}
-
-  void handleRequest(HTTPServerRequest& request,
-                     HTTPServerResponse& response) override {
-    if (request.getURI() == "/v1/load") {
-      SendLoad(response);
-    } else {
-      Complete(request, response);
-    }
-  }
-
- private:
-  void SendLoad(HTTPServerResponse& response) {
-    const json report{{"target", engine_.name},
-                      {"incarnation", engine_.incarnation},
-                      {"state", "serving"},
-                      {"sequence", ++engine_.sequence},
-                      {"running", engine_.running.load()}};
-    response.setContentType("application/json");
-    response.send() << report.dump();
-  }
-
-  void Complete(HTTPServerRequest& request, HTTPServerResponse& response) {
-    std::string text;
-    Poco::StreamCopier::copyToString(request.stream(), text);
-    const json body = json::parse(text, nullptr, false);
-    const auto tokens = body.is_object() ? body.value("max_tokens", 16U) : 0U;
-    response.setContentType("text/event-stream");
-    response.setChunkedTransferEncoding(true);
-    std::ostream& out = response.send();
-    ++engine_.running;
-    std::uint64_t offset = 0;
-    for (unsigned i = 0; i < tokens; ++i) {
-      std::this_thread::sleep_for(engine_.per_token);
-      const std::string word = "token" + std::to_string(i) + " ";
-      out << "data: " << json{{"offset", offset}, {"text", word}}.dump()
-          << "\n\n"
-          << std::flush;
-      offset += word.size();
-    }
-    --engine_.running;
-    const json end{
-        {"offset", offset}, {"end", true}, {"finish_reason", "length"}};
-    out << "data: " << end.dump() << "\n\n" << std::flush;
-  }
-
-  engine& engine_;
-};
-
-class handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit handler_factory(engine& engine) : engine_(engine) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
-    return new handler(engine_);
-  }
-
- private:
-  engine& engine_;
-};
-
-}  // namespace
+#include "engine_server.hpp"
 
 int main(int argc, char** argv) {
+  using acaciaferry::standin::engine_parameters;
+  using acaciaferry::standin::engine_server;
+  const engine_parameters defaults;
   TCLAP::CmdLine command("Stands in for a model engine.", ' ', "0.1.0");
   TCLAP::ValueArg<std::string> address("", "address", "Listen address.", true,
                                        "", "IP:PORT", command);
   TCLAP::ValueArg<std::string> name("", "name", "Target id.", true, "", "NAME",
                                     command);
-  TCLAP::ValueArg<int> per_token("", "token-ms", "Time between tokens.", false,
-                                 5, "MS", command);
+  TCLAP::MultiArg<std::string> models(
+      "", "model", "A loaded model; without one, all are served.", false,
+      "MODEL", command);
+  TCLAP::ValueArg<double> speed("", "speed", "Factor on all rates.", false,
+                                defaults.speed, "FACTOR", command);
+  TCLAP::ValueArg<double> prefill("", "prefill-rate",
+                                  "Prompt tokens a second at speed 1.", false,
+                                  defaults.prefill_tokens_per_s, "N", command);
+  TCLAP::ValueArg<double> decode("", "token-ms",
+                                 "Time of a decoding step at speed 1.", false,
+                                 defaults.decode_ms_per_token, "MS", command);
+  TCLAP::ValueArg<std::uint64_t> step("", "step-tokens",
+                                      "Token budget of a step.", false,
+                                      defaults.step_tokens, "N", command);
+  TCLAP::ValueArg<std::uint64_t> kv("", "kv-tokens", "KV memory in tokens.",
+                                    false, defaults.kv_capacity_tokens, "N",
+                                    command);
+  TCLAP::ValueArg<std::uint64_t> max_running(
+      "", "max-running", "Streams in a batch.", false, defaults.max_running,
+      "N", command);
+  TCLAP::ValueArg<std::uint64_t> max_waiting(
+      "", "max-waiting", "Streams that may wait.", false, defaults.max_waiting,
+      "N", command);
+  TCLAP::ValueArg<std::int64_t> keep(
+      "", "keep-ms", "Time for which a finished stream can be resumed.", false,
+      10'000, "MS", command);
+  TCLAP::ValueArg<std::int64_t> report_lag(
+      "", "report-lag-ms", "Lag of load reports.", false, 0, "MS", command);
+  TCLAP::ValueArg<std::int64_t> event_lag(
+      "", "event-lag-ms", "Lag of cache events.", false, 0, "MS", command);
+  TCLAP::ValueArg<std::uint64_t> event_loss(
+      "", "event-loss-per-mille", "Share of cache events that are lost.", false,
+      0, "N", command);
+  TCLAP::SwitchArg ignore_fencing("", "ignore-fencing",
+                                  "Accept orders with an old number.", command);
   command.parse(argc, argv);
-  engine engine{.name = name.getValue(),
-                .incarnation = 1,
-                .per_token = std::chrono::milliseconds(per_token.getValue())};
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  Poco::Net::HTTPServer server(
-      new handler_factory(engine),
-      Poco::Net::ServerSocket(Poco::Net::SocketAddress(address.getValue())),
-      new Poco::Net::HTTPServerParams);
-  server.start();
-  std::cout << "port=" << server.port() << std::endl;
-  int signal = 0;
-  sigwait(&signals, &signal);
-  server.stopAll(true);
-  return 0;
+  using std::chrono::milliseconds;
+  const auto& model_list = models.getValue();
+  engine_server server(
+      {.name = name.getValue(),
+       .incarnation = acaciaferry::standin::MakeTargetIncarnation(),
+       .kv_capacity_tokens = kv.getValue(),
+       .step_tokens = step.getValue(),
+       .max_running = max_running.getValue(),
+       .max_waiting = max_waiting.getValue(),
+       .prefill_tokens_per_s = prefill.getValue(),
+       .decode_ms_per_token = decode.getValue(),
+       .speed = speed.getValue(),
+       .keep_finished = milliseconds(keep.getValue()),
+       .checks_fencing = !ignore_fencing.getValue(),
+       .models = {model_list.begin(), model_list.end()}});
+  server.SetLags(milliseconds(report_lag.getValue()),
+                 milliseconds(event_lag.getValue()), event_loss.getValue());
+  acaciaferry::standin::ServeUntilSignal(
+      address.getValue(), [&server](auto& request, auto& response) {
+        server.Handle(request, response);
+      });
 }
