--- /dev/null
+++ b/tools/fleet.py
@@ -0,0 +1,350 @@
+#!/usr/bin/env python3
+"""Starts a whole deployment on loopback and runs load against it."""
+
+import argparse
+import contextlib
+import dataclasses
+import json
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+BIN = ROOT / "build" / "bin"
+START_TIMEOUT_S = 30
+STOP_TIMEOUT_S = 15
+ENTRY_VMS = 7
+SERVICE_TARGETS = 3
+# At this speed a million tokens are prefilled in about five seconds.
+ENGINE_SPEED = 10
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """What differs between the deployments of section 1.1 of the design."""
+
+    region: str
+    domains: tuple
+    engines: int
+    model: str
+    service: str
+    mutating_path: str
+    reading_path: str
+    checks_fencing: bool
+
+
+DEPLOYMENTS = {
+    "works": Deployment("central-tx", ("tx-a", "tx-b", "tx-c"), 15, "batch-model", "kiosk",
+                        "/vat-release", "/stock", True),
+    "trust": Deployment("addis", ("addis-a", "addis-b", "addis-c"), 25, "drafting-model",
+                        "permit-ledger", "/permits", "/status", False),
+}
+
+
+class FleetError(Exception):
+    """A process of the fleet did not start or stop as it should."""
+
+
+@dataclasses.dataclass
+class Member:
+    """One process of the fleet."""
+
+    name: str
+    role: str
+    domain: str
+    command: list
+    log: pathlib.Path
+    process: subprocess.Popen = None
+    address: str = ""
+    operators_address: str = ""
+    listed_state: str = "live"
+
+    def start(self):
+        with open(self.log, "ab") as log:
+            offset = log.tell()
+            self.process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
+                                            stdin=subprocess.DEVNULL, start_new_session=True)
+        self.address = f"127.0.0.1:{self._wait_for_port(offset)}"
+
+    def _wait_for_port(self, offset):
+        end = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < end:
+            text = self.log.read_bytes()[offset:].decode(errors="replace")
+            for word in text.split():
+                if word.startswith("port=") and word[5:].isdigit():
+                    return int(word[5:])
+            if self.process.poll() is not None:
+                break
+            time.sleep(0.02)
+        raise FleetError(f"{self.name} did not start; see {self.log}")
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.is_running():
+            self.process.send_signal(number)
+
+
+def control(address, verb, body=None):
+    """Sends a control switch to a stand-in and returns its state."""
+    request = urllib.request.Request(f"http://{address}/control/{verb}", method="POST",
+                                     data=json.dumps(body or {}).encode())
+    with urllib.request.urlopen(request, timeout=10) as reply:
+        return json.load(reply)
+
+
+class Fleet:
+    """Three failure domains with entry VMs, engines, services and a platform."""
+
+    def __init__(self, name, directory):
+        self.deployment_name = name
+        self.deployment = DEPLOYMENTS[name]
+        self.directory = pathlib.Path(directory)
+        self.members = []
+        self.vms_file = self.directory / "vms.json"
+        self.configuration_file = self.directory / "configuration.json"
+
+    # Start and stop
+
+    def start(self):
+        self._start_targets()
+        self.write_vm_list()
+        document = ROOT / "examples" / self.deployment_name / "deployment.ini"
+        self.write_configuration(1, document.read_text())
+        platform = self._add("platform", "platform", "", [
+            BIN / "acaciaferry-standin-platform", "--address", "127.0.0.1:0",
+            "--vms", self.vms_file, "--configuration", self.configuration_file])
+        platform.start()
+        for number in range(ENTRY_VMS):
+            self._start_entry(number, platform.address, document)
+        self.write_vm_list()
+        self._wait_until_ready()
+
+    def stop(self):
+        """Ends the daemons first, so that they can finish their requests."""
+        for roles in (("entry",), ("engine", "service", "platform")):
+            chosen = [member for member in self.members if member.role in roles]
+            for member in chosen:
+                member.signal(signal.SIGCONT)
+                member.signal(signal.SIGTERM)
+            end = time.monotonic() + STOP_TIMEOUT_S
+            for member in chosen:
+                if member.process is None:
+                    continue
+                try:
+                    member.process.wait(max(end - time.monotonic(), 0.01))
+                except subprocess.TimeoutExpired:
+                    print(f"fleet: {member.name} did not stop, killing it", file=sys.stderr)
+                    member.process.kill()
+                    member.process.wait()
+
+    def _add(self, name, role, domain, command):
+        member = Member(name, role, domain, [str(part) for part in command],
+                        self.directory / f"{name}.log")
+        self.members.append(member)
+        return member
+
+    def _start_targets(self):
+        kind = self.deployment
+        for number in range(kind.engines):
+            command = [BIN / "acaciaferry-standin-engine", "--address", "127.0.0.1:0",
+                       "--name", f"engine{number}", "--model", kind.model,
+                       "--speed", ENGINE_SPEED, "--report-lag-ms", 300,
+                       "--event-lag-ms", 500, "--event-loss-per-mille", 10]
+            command += [] if kind.checks_fencing else ["--ignore-fencing"]
+            self._add(f"engine{number}", "engine", self._domain(number), command).start()
+        for number in range(SERVICE_TARGETS):
+            self._add(f"service{number}", "service", self._domain(number), [
+                BIN / "acaciaferry-standin-service", "--address", "127.0.0.1:0",
+                "--name", f"service{number}"]).start()
+
+    def _domain(self, number):
+        domains = self.deployment.domains
+        return domains[number % len(domains)]
+
+    def _start_entry(self, number, platform, document):
+        name = f"entry{number}"
+        settings = self.directory / f"{name}.ini"
+        member = self._add(name, "entry", self._domain(number),
+                           [BIN / "acaciaferryd", "--config", settings])
+        text = "\n".join([
+            "[vm]", f"name = {name}", f"failure_domain = {member.domain}",
+            f"region = {self.deployment.region}", "drain_grace_ms = 500",
+            "[callers]", "address = 127.0.0.1:0",
+            "[operators]", "address = 127.0.0.1:0",
+            "[platform]", f"vm_list = {platform}", "{source}", ""])
+        settings.write_text(text.format(source=f"configuration_service = {platform}"))
+        member.start()
+        if not self._serves(member):
+            member.signal(signal.SIGTERM)
+            member.process.wait()
+            settings.write_text(text.format(source=f"deployment_file = {document}"))
+            member.start()
+
+    def _serves(self, member):
+        """Tells whether a daemon has taken its configuration from the service."""
+        if self.uses_configuration_file():
+            return False
+        end = time.monotonic() + 3
+        while time.monotonic() < end:
+            reply = self.try_completion(member)
+            # Without a configuration, a daemon knows no workspace.
+            if "no_configuration" not in reply and "unauthenticated" not in reply:
+                return True
+            time.sleep(0.1)
+        self._service_unsupported = True
+        return False
+
+    _service_unsupported = False
+
+    def uses_configuration_file(self):
+        return self._service_unsupported
+
+    def try_completion(self, member):
+        """Sends a tiny completion and returns the reply's text."""
+        body = json.dumps({"model": self.deployment.model, "prompt": "ready?", "max_tokens": 1})
+        request = urllib.request.Request(f"http://{member.address}/v1/completions",
+                                         data=body.encode(),
+                                         headers={"Authorization": "Bearer secret"})
+        try:
+            with urllib.request.urlopen(request, timeout=10) as reply:
+                return reply.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.read().decode()
+        except OSError as error:
+            return f"no_configuration: {error}"
+
+    def _wait_until_ready(self):
+        end = time.monotonic() + START_TIMEOUT_S
+        for member in self.by_role("entry"):
+            while '"choices"' not in (reply := self.try_completion(member)):
+                if time.monotonic() > end:
+                    raise FleetError(f"{member.name} is not ready: {reply}")
+                time.sleep(0.1)
+
+    # What tests may change while the fleet runs
+
+    def by_role(self, role):
+        return [member for member in self.members if member.role == role]
+
+    def write_vm_list(self):
+        """Lists the members that have been started, as the platform sees them."""
+        kind = self.deployment
+        pools = {"engine": kind.model, "service": kind.service, "entry": ""}
+        vms = [{"name": member.name, "address": member.address,
+                "failure_domain": member.domain, "region": kind.region, "role": member.role,
+                "pool": pools[member.role], "state": member.listed_state, "incarnation": 0}
+               for member in self.members if member.role in pools and member.address]
+        self._replace(self.vms_file, {"vms": vms})
+
+    def write_configuration(self, revision, document):
+        self._replace(self.configuration_file, {"revision": revision, "document": document})
+
+    @staticmethod
+    def _replace(path, value):
+        partial = path.with_suffix(".partial")
+        partial.write_text(json.dumps(value))
+        partial.replace(path)
+
+    # Load
+
+    def load_command(self, options, report):
+        kind = self.deployment
+        command = [BIN / "acaciaferry-load", "--text", ROOT, "--model", kind.model,
+                   "--service", kind.service, "--mutating-path", kind.mutating_path,
+                   "--reading-path", kind.reading_path, "--seed", options.seed,
+                   "--seconds", options.seconds, "--rate", options.rate, "--json", report]
+        for member in self.by_role("entry"):
+            command += ["--entry", member.address]
+        for member in self.by_role("service"):
+            command += ["--journal", member.address]
+        return [str(part) for part in command]
+
+
+def raise_interrupt(_number, _frame):
+    raise KeyboardInterrupt
+
+
+@contextlib.contextmanager
+def running_fleet(options):
+    """Starts a fleet and ends every process of it, whatever happens."""
+    directory = pathlib.Path(options.keep_logs or tempfile.mkdtemp(prefix="acaciaferry-"))
+    directory.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(options.deployment, directory)
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, raise_interrupt)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        signal.signal(signal.SIGINT, signal.SIG_IGN)
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        fleet.stop()
+        if not options.keep_logs:
+            shutil.rmtree(directory, ignore_errors=True)
+
+
+def run_load(fleet, options):
+    """Runs the load tool to its end and returns its exit code and output."""
+    report = fleet.directory / "load.json"
+    load = subprocess.Popen(fleet.load_command(options, report), stdout=subprocess.PIPE, text=True)
+    try:
+        output, _ = load.communicate()
+    finally:
+        if load.poll() is None:
+            load.kill()
+            load.wait()
+    return load.returncode, output
+
+
+def demo(options):
+    with running_fleet(options) as fleet:
+        count = {role: len(fleet.by_role(role)) for role in ("entry", "engine", "service")}
+        source = "a file" if fleet.uses_configuration_file() else "the configuration service"
+        print(f"fleet: {options.deployment}, {len(fleet.deployment.domains)} failure domains, "
+              f"{count['entry']} entry VMs, {count['engine']} engines, "
+              f"{count['service']} service targets; configuration from {source}", flush=True)
+        code, output = run_load(fleet, options)
+        dead = [member.name for member in fleet.members if not member.is_running()]
+    if dead:
+        print(f"fleet: processes that ended early: {', '.join(dead)}")
+    # The ledger line comes last.
+    print(output, end="", flush=True)
+    return 1 if dead or code else 0
+
+
+VERBS = {"demo": demo}
+
+
+def parse_options():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("verb", choices=sorted(VERBS))
+    parser.add_argument("--seconds", type=int, default=60, help="time during which load is sent")
+    parser.add_argument("--seed", type=int, default=1, help="seed of the load")
+    parser.add_argument("--rate", type=float, default=30, help="requests a second")
+    parser.add_argument("--deployment", choices=sorted(DEPLOYMENTS), default="works")
+    parser.add_argument("--keep-logs", metavar="DIR", help="keep logs and settings here")
+    return parser.parse_args()
+
+
+def main():
+    options = parse_options()
+    try:
+        return VERBS[options.verb](options)
+    except FleetError as error:
+        print(f"fleet: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        print("fleet: interrupted, all processes ended", file=sys.stderr)
+        return 130
+
+
+if __name__ == "__main__":
+    sys.exit(main())
