--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -8,6 +8,9 @@
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -24,6 +27,8 @@
   std::uint32_t priority{};
   /** Reservation ids of a span, head engine first; empty for one engine. */
   std::vector<std::string> reservations;
+  /** Whether the target is the callers' listener of another VM. */
+  bool forward{};
 };
 
 /** Ask for a stream again, from an offset on, over a new connection. */
@@ -31,6 +36,8 @@
   attempt_id attempt;
   std::string address;
   std::uint64_t offset{};
+  /** Number of the new connection, from 1; its failures carry it. */
+  std::uint32_t connection{};
 };
 
 /** Stop an attempt and release what it holds on the target. */
@@ -45,6 +52,8 @@
   request_id request;
   int http_status{};
   std::string content_type;
+  /** As the minting VM reported it for a forwarded call. */
+  outcome result{outcome::kRan};
 };
 
 /** Send a part of the answer to the caller. */
@@ -63,6 +72,8 @@
 struct fail_request {
   request_id request;
   failure reason;
+  /** A fresh key for the call that needs one; otherwise empty. */
+  std::string operation_key;
 };
 
 /** All in-flight work has ended after a drain; the process may exit. */
@@ -78,6 +89,9 @@
 struct count_report {
   report_verdict verdict{};
 };
+struct count_order {
+  order_verdict verdict{};
+};
 
 using effect = std::variant<start_attempt,
                             resume_attempt,
@@ -89,7 +103,14 @@
                             drain_completed,
                             count_refusal,
                             count_retry,
-                            count_report>;
+                            count_report,
+                            count_order,
+                            reserve_memory,
+                            renew_reservation,
+                            release_reservation,
+                            list_holdings,
+                            release_holding,
+                            issue_order>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -5,6 +5,12 @@
 #include "acaciaferry/attempts/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/membership/event.hpp"
+#include "acaciaferry/operations/event.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -45,6 +51,15 @@
                            attempt_progressed,
                            answer_chunk,
                            answer_ended,
-                           attempt_failed>;
+                           attempt_failed,
+                           operation_key_requested,
+                           peer_learnt,
+                           suspects_heard,
+                           reservation_granted,
+                           reservation_renewed,
+                           reservation_refused,
+                           reservation_lost,
+                           holdings_listed,
+                           order_answered>;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -2,7 +2,14 @@
 
 #include <algorithm>
 
+#include "acaciaferry/reducer/arrival.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
+#include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/maintenance.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
+#include "acaciaferry/reducer/span_events.hpp"
+#include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -18,7 +25,7 @@
   }
 
   void operator()(const caller_gone& event) const {
-    OnCallerGone(state, event.request, out);
+    OnCallerGone(state, event.request, now, out);
   }
 
   void operator()(const deployment_received& event) const {
@@ -26,6 +33,7 @@
         !state.config || event.config.revision > state.config->revision;
     if (is_newer) {
       state.config = event.config;
+      ConfigureWorkspaces(state.workspaces, event.config, now);
     }
   }
 
@@ -39,12 +47,49 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ApplyVmList(state.targets, event.vms);
+    OnVmList(state, event.vms);
+    ObserveVmList(state.reclamation, event.vms, now);
   }
 
   void operator()(const load_report_received& event) const {
-    out.push_back(
-        count_report{ApplyLoadReport(state.targets, event.report, now)});
+    OnLoadReport(state, event.report, now, out);
+  }
+
+  void operator()(const operation_key_requested& event) const {
+    OnOperationKeyRequested(state, event, now, out);
+  }
+
+  void operator()(const peer_learnt& event) const {
+    LearnOwner(state.operations, event);
+    ObserveIncarnation(state.reclamation, event.vm, event.incarnation);
+  }
+
+  void operator()(const suspects_heard& event) const {
+    MergeSuspects(state.quarantine, Self(state), event, now);
+  }
+
+  void operator()(const holdings_listed& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const order_answered& event) const {
+    OnMaintenanceEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_granted& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_renewed& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_refused& event) const {
+    OnSpanEvent(state, event, now, out);
+  }
+
+  void operator()(const reservation_lost& event) const {
+    OnSpanEvent(state, event, now, out);
   }
 
   template <typename AttemptEvent>
@@ -58,8 +103,15 @@
 effects Reduce(state& state, const event& event, time_point now) {
   effects out;
   ExpireRequests(state, now, out);
+  ExpireOperations(state.operations, now);
+  ExpireSuspects(state.quarantine, now);
+  MaintainSpans(state, now, out);
+  CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  internal::StartWaitingSuspects(state, now, out);
+  DispatchWaiting(state, now, out);
+  MaintainTargets(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
   }
@@ -71,12 +123,24 @@
   const auto consider = [&next](time_point at) {
     next = next ? std::min(*next, at) : at;
   };
+  if (!state.requests.empty()) {
+    consider(state.progress_check_at);
+  }
   if (!state.deadlines.empty()) {
     consider(state.deadlines.begin()->first);
   }
   if (state.accept_until && !state.closed) {
     consider(*state.accept_until);
   }
+  if (const auto dispatch_at = NextDispatch(state)) {
+    consider(*dispatch_at);
+  }
+  if (const auto spans_at = NextSpanTimer(state.spans)) {
+    consider(*spans_at);
+  }
+  if (const auto maintenance_at = NextMaintenance(state)) {
+    consider(*maintenance_at);
+  }
   return next;
 }
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -43,7 +43,7 @@
     "works": Deployment("central-tx", ("tx-a", "tx-b", "tx-c"), 15, "batch-model", "kiosk",
                         "/vat-release", "/stock", True),
     "trust": Deployment("addis", ("addis-a", "addis-b", "addis-c"), 25, "drafting-model",
-                        "permit-ledger", "/permits", "/status", False),
+                        "permit-ledger", "/permits", "/permits", False),
 }
 
 
