Serve loaded versions of a model in the engine stand-in

Orders name models as MODEL@VERSION+ADAPTER, while requests name the model, so an engine with a loaded version would have refused its requests. A renewal may also carry a new lease length.

--- a/src/acaciaferry/standin/engine_core.cpp
+++ b/src/acaciaferry/standin/engine_core.cpp
@@ -10,6 +10,12 @@
 
 constexpr double kMillisecondsPerSecond = 1'000;
 
+// A loaded model is named MODEL, MODEL@VERSION or MODEL@VERSION+ADAPTER.
+std::string FullName(const order& order) {
+  return order.model + (order.version.empty() ? "" : "@" + order.version) +
+         (order.adapter.empty() ? "" : "+" + order.adapter);
+}
+
 std::uint64_t MemoryNeed(const stream_request& request) noexcept {
   return request.prompt_tokens + request.max_output_tokens;
 }
@@ -174,10 +180,11 @@
     return order_verdict::kDone;
   }
   any_model_ = false;
+  const std::string name = internal::FullName(order);
   if (order.action == order_action::kLoad) {
-    models_.insert(order.model);
+    models_.insert(name);
   } else {
-    models_.erase(order.model);
+    models_.erase(name);
   }
   return order_verdict::kDone;
 }
@@ -203,7 +210,10 @@
 }
 
 bool engine_core::ServesModel(const std::string& model) const {
-  return any_model_ || models_.contains(model);
+  const auto serves = [&model](const std::string& loaded) {
+    return loaded == model || loaded.starts_with(model + "@");
+  };
+  return any_model_ || std::any_of(models_.begin(), models_.end(), serves);
 }
 
 std::string engine_core::LocalReservation(const stream_request& request) const {
--- a/src/acaciaferry/standin/kv_memory.cpp
+++ b/src/acaciaferry/standin/kv_memory.cpp
@@ -35,11 +35,14 @@
   return true;
 }
 
-bool kv_memory::Renew(const std::string& id, time_point now) {
+bool kv_memory::Renew(const std::string& id,
+                      time_point now,
+                      std::optional<duration> lease) {
   const auto found = holdings_.find(id);
   if (found == holdings_.end() || found->second.lease == duration{}) {
     return false;
   }
+  found->second.lease = lease.value_or(found->second.lease);
   found->second.lease_end = now + found->second.lease;
   return true;
 }
--- a/src/acaciaferry/standin/kv_memory.hpp
+++ b/src/acaciaferry/standin/kv_memory.hpp
@@ -61,8 +61,14 @@
   /** @return Whether there was a holding of that id. */
   bool Release(const std::string& id);
 
-  /** @return Whether a leased holding of that id was prolonged. */
-  [[nodiscard]] bool Renew(const std::string& id, time_point now);
+  /**
+   * @brief Renews a lease.
+   * @param lease The new length, or nothing to keep the one it had.
+   * @return Whether there was a leased holding of that id.
+   */
+  [[nodiscard]] bool Renew(const std::string& id,
+                           time_point now,
+                           std::optional<duration> lease = std::nullopt);
 
   /** @return The ids of the holdings that were freed. */
   std::vector<std::string> FreeLapsedLeases(time_point now);
--- a/standin/acaciaferry-standin-engine/engine_server.cpp
+++ b/standin/acaciaferry-standin-engine/engine_server.cpp
@@ -415,8 +415,12 @@
     core_.ReleaseHolding(id);
   } else if (id.ends_with("/renew")) {
     id.resize(id.size() - std::string_view("/renew").size());
-    status =
-        core_.Memory().Renew(id, now) ? internal::kOk : internal::kNotFound;
+    std::optional<duration> lease;
+    if (body.contains("lease_ms")) {
+      lease = std::chrono::milliseconds(body["lease_ms"].get<std::int64_t>());
+    }
+    status = core_.Memory().Renew(id, now, lease) ? internal::kOk
+                                                  : internal::kNotFound;
   } else {
     holding value = internal::MakeHolding(body, body.at("id"),
                                           holding_kind::kReservation, now);
--- a/test/acaciaferry/standin/engine_core_test.cpp
+++ b/test/acaciaferry/standin/engine_core_test.cpp
@@ -166,3 +166,22 @@
   CHECK(unfenced.Apply(load) == order_verdict::kDone);
   CHECK_EQUAL(5, unfenced.Load().fencing);
 }
+
+// Guards against requests for a model that are refused although a version of
+// it is loaded, or served although none is.
+TEST(EngineCore, LoadedVersionServesItsModel) {
+  order load;
+  load.fencing = 1;
+  load.model = "batch-model@v1";
+  CHECK(core.Apply(load) == order_verdict::kDone);
+  stream_request request = Stream("s", start);
+  request.model = "batch-model";
+  CHECK(core.Submit(request, start) == submit_verdict::kAccepted);
+  request.id = "t";
+  request.model = "batch";
+  CHECK(core.Submit(request, start) == submit_verdict::kUnknownModel);
+  load.action = order_action::kUnload;
+  CHECK(core.Apply(load) == order_verdict::kDone);
+  request.model = "batch-model";
+  CHECK(core.Submit(request, start) == submit_verdict::kUnknownModel);
+}
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -155,7 +155,7 @@
         kind = self.deployment
         for number in range(kind.engines):
             command = [BIN / "acaciaferry-standin-engine", "--address", "127.0.0.1:0",
-                       "--name", f"engine{number}", "--model", kind.model,
+                       "--name", f"engine{number}", "--model", f"{kind.model}@v1",
                        "--speed", ENGINE_SPEED, "--report-lag-ms", 300,
                        "--event-lag-ms", 500, "--event-loss-per-mille", 10]
             command += [] if kind.checks_fencing else ["--ignore-fencing"]
