--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -19,6 +19,7 @@
 #include <variant>
 
 #include "acaciaferry/http/completion_body.hpp"
+#include "acaciaferry/http/header_guard.hpp"
 #include "acaciaferry/http/reply_writer.hpp"
 
 namespace acaciaferry {
@@ -32,6 +33,8 @@
 // so that a proxy on the way does not close the connection. From then on a
 // failure is reported inside the stream.
 constexpr duration kKeepAliveInterval = std::chrono::seconds(5);
+// A caller that sends its head byte by byte holds a thread for this time.
+constexpr duration kHeadTimeout = std::chrono::seconds(5);
 constexpr std::size_t kReadBytes = 64 << 10;
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr int kAcceptBacklog = 1'024;
@@ -53,6 +56,9 @@
                      HTTPServerResponse& response,
                      const callers_context& context) {
   const std::uint64_t limit = context.settings.max_body_bytes;
+  if (request.hasContentLength() && request.getContentLength64() < 0) {
+    throw Refused(failure_code::kMalformedRequest);
+  }
   if (request.hasContentLength() &&
       static_cast<std::uint64_t>(request.getContentLength64()) > limit) {
     throw Refused(failure_code::kRequestTooLarge);
@@ -64,9 +70,12 @@
   std::string body;
   std::string buffer(kReadBytes, '\0');
   std::istream& stream = request.stream();
-  while (stream.good()) {
-    stream.read(buffer.data(), static_cast<std::streamsize>(buffer.size()));
-    body.append(buffer, 0, static_cast<std::size_t>(stream.gcount()));
+  // Takes what one receive gives: a blocking read of a whole buffer would never
+  // look at the time limit of a caller that sends byte by byte.
+  while (stream.peek() != std::istream::traits_type::eof()) {
+    const std::streamsize count = stream.readsome(
+        buffer.data(), static_cast<std::streamsize>(buffer.size()));
+    body.append(buffer, 0, static_cast<std::size_t>(count));
     if (body.size() > limit) {
       throw Refused(failure_code::kRequestTooLarge);
     }
@@ -77,6 +86,10 @@
   const bool half_sent =
       request.hasContentLength() &&
       body.size() != static_cast<std::uint64_t>(request.getContentLength64());
+  // A receive that times out ends the stream as a closed connection does.
+  if (half_sent && context.clock.Now() > end) {
+    throw Refused(failure_code::kRequestTooSlow);
+  }
   if (half_sent) {
     throw Refused(failure_code::kMalformedRequest);
   }
@@ -458,15 +471,18 @@
 
 class handler_factory final : public Poco::Net::HTTPRequestHandlerFactory {
  public:
-  explicit handler_factory(callers_context& context) : context_(context) {}
+  handler_factory(callers_context& context, header_guard& guard)
+      : context_(context), guard_(guard) {}
 
   Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const HTTPServerRequest& /*request*/) override {
+      const HTTPServerRequest& request) override {
+    guard_.HeadArrived(request.clientAddress());
     return new handler(context_);
   }
 
  private:
   callers_context& context_;
+  header_guard& guard_;
 };
 
 Poco::Net::HTTPServerParams::Ptr MakeParameters(
@@ -485,9 +501,12 @@
   const Poco::Net::ServerSocket socket(
       Poco::Net::SocketAddress(context.settings.callers_address),
       internal::kAcceptBacklog);
+  // The server owns the guard, as its connection filter.
+  auto* const guard = new header_guard(context.clock, internal::kHeadTimeout);
   server_ = std::make_unique<Poco::Net::HTTPServer>(
-      new internal::handler_factory(context), socket,
+      new internal::handler_factory(context, *guard), socket,
       internal::MakeParameters(context.settings));
+  server_->setConnectionFilter(guard);
   server_->start();
 }
 
