Bound what the VM list and the load polls cost each daemon

Change: a VM reads the list at 2 KB/s at most and tells its failure domain what has changed; targets are polled as often as reports are relayed; summaries keep to 2 KB/s for each receiver up to an interval of 15 s.

--- a/src/acaciaferry/membership/exchange.cpp
+++ b/src/acaciaferry/membership/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
 #include <utility>
 
@@ -14,14 +15,20 @@
 // in every fifth one after that.
 constexpr std::uint64_t kFullHeartbeatEvery = 5;
 constexpr std::uint64_t kFirstFullHeartbeats = 3;
-// Spreads relayed reports so that a VM receives at most 67 a second from its
+// Spreads relayed reports so that a VM receives at most 50 a second from its
 // own failure domain.
-constexpr duration kRelayTimePerTarget = std::chrono::milliseconds(15);
+constexpr duration kRelayTimePerTarget = std::chrono::milliseconds(20);
 constexpr duration kShortestRelayInterval = std::chrono::milliseconds(500);
-constexpr duration kLongestRelayInterval = std::chrono::seconds(2);
+constexpr duration kLongestRelayInterval = std::chrono::seconds(3);
 // Up to this size a summary names every target of the failure domain.
 constexpr std::size_t kFewTargets = 64;
 constexpr std::size_t kBestPerPool = 4;
+// Encoded sizes with names of usual length.
+constexpr std::size_t kMemberBytes = 45;
+constexpr std::size_t kReportBytes = 85;
+constexpr double kSummaryBytesPerSecond = 2'000;
+constexpr duration kShortestSummaryInterval = std::chrono::seconds(1);
+constexpr duration kLongestSummaryInterval = std::chrono::seconds(15);
 
 template <typename Item>
 std::vector<Item> Bounded(const std::vector<Item>& items, std::size_t limit) {
@@ -171,13 +178,36 @@
   return result;
 }
 
+// A receiver gets at most kSummaryBytesPerSecond of summaries until the longest
+// interval is reached.
+duration SummaryInterval(const membership_state& state,
+                         const targets_state& targets) {
+  std::size_t reports = 0;
+  std::set<std::pair<failure_domain_id, pool_id>> pools;
+  for (const target& each : targets.targets) {
+    if (each.failure_domain != state.failure_domain) {
+      ++reports;
+      pools.emplace(each.failure_domain, each.pool);
+    }
+  }
+  if (targets.targets.size() > kFewTargets) {
+    reports = std::min(reports, pools.size() * kBestPerPool);
+  }
+  const std::size_t bytes =
+      state.peers.size() * kMemberBytes + reports * kReportBytes;
+  return std::clamp(
+      FromSeconds(static_cast<double>(bytes) / kSummaryBytesPerSecond),
+      kShortestSummaryInterval, kLongestSummaryInterval);
+}
+
 void SendSummaries(membership_state& state,
                    const exchange_view& view,
                    time_point now,
                    std::vector<send_to_peers>& out) {
   const bool full = now >= state.next_summary;
   if (full) {
-    state.next_summary = now + SummaryInterval(state);
+    state.summary_interval = SummaryInterval(state, view.targets);
+    state.next_summary = now + state.summary_interval;
   }
   const domain_summary summary = MakeSummary(state, view, now, full);
   for (const failure_domain_id& domain : RemoteDomains(state)) {
@@ -261,6 +291,10 @@
   void operator()(const configuration_part& /*body*/) const {}
   void operator()(const unknown_body& /*body*/) const {}
 
+  void operator()(const list_changes& body) const {
+    news.list_changes = body.entries;
+  }
+
   void ApplySummarised(const domain_summary& body,
                        const member_summary& member) const {
     member_summary value = member;
@@ -310,9 +344,10 @@
                       [&state](const target& each) {
                         return each.failure_domain == state.failure_domain;
                       }));
-    state.next_relay = now + std::clamp(targets * internal::kRelayTimePerTarget,
-                                        internal::kShortestRelayInterval,
-                                        internal::kLongestRelayInterval);
+    state.relay_interval = std::clamp<duration>(
+        targets * internal::kRelayTimePerTarget,
+        internal::kShortestRelayInterval, internal::kLongestRelayInterval);
+    state.next_relay = now + state.relay_interval;
     internal::SendReports(state, now, out);
   }
   if (now >= state.next_heartbeat) {
@@ -333,6 +368,17 @@
                  internal::MakeHeartbeat(state, view, true), out);
 }
 
+void RelayListChanges(const membership_state& state,
+                      std::span<const vm_entry> changes,
+                      std::vector<send_to_peers>& out) {
+  while (!changes.empty()) {
+    const auto part = changes.first(std::min(changes.size(), kMaxListChanges));
+    internal::Send(internal::DomainAddresses(state),
+                   list_changes{{part.begin(), part.end()}}, out);
+    changes = changes.subspan(part.size());
+  }
+}
+
 void AnnounceLeaving(membership_state& state,
                      const exchange_view& view,
                      leaving_source source,
--- a/src/acaciaferry/membership/exchange.hpp
+++ b/src/acaciaferry/membership/exchange.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
   std::vector<relayed_report> reports;
   std::vector<leaving_target> leaving_targets;
   std::vector<peer_learnt> learnt;
+  std::vector<vm_entry> list_changes;
   std::vector<suspect_weight> suspects;
   std::vector<workspace_demand> demand;
 };
@@ -84,6 +86,11 @@
                  const exchange_view& view,
                  std::vector<send_to_peers>& out);
 
+/** @brief Tells our failure domain what this VM read in the VM list. */
+void RelayListChanges(const membership_state& state,
+                      std::span<const vm_entry> changes,
+                      std::vector<send_to_peers>& out);
+
 /**
  * @brief Tells peers of leaving targets that they were not told of.
  * @param state The peers.
--- a/src/acaciaferry/membership/message.hpp
+++ b/src/acaciaferry/membership/message.hpp
@@ -19,6 +19,7 @@
 inline constexpr std::size_t kMaxLeavingTargets = 64;
 inline constexpr std::size_t kMaxSummaryMembers = 128;
 inline constexpr std::size_t kMaxRelayedReports = 256;
+inline constexpr std::size_t kMaxListChanges = 128;
 
 /** Text bytes in one part of a document; leaves room for the envelope. */
 inline constexpr std::size_t kMaxPartBytes = 60'000;
@@ -119,6 +120,12 @@
   [[nodiscard]] bool operator==(const configuration_part&) const = default;
 };
 
+/** Entries of the platform's list that the sender found new or changed. */
+struct list_changes {
+  std::vector<vm_entry> entries;
+  [[nodiscard]] bool operator==(const list_changes&) const = default;
+};
+
 /** A kind that a later version added. */
 struct unknown_body {
   [[nodiscard]] bool operator==(const unknown_body&) const = default;
@@ -129,6 +136,7 @@
                                domain_summary,
                                configuration_request,
                                configuration_part,
+                               list_changes,
                                unknown_body>;
 
 /**
--- a/src/acaciaferry/membership/state.cpp
+++ b/src/acaciaferry/membership/state.cpp
@@ -1,15 +1,10 @@
 #include "acaciaferry/membership/state.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace acaciaferry {
 namespace internal {
 
-// Keeps a remote domain's members at about 33 a second for each receiver.
-constexpr duration kSummaryTimePerPeer = std::chrono::milliseconds(30);
-constexpr duration kShortestSummaryInterval = std::chrono::seconds(1);
-constexpr duration kLongestSummaryInterval = std::chrono::seconds(10);
 // A VM that the list does not name is forgotten after this silence.
 constexpr duration kForgetAfter = std::chrono::minutes(1);
 
@@ -150,7 +145,7 @@
     internal::MarkStale(state, now);
   }
   // A summary may be lost, so remote VMs get two more intervals.
-  const duration remote_tolerance = 2 * SummaryInterval(state);
+  const duration remote_tolerance = 2 * state.summary_interval;
   std::erase_if(state.peers, [&](const auto& item) {
     const peer& known = item.second;
     return !known.listed && known.heard_at + internal::kForgetAfter < now;
@@ -166,11 +161,4 @@
   return was_paused;
 }
 
-duration SummaryInterval(const membership_state& state) noexcept {
-  const auto peers = static_cast<std::int64_t>(state.peers.size());
-  return std::clamp(peers * internal::kSummaryTimePerPeer,
-                    internal::kShortestSummaryInterval,
-                    internal::kLongestSummaryInterval);
-}
-
 }  // namespace acaciaferry
--- a/src/acaciaferry/membership/state.hpp
+++ b/src/acaciaferry/membership/state.hpp
@@ -76,6 +76,10 @@
   time_point next_heartbeat{};
   time_point next_relay{};
   time_point next_summary{};
+  /** Time between two polls of a target, and between relays of the reports. */
+  duration relay_interval{std::chrono::milliseconds(500)};
+  /** Time between full summaries; both grow with the fleet. */
+  duration summary_interval{std::chrono::seconds(1)};
   /** Own polls that were not relayed yet, with the time of the poll. */
   std::map<target_id, std::pair<load_report, time_point>> unrelayed;
   /** Leaving targets that peers were told of, with their incarnation. */
@@ -121,7 +125,4 @@
  */
 bool AdvancePeers(membership_state& state, time_point now);
 
-/** @return Time between full summaries; grows with the fleet. */
-[[nodiscard]] duration SummaryInterval(const membership_state& state) noexcept;
-
 }  // namespace acaciaferry
--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -112,6 +112,9 @@
   internal::AppendCounter(text, "acaciaferry_configuration_reads_total",
                           "Reads of the configuration service.",
                           configuration_reads_);
+  internal::AppendCounter(text, "acaciaferry_vm_list_bytes_total",
+                          "Bytes of the platform's VM list that were read.",
+                          vm_list_bytes_);
   text.append(
       "# HELP acaciaferry_configuration_revision Revision in force.\n"
       "# TYPE acaciaferry_configuration_revision gauge\n");
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -27,6 +27,9 @@
   void Count(peer_verdict verdict) noexcept;
   void Count(configuration_verdict verdict) noexcept;
   void CountConfigurationRead() noexcept { ++configuration_reads_; }
+  void CountVmListBytes(std::uint64_t bytes) noexcept {
+    vm_list_bytes_ += bytes;
+  }
   void SetRevision(std::uint64_t revision) noexcept { revision_ = revision; }
 
   /** @brief Includes the bytes and messages between peers.
@@ -51,6 +54,7 @@
   std::array<std::atomic<std::uint64_t>, kPeerVerdicts> peer_messages_{};
   std::array<std::atomic<std::uint64_t>, kConfigurationVerdicts> documents_{};
   std::atomic<std::uint64_t> configuration_reads_{};
+  std::atomic<std::uint64_t> vm_list_bytes_{};
   std::atomic<std::uint64_t> revision_{};
   std::atomic<const transport_totals*> peers_{};
 };
--- a/src/acaciaferry/peer/codec.cpp
+++ b/src/acaciaferry/peer/codec.cpp
@@ -24,6 +24,7 @@
 constexpr std::uint64_t kDomainSummaryKind = 3;
 constexpr std::uint64_t kConfigurationRequestKind = 4;
 constexpr std::uint64_t kConfigurationPartKind = 5;
+constexpr std::uint64_t kListChangesKind = 6;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -81,6 +82,7 @@
   void Write(double value) { out_.pack(static_cast<float>(value)); }
   void Write(const std::string& value) { out_.pack(value); }
   void Write(duration value) { out_.pack(ToAgeMs(value)); }
+  void Write(vm_role value) { out_.pack(static_cast<std::uint64_t>(value)); }
   void Write(target_phase value) {
     out_.pack(static_cast<std::uint64_t>(value));
   }
@@ -161,6 +163,14 @@
                                           : target_phase::kLeaving;
   }
 
+  static void Read(const msgpack::object& from, vm_role& value) {
+    const auto number = from.as<std::uint64_t>();
+    if (number > static_cast<std::uint64_t>(vm_role::kService)) {
+      throw malformed_error{};
+    }
+    value = static_cast<vm_role>(number);
+  }
+
   static void Read(const msgpack::object& from, std::string& value) {
     value = from.as<std::string>();
   }
@@ -201,6 +211,7 @@
   static std::size_t MaxItems(member_summary*) noexcept {
     return kMaxSummaryMembers;
   }
+  static std::size_t MaxItems(vm_entry*) noexcept { return kMaxListChanges; }
   static std::size_t MaxItems(relayed_report*) noexcept {
     return kMaxRelayedReports;
   }
@@ -246,6 +257,17 @@
     visit(2, value.callers_address);
     visit(3, value.leaving);
     visit(4, value.age);
+  } else if constexpr (std::is_same_v<type, vm_entry>) {
+    visit(0, value.name);
+    visit(1, value.address);
+    visit(2, value.failure_domain);
+    visit(3, value.region);
+    visit(4, value.role);
+    visit(5, value.pool);
+    visit(6, value.leaving);
+    visit(7, value.incarnation);
+  } else if constexpr (std::is_same_v<type, list_changes>) {
+    visit(0, value.entries);
   } else if constexpr (std::is_same_v<type, heartbeat>) {
     visit(0, value.leaving);
     visit(1, value.revision);
@@ -291,6 +313,9 @@
   std::uint64_t operator()(const configuration_part&) const {
     return kConfigurationPartKind;
   }
+  std::uint64_t operator()(const list_changes&) const {
+    return kListChangesKind;
+  }
   std::uint64_t operator()(const unknown_body&) const { return 0; }
 };
 
@@ -315,6 +340,8 @@
       return ReadBody<configuration_request>(fields, unknown);
     case kConfigurationPartKind:
       return ReadBody<configuration_part>(fields, unknown);
+    case kListChangesKind:
+      return ReadBody<list_changes>(fields, unknown);
     default:
       return unknown_body{};
   }
--- a/src/acaciaferry/platform/pollers.cpp
+++ b/src/acaciaferry/platform/pollers.cpp
@@ -13,15 +13,16 @@
 
 }  // namespace internal
 
-void PollVmList(const std::string& address, const event_sink& sink) {
+std::size_t PollVmList(const std::string& address, const event_sink& sink) {
   const auto reply = HttpGet(address, "/v1/vms", internal::kPollTimeout,
                              internal::kMaxListBytes);
   if (!reply || reply->status != internal::kOk) {
-    return;
+    return 0;
   }
   if (auto vms = ParseVmList(reply->body)) {
     sink(vm_list_received{*std::move(vms)});
   }
+  return reply->body.size();
 }
 
 void PollLoadReports(const std::vector<std::string>& addresses,
--- a/src/acaciaferry/platform/pollers.hpp
+++ b/src/acaciaferry/platform/pollers.hpp
@@ -14,8 +14,9 @@
  * @brief Reads the platform's list of VMs once.
  * @param address The service's address.
  * @param sink Receives vm_list_received when the list was read.
+ * @return Bytes that were read; zero after a failure.
  */
-void PollVmList(const std::string& address, const event_sink& sink);
+std::size_t PollVmList(const std::string& address, const event_sink& sink);
 
 /**
  * @brief Reads the load reports of targets once, one after the other.
--- a/src/acaciaferry/reducer/peering.cpp
+++ b/src/acaciaferry/reducer/peering.cpp
@@ -38,6 +38,13 @@
   Append(messages, out);
 }
 
+// The list's news were relayed as changes, so they need no other message.
+void UseList(state& state, std::span<const vm_entry> vms, effects& out) {
+  ApplyVmList(state.targets, vms);
+  ApplyPeerList(state.membership, vms);
+  TellLeaving(state, leaving_source::kShared, out);
+}
+
 void ApplyReports(state& state,
                   const std::vector<relayed_report>& reports,
                   time_point now,
@@ -98,9 +105,11 @@
 }
 
 void OnPeerList(state& state, const vm_list_received& event, effects& out) {
-  ApplyPeerList(state.membership, event.vms);
-  // Every VM reads the list, so its news need no relay of their own.
-  internal::TellLeaving(state, leaving_source::kShared, out);
+  const std::vector<vm_entry> changes = ReplaceList(state.vm_list, event.vms);
+  std::vector<send_to_peers> relays;
+  RelayListChanges(state.membership, changes, relays);
+  internal::Append(relays, out);
+  internal::UseList(state, event.vms, out);
 }
 
 void OnReportApplied(state& state,
@@ -133,6 +142,9 @@
     return {};
   }
   internal::Append(relays, out);
+  if (MergeChanges(state.vm_list, news.list_changes)) {
+    internal::UseList(state, Entries(state.vm_list), out);
+  }
   internal::ApplyReports(state, news.reports, now, out);
   bool is_news = false;
   for (const leaving_target& each : news.leaving_targets) {
--- a/src/acaciaferry/reducer/peering.hpp
+++ b/src/acaciaferry/reducer/peering.hpp
@@ -17,7 +17,7 @@
 /** @brief Moves silent peers on; marks all knowledge stale after a pause. */
 void BeginTurn(state& state, time_point now);
 
-/** @brief Takes the peers and the leaving targets of the VM list. */
+/** @brief Takes the targets and the peers of a list that this VM read. */
 void OnPeerList(state& state, const vm_list_received& event, effects& out);
 
 /** @brief Relays a report that a target gave to this VM. */
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -37,7 +37,6 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ApplyVmList(state.targets, event.vms);
     OnPeerList(state, event, out);
   }
 
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -17,6 +17,7 @@
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/membership/state.hpp"
+#include "acaciaferry/membership/vm_list.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/targets/state.hpp"
 
@@ -59,6 +60,7 @@
   std::optional<deployment> config;
   configuration_state configuration;
   membership_state membership;
+  vm_list_state vm_list;
   targets_state targets;
   routing_state routing;
   std::unordered_map<request_id, request_record> requests;
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -26,6 +26,7 @@
 namespace internal {
 
 constexpr duration kVmListPause = std::chrono::seconds(1);
+constexpr double kListBytesPerSecond = 2'000;
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
 log4cplus::Logger Logger() {
@@ -41,6 +42,16 @@
   return addresses;
 }
 
+duration RelayInterval(const state& value) {
+  return value.membership.relay_interval;
+}
+
+// Every VM reads the list and tells its failure domain what has changed, so
+// that a long list may be read seldom by each.
+duration ListPause(std::size_t bytes) {
+  return FromSeconds(static_cast<double>(bytes) / kListBytesPerSecond);
+}
+
 watch_order OrderFor(const state& value) {
   const bool is_watcher = IsResponsible(value.membership, role::kWatch,
                                         {value.self.failure_domain, ""});
@@ -156,11 +167,22 @@
     if (peers_) {
       peers_->Start();
     }
-    vm_list_task_ = std::make_unique<periodic_task>(
-        internal::kVmListPause,
-        [this] { PollVmList(settings_.vm_list, sink_); });
+    vm_list_task_ =
+        std::make_unique<periodic_task>(internal::kVmListPause, [this] {
+          if (clock_.Now() >= next_list_) {
+            const std::size_t bytes = PollVmList(settings_.vm_list, sink_);
+            metrics_.CountVmListBytes(bytes);
+            next_list_ = clock_.Now() + internal::ListPause(bytes);
+          }
+        });
     load_task_ = std::make_unique<periodic_task>(internal::kLoadPause, [this] {
-      PollLoadReports(Ask(internal::AddressesToPoll), sink_);
+      if (clock_.Now() >= next_poll_) {
+        // Polls as often as the reports are relayed; half a pause allows for
+        // the rounding to whole pauses.
+        next_poll_ = clock_.Now() + Ask(internal::RelayInterval) -
+                     internal::kLoadPause / 2;
+        PollLoadReports(Ask(internal::AddressesToPoll), sink_);
+      }
     });
     if (!settings_.configuration_service.empty()) {
       watcher_ = std::make_unique<configuration_watcher>(
@@ -198,6 +220,9 @@
   std::unique_ptr<periodic_task> vm_list_task_;
   std::unique_ptr<periodic_task> load_task_;
   std::unique_ptr<configuration_watcher> watcher_;
+  /** Each is used by its own task's thread only. */
+  time_point next_list_{};
+  time_point next_poll_{};
   std::atomic<bool> draining_{};
 };
 
--- a/test/acaciaferry/membership/network_test.cpp
+++ b/test/acaciaferry/membership/network_test.cpp
@@ -236,3 +236,33 @@
   // Its own failure domain's 20 and at most 8 of the others.
   CHECK_EQUAL(28U, polls(network.nodes[0]));
 }
+
+// Guards against a target that only the VM knows whose turn it was to read a
+// long list, and against a stale copy of the list that makes a leaving target
+// live again.
+TEST(PeerNetwork, ListChangesReachTheFailureDomain) {
+  test_network network({3}, 7);
+  network.Run(std::chrono::milliseconds(3'100));
+  vm_entry added{.name = "t",
+                 .address = "t:1",
+                 .failure_domain = {"d0"},
+                 .role = vm_role::kEngine,
+                 .leaving = true,
+                 .incarnation = 5};
+  std::vector<vm_entry> read = network.vms;
+  read.push_back(added);
+  network.Post(network.nodes[0], vm_list_received{read});
+  network.Run(std::chrono::milliseconds(300));
+  const auto is_leaving = [&network](std::size_t index) {
+    const target* const known =
+        FindTarget(network.nodes[index].state.targets, {"t"});
+    return known != nullptr && known->leaving;
+  };
+  CHECK_TRUE(is_leaving(1));
+  added.leaving = false;
+  read.back() = added;
+  network.Post(network.nodes[2], vm_list_received{read});
+  network.Run(std::chrono::milliseconds(300));
+  CHECK_TRUE(is_leaving(1));
+  CHECK_TRUE(is_leaving(2));
+}
--- a/test/acaciaferry/peer/golden_messages.hpp
+++ b/test/acaciaferry/peer/golden_messages.hpp
@@ -52,6 +52,14 @@
                                 .count = 2,
                                 .digest = 0x1234'5678'9ABC'DEF0,
                                 .text = "[policy]\nentry_vms = 7\n"};
+  const vm_entry entry{.name = "e9",
+                       .address = "10.0.0.9:9000",
+                       .failure_domain = {"tx-c"},
+                       .region = {"central-tx"},
+                       .role = vm_role::kEngine,
+                       .pool = {"batch-model"},
+                       .leaving = true,
+                       .incarnation = 31};
   return {
       {"v1_heartbeat.bin", {{"vm1"}, incarnation, 1, beat}},
       {"v1_heartbeat_empty.bin", {{"vm1"}, incarnation, 2, heartbeat{}}},
@@ -59,6 +67,7 @@
       {"v1_domain_summary.bin", {{"vm2"}, incarnation, 4, summary}},
       {"v1_configuration_request.bin",
        {{"vm2"}, incarnation, 5, configuration_request{3'700}}},
+      {"v1_list_changes.bin", {{"vm2"}, incarnation, 7, list_changes{{entry}}}},
       {"v1_configuration_part.bin", {{"vm2"}, incarnation, 6, part}}};
 }
 
