Take ports in the process test from what daemons report

Cause: two draws of free ports could overlap with each other and with ephemeral ports; a measurement failed on a daemon that answered HTTP on another daemon's peers' port. Change: the daemon logs its operators' port; the measurement draws all ports at once, below the ephemeral range.

--- a/src/acaciaferry/http/operators_listener.hpp
+++ b/src/acaciaferry/http/operators_listener.hpp
@@ -36,6 +36,9 @@
   operators_listener(const operators_listener&) = delete;
   operators_listener& operator=(const operators_listener&) = delete;
 
+  /** @return The bound port. */
+  [[nodiscard]] std::uint16_t Port() const { return server_->port(); }
+
  private:
   std::unique_ptr<Poco::Net::HTTPServer> server_;
 };
--- a/src/acaciaferry/membership/exchange.cpp
+++ b/src/acaciaferry/membership/exchange.cpp
@@ -221,6 +221,14 @@
   }
 }
 
+// A brief summary without news shows only that its sender is there, which the
+// receiver's failure domain learns from the full ones.
+bool HasContents(const domain_summary& summary) noexcept {
+  return !summary.members.empty() || !summary.reports.empty() ||
+         !summary.leaving_targets.empty() || !summary.suspects.empty() ||
+         !summary.demand.empty();
+}
+
 // Passes a peer's process and callers' address on when either is new.
 void Learn(peer& known, peer_news& news) {
   const bool is_news = known.learnt_incarnation != known.incarnation ||
@@ -274,6 +282,8 @@
     news.demand = body.demand;
     if (!body.relayed) {
       news.revision = body.revision;
+    }
+    if (!body.relayed && HasContents(body)) {
       domain_summary copy = body;
       copy.relayed = true;
       // The sender omits its own incarnation, which the envelope carries.
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -26,7 +26,7 @@
 namespace internal {
 
 constexpr duration kVmListPause = std::chrono::seconds(1);
-constexpr double kListBytesPerSecond = 2'000;
+constexpr double kListBytesPerSecond = 1'500;
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
 log4cplus::Logger Logger() {
@@ -90,6 +90,7 @@
                    "event=started port="
                        << callers_server_->Port() << " vm="
                        << settings_.vm.value << " incarnation=" << incarnation_
+                       << " operators=" << operators_server_->Port()
                        << " peers=" << (peers_ ? PeersAddress() : "none"));
   }
 
--- a/test/process/configuration.sh
+++ b/test/process/configuration.sh
@@ -18,7 +18,7 @@
 await_report() {
   local log=$1 name=$2 value
   for _ in $(seq 400); do
-    value=$(sed -n "s/.*[ ^]\?$name=\([0-9.:]*\).*/\1/p" "$log" | head -1)
+    value=$(sed -n "s/.*[ ^]\?$name=\([0-9.:]*\).*/\1/p" "$log" 2>/dev/null | head -1)
     if [ -n "$value" ]; then
       echo "$value"
       return 0
@@ -63,14 +63,7 @@
 pids+=($!)
 platform=127.0.0.1:$(await_report "$work/platform" port)
 
-# Ports for the operators' listeners, which no daemon reports.
-mapfile -t operators < <(python3 -c '
-import socket
-sockets = [socket.socket() for _ in range(4)]
-for each in sockets:
-    each.bind(("127.0.0.1", 0))
-for each in sockets:
-    print("127.0.0.1:%d" % each.getsockname()[1])')
+operators=()
 entries=()
 for i in 0 1 2 3; do
   cat >"$work/vm$i.ini" <<INI
@@ -82,7 +75,7 @@
 [callers]
 address = 127.0.0.1:0
 [operators]
-address = ${operators[$i]}
+address = 127.0.0.1:0
 [peers]
 address = 127.0.0.1:0
 key_file = $work/key
@@ -93,6 +86,7 @@
   "$bin/acaciaferryd" --config "$work/vm$i.ini" >"$work/vm$i.log" 2>&1 &
   pids+=($!)
   address=$(await_report "$work/vm$i.log" peers)
+  operators+=("127.0.0.1:$(await_report "$work/vm$i.log" operators)")
   domain=tx-$([ "$i" -lt 3 ] && echo a || echo b)
   entries+=("{\"name\": \"vm$i\", \"address\": \"$address\", \"failure_domain\": \"$domain\", \"role\": \"entry\"}")
 done
@@ -136,8 +130,15 @@
 wait "${pids[0]}"
 peers=$(await_report "$work/vm2.log" peers)
 sed -i "/^\[peers\]/,/^\[/s/^address = .*/address = $peers/" "$work/vm2.ini"
-"$bin/acaciaferryd" --config "$work/vm2.ini" >"$work/vm2.log" 2>&1 &
-pids[3]=$!
+# A connection may have taken the port for a moment, so binding is tried again.
+for _ in $(seq 20); do
+  "$bin/acaciaferryd" --config "$work/vm2.ini" >"$work/vm2.log" 2>&1 &
+  pids[3]=$!
+  until grep -q 'event=started\|cannot listen' "$work/vm2.log"; do sleep 0.05; done
+  grep -q 'event=started' "$work/vm2.log" && break
+  wait "${pids[3]}" || sleep 0.5
+done
+operators[2]=127.0.0.1:$(await_report "$work/vm2.log" operators)
 await_metric $revision 8
 echo "configuration: 4 VMs followed revisions 5, 6 and 8; 7 was refused;" \
   "a VM that started without the platform took 8 from its peers"
--- a/tools/bench_peers.py
+++ b/tools/bench_peers.py
@@ -18,7 +18,6 @@
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-BIN = os.path.join(ROOT, "build", "bin")
 # Of each message on the wire: 8 bytes nng, 20 IP, 32 TCP with time stamps.
 HEADER_BYTES = 60
 TARGETS_PER_VM = 1600 / 360
@@ -27,13 +26,18 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    """Ports below the ephemeral range, which no connection takes meanwhile."""
+    ports = []
+    for port in random.sample(range(20000, 32000), 12000):
+        with socket.socket() as each:
+            try:
+                each.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+        if len(ports) == count:
+            return ports
+    raise RuntimeError("not enough free ports")
 
 
 async def answer_loads(names):
@@ -90,7 +94,7 @@
 
 
 class Fleet:
-    def __init__(self, work, vms, domains, targets, document):
+    def __init__(self, work, programs, vms, domains, targets, document):
         self.work, self.document, self.processes = work, document, []
         self.path = os.path.join(work, "configuration.json")
         self.publish(1)
@@ -98,7 +102,8 @@
         names = [f"engine-{i:04}" for i in range(targets)]
         loads = self.spawn([sys.executable, __file__, "--answer-loads", str(targets)])
         ports = json.loads(loads.stdout.readline())
-        peers, operators = free_ports(vms), free_ports(vms)
+        ports_of_vms = free_ports(2 * vms)
+        peers, operators = ports_of_vms[:vms], ports_of_vms[vms:]
         self.operators = [f"127.0.0.1:{port}" for port in operators]
         place = lambda i: f"domain-{i % domains}"
         entries = [{"name": f"vm-{i:03}", "address": f"127.0.0.1:{peers[i]}",
@@ -110,7 +115,7 @@
                      "incarnation": 0x01938F2A7C00BEEF} for i, name in enumerate(names)]
         with open(vm_file, "w") as out:
             json.dump({"vms": entries}, out)
-        platform = self.spawn([os.path.join(BIN, "acaciaferry-standin-platform"), "--address",
+        platform = self.spawn([os.path.join(programs, "acaciaferry-standin-platform"), "--address",
                                "127.0.0.1:0", "--vms", vm_file, "--configuration", self.path])
         port = platform.stdout.readline().decode().strip().split("=")[1]
         with open(os.path.join(work, "key"), "w") as out:
@@ -126,7 +131,7 @@
                           f"[peers]\naddress = 127.0.0.1:{peers[i]}\nkey_file = {work}/key\n"
                           f"[platform]\nvm_list = 127.0.0.1:{port}\n"
                           f"configuration_service = 127.0.0.1:{port}\n[logs]\nlevel = error\n")
-            self.daemons.append(self.spawn([os.path.join(BIN, "acaciaferryd"), "--config",
+            self.daemons.append(self.spawn([os.path.join(programs, "acaciaferryd"), "--config",
                                             settings]))
 
     def spawn(self, command):
@@ -212,7 +217,7 @@
     document += "".join(f"\n[workspace.filler-{i:05}]\ntoken_digest = {i:064x}\nweight = 1\n"
                         for i in range(args.workspaces))
     with tempfile.TemporaryDirectory() as work:
-        fleet = Fleet(work, vms, domains, targets, document)
+        fleet = Fleet(work, args.bin, vms, domains, targets, document)
         try:
             started = fleet.await_revision(1, 60)
             time.sleep(args.warm_up)
@@ -233,6 +238,7 @@
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--vms", type=int, nargs="+", default=[7, 30, 100])
+    parser.add_argument("--bin", default=os.path.join(ROOT, "build", "bin"))
     parser.add_argument("--domains", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--warm-up", type=float, default=15)
