--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -10,6 +10,8 @@
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/membership/message.hpp"
 #include "acaciaferry/metrics/transport_totals.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -24,6 +26,11 @@
   void Count(failure_code code) noexcept;
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
+  void Count(order_verdict verdict) noexcept;
+  void Count(release_reason reason) noexcept;
+
+  /** @return How many requests were refused or failed for this reason. */
+  [[nodiscard]] std::uint64_t Value(failure_code code) const noexcept;
   void Count(peer_verdict verdict) noexcept;
   void Count(configuration_verdict verdict) noexcept;
   void CountConfigurationRead() noexcept { ++configuration_reads_; }
@@ -51,6 +58,8 @@
   std::array<std::atomic<std::uint64_t>, kFailureCodes> refusals_{};
   std::array<std::atomic<std::uint64_t>, kRetryReasons> retries_{};
   std::array<std::atomic<std::uint64_t>, kVerdicts> reports_{};
+  std::array<std::atomic<std::uint64_t>, kOrderVerdicts> orders_{};
+  std::array<std::atomic<std::uint64_t>, kReleaseReasons> releases_{};
   std::array<std::atomic<std::uint64_t>, kPeerVerdicts> peer_messages_{};
   std::array<std::atomic<std::uint64_t>, kConfigurationVerdicts> documents_{};
   std::atomic<std::uint64_t> configuration_reads_{};
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -7,6 +7,11 @@
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/membership/event.hpp"
+#include "acaciaferry/operations/event.hpp"
+#include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
+#include "acaciaferry/reclamation/holding.hpp"
+#include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -54,6 +59,14 @@
                            attempt_progressed,
                            answer_chunk,
                            answer_ended,
-                           attempt_failed>;
+                           attempt_failed,
+                           operation_key_requested,
+                           suspects_heard,
+                           reservation_granted,
+                           reservation_renewed,
+                           reservation_refused,
+                           reservation_lost,
+                           holdings_listed,
+                           order_answered>;
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/peering.cpp
+++ b/src/acaciaferry/reducer/peering.cpp
@@ -5,6 +5,7 @@
 #include "acaciaferry/configuration/state.hpp"
 #include "acaciaferry/membership/exchange.hpp"
 #include "acaciaferry/membership/roles.hpp"
+#include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -40,7 +41,7 @@
 
 // The list's news were relayed as changes, so they need no other message.
 void UseList(state& state, std::span<const vm_entry> vms, effects& out) {
-  ApplyVmList(state.targets, vms);
+  OnVmList(state, vms);
   ApplyPeerList(state.membership, vms);
   TellLeaving(state, leaving_source::kShared, out);
 }
@@ -50,8 +51,7 @@
                   time_point now,
                   effects& out) {
   for (const relayed_report& each : reports) {
-    out.push_back(count_report{
-        ApplyLoadReport(state.targets, each.report, now - each.age)});
+    OnLoadReport(state, each.report, now - each.age, out);
   }
 }
 
@@ -76,8 +76,10 @@
 
 void PutInForce(state& state,
                 std::shared_ptr<const deployment> config,
+                time_point now,
                 effects& out) {
   state.config = *config;
+  ConfigureWorkspaces(state.workspaces, *config, now);
   out.push_back(configuration_in_force{std::move(config)});
   TellPeers(state, out);
 }
@@ -148,7 +150,7 @@
   internal::ApplyReports(state, news.reports, now, out);
   bool is_news = false;
   for (const leaving_target& each : news.leaving_targets) {
-    is_news |= MarkLeaving(state.targets, each.target, each.incarnation);
+    is_news |= OnTargetLeaving(state, each);
   }
   if (is_news) {
     internal::TellLeaving(state,
@@ -162,19 +164,21 @@
 
 void OnDeploymentReceived(state& state,
                           const deployment_received& event,
+                          time_point now,
                           effects& out) {
   // A file has no revision of the service; peers do not get its text.
   const bool is_newer =
       !state.config || event.config.revision > state.configuration.revision;
   if (is_newer) {
     state.configuration.revision = event.config.revision;
-    internal::PutInForce(state,
-                         std::make_shared<const deployment>(event.config), out);
+    internal::PutInForce(
+        state, std::make_shared<const deployment>(event.config), now, out);
   }
 }
 
 void OnConfigurationEvent(state& state,
                           const configuration_read& event,
+                          time_point /*now*/,
                           effects& out) {
   configuration_effects wanted;
   OnConfigurationRead(state.configuration, event, wanted);
@@ -183,12 +187,13 @@
 
 void OnConfigurationEvent(state& state,
                           const configuration_checked& event,
+                          time_point now,
                           effects& out) {
   configuration_effects wanted;
   auto config = OnConfigurationChecked(state.configuration, event, wanted);
   internal::Append(wanted, out);
   if (config) {
-    internal::PutInForce(state, std::move(config), out);
+    internal::PutInForce(state, std::move(config), now, out);
   }
 }
 
--- a/src/acaciaferry/reducer/peering.hpp
+++ b/src/acaciaferry/reducer/peering.hpp
@@ -40,14 +40,17 @@
 /** @brief Takes a configuration from a file. */
 void OnDeploymentReceived(state& state,
                           const deployment_received& event,
+                          time_point now,
                           effects& out);
 
 /** @brief Handle a document from the service, and the result of its check. */
 void OnConfigurationEvent(state& state,
                           const configuration_read& event,
+                          time_point now,
                           effects& out);
 void OnConfigurationEvent(state& state,
                           const configuration_checked& event,
+                          time_point now,
                           effects& out);
 
 /** @brief Tells the peers that this VM is leaving. */
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -20,13 +20,14 @@
 #include "acaciaferry/runtime/effect_executor.hpp"
 #include "acaciaferry/runtime/event_loop.hpp"
 #include "acaciaferry/runtime/process_identity.hpp"
+#include "acaciaferry/target_client/control_client.hpp"
 #include "acaciaferry/target_client/target_client.hpp"
 
 namespace acaciaferry {
 namespace internal {
 
 constexpr duration kVmListPause = std::chrono::seconds(1);
-constexpr double kListBytesPerSecond = 1'500;
+constexpr double kListBytesPerSecond = 2'000;
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
 log4cplus::Logger Logger() {
@@ -68,17 +69,24 @@
         targets_(settings_.vm.value + "/" + std::to_string(incarnation_),
                  exchanges_,
                  sink_),
+        control_(settings_.vm.value + "/" + std::to_string(incarnation_),
+                 sink_),
         loop_(MakeInitialState(settings_, incarnation_),
               clock_,
               [this](effect& value) { executor_->Execute(value); }),
         callers_{settings_,   clock_,   incarnation_, exchanges_,
                  workspaces_, metrics_, sink_},
-        operators_{metrics_},
+        operators_{metrics_,
+                   {[this](const event_loop::inspection& function) {
+                      loop_.Inspect(function);
+                    },
+                    [this] { Drain(); }, clock_, metrics_},
+                   token_check(ReadWholeFile(settings_.operators_token_file))},
         checker_(sink_) {
     OpenPeers();
     executor_ = std::make_unique<effect_executor>(
-        effect_adapters{exchanges_, workspaces_, metrics_, targets_, operators_,
-                        checker_, peers_.get()});
+        effect_adapters{exchanges_, workspaces_, metrics_, targets_, control_,
+                        operators_, checker_, peers_.get()});
     callers_server_ = std::make_unique<callers_listener>(callers_);
     operators_server_ = std::make_unique<operators_listener>(
         settings_.operators_address, operators_);
@@ -88,9 +96,9 @@
     StartTasks();
     LOG4CPLUS_INFO(internal::Logger(),
                    "event=started port="
-                       << callers_server_->Port() << " vm="
+                       << callers_server_->Port()
+                       << " operators=" << operators_server_->Port() << " vm="
                        << settings_.vm.value << " incarnation=" << incarnation_
-                       << " operators=" << operators_server_->Port()
                        << " peers=" << (peers_ ? PeersAddress() : "none"));
   }
 
@@ -210,6 +218,7 @@
   workspace_directory workspaces_;
   metrics_registry metrics_;
   target_client targets_;
+  control_client control_;
   event_loop loop_;
   callers_context callers_;
   operators_context operators_;
--- a/src/acaciaferry/runtime/effect_executor.cpp
+++ b/src/acaciaferry/runtime/effect_executor.cpp
@@ -50,6 +50,18 @@
     adapters.metrics.Count(value.verdict);
   }
 
+  void operator()(count_order& value) const {
+    adapters.metrics.Count(value.verdict);
+  }
+  void operator()(release_holding& value) const {
+    adapters.metrics.Count(value.reason);
+    adapters.control.Send(value);
+  }
+  template <typename ControlCall>
+  void operator()(ControlCall& value) const {
+    adapters.control.Send(value);
+  }
+
   void operator()(send_to_peers& value) const {
     if (adapters.peers != nullptr) {
       adapters.peers->Send(value);
--- a/src/acaciaferry/runtime/effect_executor.hpp
+++ b/src/acaciaferry/runtime/effect_executor.hpp
@@ -9,6 +9,7 @@
 #include "acaciaferry/peer/link.hpp"
 #include "acaciaferry/reducer/effect.hpp"
 #include "acaciaferry/runtime/configuration_checker.hpp"
+#include "acaciaferry/target_client/control_client.hpp"
 #include "acaciaferry/target_client/target_client.hpp"
 
 namespace acaciaferry {
@@ -21,6 +22,7 @@
   workspace_directory& workspaces;
   metrics_registry& metrics;
   target_client& targets;
+  control_client& control;
   operators_context& operators;
   configuration_checker& checker;
   /** Null without a peers' listener. */
--- a/src/acaciaferry/runtime/process_identity.cpp
+++ b/src/acaciaferry/runtime/process_identity.cpp
@@ -39,6 +39,9 @@
   result.membership.failure_domain = settings.failure_domain;
   result.membership.region = settings.region;
   result.random.seed(incarnation);
+  if (!settings.key_file.empty()) {
+    result.operations.secret = ReadKey(settings.key_file);
+  }
   return result;
 }
 
