Empty the log before a process test reads it again

Cause: the process test saw the line of the earlier process in the log, and then waited for a daemon that was running (2 of 9 runs hung until their time-out). Change: the log is emptied before the second start.

--- a/test/process/configuration.sh
+++ b/test/process/configuration.sh
@@ -132,6 +132,7 @@
 sed -i "/^\[peers\]/,/^\[/s/^address = .*/address = $peers/" "$work/vm2.ini"
 # A connection may have taken the port for a moment, so binding is tried again.
 for _ in $(seq 20); do
+  : >"$work/vm2.log"
   "$bin/acaciaferryd" --config "$work/vm2.ini" >"$work/vm2.log" 2>&1 &
   pids[3]=$!
   until grep -q 'event=started\|cannot listen' "$work/vm2.log"; do sleep 0.05; done
