--- a/src/acaciaferry/peer/transport.cpp
+++ b/src/acaciaferry/peer/transport.cpp
@@ -6,8 +6,11 @@
 #include <nng/protocol/pipeline0/pull.h>
 #include <nng/protocol/pipeline0/push.h>
 
-#include <array>
+#include <future>
+#include <memory>
+#include <thread>
 #include <utility>
+#include <vector>
 
 namespace acaciaferry {
 namespace internal {
@@ -18,6 +21,7 @@
 // A whole document in parts, and the heartbeats that are sent meanwhile.
 constexpr int kSendBufferMessages = 48;
 constexpr duration kCloseUnusedAfter = std::chrono::minutes(1);
+constexpr duration kLongestClose = std::chrono::seconds(1);
 constexpr duration kSweepPause = std::chrono::seconds(10);
 
 std::string Url(const std::string& address) {
@@ -56,6 +60,20 @@
   return error == 0;
 }
 
+// nng 1.5.2 was seen to wait in nng_close for ever for a connection that was
+// being set up, so a shutdown does not depend on its return.
+void CloseAll(std::vector<nng_socket> sockets) {
+  const auto closed = std::make_shared<std::promise<void>>();
+  const std::future<void> done = closed->get_future();
+  std::thread([closed, sockets = std::move(sockets)] {
+    for (const nng_socket socket : sockets) {
+      nng_close(socket);
+    }
+    closed->set_value();
+  }).detach();
+  done.wait_for(kLongestClose);
+}
+
 }  // namespace internal
 
 peer_transport::peer_transport(const std::string& address,
@@ -85,10 +103,11 @@
   if (thread_.joinable()) {
     thread_.join();
   }
-  nng_close(listener_);
+  std::vector<nng_socket> sockets{listener_};
   for (const auto& [address, each] : connections_) {
-    nng_close(each.socket);
+    sockets.push_back(each.socket);
   }
+  internal::CloseAll(std::move(sockets));
 }
 
 void peer_transport::Start() {
