--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -44,7 +44,6 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    OnVmList(state, event.vms);
     ObserveVmList(state.reclamation, event.vms, now);
     OnPeerList(state, event, out);
   }
