--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -23,6 +23,7 @@
 #include "acaciaferry/deployment/deployment.hpp"
 #include "acaciaferry/history/history.hpp"
 #include "acaciaferry/membership/state.hpp"
+#include "acaciaferry/membership/vm_list.hpp"
 #include "acaciaferry/operations/operations.hpp"
 #include "acaciaferry/orders/orders.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -88,6 +89,7 @@
   std::optional<deployment> config;
   configuration_state configuration;
   membership_state membership;
+  vm_list_state vm_list;
   targets_state targets;
   reachability_state reachability;
   cost_state costs;
