--- a/apps/acaciaferryctl/main.cpp
+++ b/apps/acaciaferryctl/main.cpp
@@ -76,6 +76,9 @@
   } catch (const Poco::Exception& error) {
     std::cerr << "acaciaferryctl: " << error.displayText() << '\n';
     return ctl::kFailed;
+  } catch (const TCLAP::ExitException& exit) {
+    // After --help or --version.
+    return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
     std::cerr << "acaciaferryctl: " << error.error() << '\n';
     return ctl::kUsage;
--- a/apps/acaciaferryctl/remote.cpp
+++ b/apps/acaciaferryctl/remote.cpp
@@ -59,6 +59,8 @@
                                   "Pictures to show before ending; 0 for no "
                                   "end (watch only).",
                                   false, 0, "N", line);
+  // Otherwise TCLAP would end the process with 1 on wrong usage.
+  line.setExceptionHandling(false);
   std::vector<std::string> all{"acaciaferryctl " + name};
   all.insert(all.end(), words.begin(), words.end());
   line.parse(all);
--- a/test/process/processes.bash
+++ b/test/process/processes.bash
@@ -46,6 +46,8 @@
 start_daemon() {
   echo "{\"vms\": [$vms]}" >"$work/vms.json"
   echo "the key of the test deployment" >"$work/key"
+  echo operator >"$work/token"
+  printf operator | sha256sum | cut -d ' ' -f 1 >"$work/token-digests"
   start "$work/platform-$1" "$bin/acaciaferry-standin-platform" --address 127.0.0.1:0 --vms "$work/vms.json"
   cat >"$work/$1.ini" <<INI
 [vm]
@@ -57,6 +59,7 @@
 address = 127.0.0.1:0
 [operators]
 address = 127.0.0.1:0
+token_file = $work/token-digests
 [peers]
 key_file = $work/key
 [platform]
@@ -76,6 +79,20 @@
   curl -sS -N -i --max-time 30 -H 'Authorization: Bearer secret' "http://127.0.0.1:$port$path" "$@"
 }
 
+# Waits until the daemon at $port answers a completion of the batch model.
+await_answer() {
+  local reply
+  for _ in $(seq 100); do
+    reply=$(call /v1/completions -d '{"model":"batch-model","prompt":"hello","max_tokens":1}')
+    grep -q 'no_live_target\|no_configuration' <<<"$reply" || break
+    sleep 0.1
+  done
+  expect 'Acaciaferry-Outcome: ran' <<<"$reply"
+}
+
+# Prints the id of the request whose reply is on stdin.
+request_id() { sed -n 's/^Acaciaferry-Request-Id: \([0-9a-f-]*\).*/\1/p'; }
+
 # Fails the test unless the text on stdin has the pattern.
 expect() {
   local text
