--- a/apps/acaciaferryctl/command.hpp
+++ b/apps/acaciaferryctl/command.hpp
@@ -26,6 +26,10 @@
 struct command {
   std::string_view name;
   std::string_view summary;
+  /** What follows the name on the command line. */
+  std::string_view usage;
+  /** One a line, without the program's name. */
+  std::string_view examples;
   int (*run)(arguments);
 };
 
@@ -53,6 +57,9 @@
 /** @brief Starts a graceful shutdown of a daemon. */
 int RunDrain(arguments words);
 
+/** @brief Prints a completion script for bash. */
+int RunCompletion(arguments words);
+
 /** @brief Shows status and targets again and again. */
 int RunWatch(arguments words);
 
--- a/apps/acaciaferryctl/main.cpp
+++ b/apps/acaciaferryctl/main.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -12,23 +13,70 @@
 namespace ctl {
 namespace {
 
+constexpr std::string_view kOptions = "[OPTIONS]";
+
 constexpr std::array kCommands{
     command{"questionnaire", "ask, check, generate, explain or diff answers",
+            "VERB ARGUMENTS", "questionnaire check answers.ini",
             RunQuestionnaire},
-    command{"status", "what a VM is doing", RunStatus},
-    command{"targets", "the targets that a VM knows, with their load",
-            RunTargets},
-    command{"peers", "the other VMs that a VM knows", RunPeers},
-    command{"workspaces", "the workspaces, their weights and limits",
-            RunWorkspaces},
-    command{"configuration", "the configuration in force", RunConfiguration},
-    command{"refusals", "refused and failed requests by reason", RunRefusals},
-    command{"requests", "the requests that have not ended", RunRequests},
-    command{"explain", "why one request went where it went", RunExplain},
-    command{"drain", "start a graceful shutdown of a VM", RunDrain},
-    command{"watch", "show status and targets every second", RunWatch},
+    command{"status", "what a VM is doing", kOptions,
+            "status --address 10.0.0.7:9090 --token-file token", RunStatus},
+    command{"targets", "the targets that a VM knows, with their load", kOptions,
+            "targets\ntargets --output json", RunTargets},
+    command{"peers", "the other VMs that a VM knows", kOptions,
+            "peers --address 10.0.0.7:9090", RunPeers},
+    command{"workspaces", "the workspaces, their weights and limits", kOptions,
+            "workspaces --output json", RunWorkspaces},
+    command{"configuration", "the configuration in force", kOptions,
+            "configuration --output json", RunConfiguration},
+    command{"refusals", "refused and failed requests by reason", kOptions,
+            "refusals --address 10.0.0.7:9090", RunRefusals},
+    command{"requests", "the requests that have not ended", kOptions,
+            "requests --output json", RunRequests},
+    command{"explain", "why one request went where it went",
+            "REQUEST-ID [OPTIONS]",
+            "explain 19ae2d1c4f07b3c-12\n"
+            "explain 19ae2d1c4f07b3c-12 --output json",
+            RunExplain},
+    command{"drain", "start a graceful shutdown of a VM", kOptions,
+            "drain --address 10.0.0.7:9090", RunDrain},
+    command{"watch", "show status and targets every second", kOptions,
+            "watch --count 10", RunWatch},
+    command{"completion", "print a completion script for bash", "",
+            "completion > ~/.local/share/bash-completion/completions/"
+            "acaciaferryctl",
+            RunCompletion},
 };
 
+constexpr std::string_view kOptionsHelp =
+    "options:\n"
+    "  -a, --address IP:PORT     the daemon's operators' listener "
+    "(127.0.0.1:9090)\n"
+    "  -t, --token-file FILE     file with the operator's token\n"
+    "                            (/etc/acaciaferry/operator.token)\n"
+    "  -o, --output text|json    form of the output (text)\n"
+    "  -n, --count N             pictures that watch shows; 0 for no end\n"
+    "\n"
+    "exit codes: 0 done, 1 the daemon cannot be reached or refuses, 2 wrong "
+    "usage\n";
+
+void PrintCommandHelp(const command& of) {
+  std::cout << "usage: acaciaferryctl " << of.name
+            << (of.usage.empty() ? "" : " ") << of.usage << "\n\n"
+            << of.summary << "\n\nexamples:\n";
+  std::istringstream examples{std::string(of.examples)};
+  for (std::string line; std::getline(examples, line);) {
+    std::cout << "  acaciaferryctl " << line << '\n';
+  }
+  if (of.usage.ends_with(kOptions)) {
+    std::cout << '\n' << kOptionsHelp;
+  }
+}
+
+bool AsksForHelp(arguments words) {
+  return !words.empty() && (words.front() == "--help" || words.front() == "-h");
+}
+
 void PrintHelp(std::ostream& out) {
   out << "usage: acaciaferryctl COMMAND [ARGUMENTS]\n\n";
   for (const command& each : kCommands) {
@@ -71,8 +119,14 @@
     ctl::PrintHelp(std::cerr);
     return ctl::kUsage;
   }
+  const auto rest = ctl::arguments(words).subspan(1);
+  // The questionnaire explains its verbs itself.
+  if (ctl::AsksForHelp(rest) && found->run != ctl::RunQuestionnaire) {
+    ctl::PrintCommandHelp(*found);
+    return ctl::kOk;
+  }
   try {
-    return found->run(ctl::arguments(words).subspan(1));
+    return found->run(rest);
   } catch (const Poco::Exception& error) {
     std::cerr << "acaciaferryctl: " << error.displayText() << '\n';
     return ctl::kFailed;
