Split workspace limits between VMs by lent shares

Cause: a limit was only ever split evenly, so a busy VM could not use what idle ones left.

Change: a VM lends what it does not need of its static share under a lease. The borrower's lease starts when it sent the demand, so the shares never add up to more than the limit, whatever is lost or late.

--- /dev/null
+++ b/src/acaciaferry/workspaces/shares.cpp
@@ -0,0 +1,136 @@
+#include "acaciaferry/workspaces/shares.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+
+namespace acaciaferry {
+namespace internal {
+
+// Kept above the own demand, for growth during a lease.
+constexpr double kHeadroom = 1.25;
+// Part of the static share that is never lent, so that a workspace that comes
+// back to this VM is served at once.
+constexpr double kNeverLent = 0.1;
+
+double SumAt(std::span<const share_loan> loans, time_point now) noexcept {
+  double sum = 0;
+  for (const share_loan& each : loans) {
+    sum += each.until > now ? each.tokens_per_s : 0;
+  }
+  return sum;
+}
+
+void DropLapsed(std::vector<share_loan>& loans, time_point now) {
+  std::erase_if(loans,
+                [now](const share_loan& each) { return each.until <= now; });
+}
+
+share_loan* FindLoan(std::vector<share_loan>& loans, const vm_id& peer) {
+  const auto found = std::find_if(
+      loans.begin(), loans.end(),
+      [&peer](const share_loan& each) { return each.peer == peer; });
+  return found == loans.end() ? nullptr : &*found;
+}
+
+double Lack(const peer_demand& peer, double static_share) noexcept {
+  return std::isfinite(peer.tokens_per_s)
+             ? std::max(0.0, peer.tokens_per_s - static_share)
+             : 0;
+}
+
+// The peers that lack most, at most kMaxLoans of them.
+std::vector<peer_demand> Neediest(std::span<const peer_demand> peers,
+                                  double static_share) {
+  std::vector<peer_demand> needy;
+  for (const peer_demand& each : peers) {
+    const double lack = Lack(each, static_share);
+    if (lack > 0) {
+      needy.push_back({each.vm, lack});
+    }
+  }
+  std::sort(needy.begin(), needy.end(),
+            [](const peer_demand& a, const peer_demand& b) {
+              return a.tokens_per_s != b.tokens_per_s
+                         ? a.tokens_per_s > b.tokens_per_s
+                         : a.vm < b.vm;
+            });
+  needy.resize(std::min(needy.size(), kMaxLoans));
+  return needy;
+}
+
+}  // namespace internal
+
+double StaticShare(double limit, std::uint64_t entry_vms) noexcept {
+  return limit / static_cast<double>(std::max<std::uint64_t>(1, entry_vms));
+}
+
+double DemandShare(const share_ledger& ledger,
+                   double static_share,
+                   time_point now) noexcept {
+  return std::max(0.0, static_share - internal::SumAt(ledger.lent, now)) +
+         internal::SumAt(ledger.borrowed, now);
+}
+
+std::vector<share_loan> LendSpare(share_ledger& ledger,
+                                  double static_share,
+                                  double own_demand,
+                                  std::span<const peer_demand> peers,
+                                  time_point now) {
+  internal::DropLapsed(ledger.lent, now);
+  const auto needy = internal::Neediest(peers, static_share);
+  const double wanted =
+      std::isfinite(own_demand) ? std::max(0.0, own_demand) : static_share;
+  const double kept = std::max(static_share * internal::kNeverLent,
+                               wanted * internal::kHeadroom);
+  const double lendable = std::max(0.0, static_share - kept);
+  double lacked = 0;
+  for (const peer_demand& each : needy) {
+    lacked += each.tokens_per_s;
+  }
+  std::vector<share_loan> told;
+  for (const peer_demand& each : needy) {
+    const double part = std::min(1.0, lendable / lacked) * each.tokens_per_s;
+    share_loan* const known = internal::FindLoan(ledger.lent, each.vm);
+    const double others = internal::SumAt(ledger.lent, now) -
+                          (known != nullptr ? known->tokens_per_s : 0);
+    const double tokens = std::min(part, lendable - others);
+    // A smaller loan cannot replace a larger one before that has lapsed,
+    // because the borrower may not hear of it.
+    const bool shrinks = known != nullptr && tokens < known->tokens_per_s;
+    const bool has_place = known != nullptr || ledger.lent.size() < kMaxLoans;
+    if (tokens <= 0 || shrinks || !has_place) {
+      continue;
+    }
+    const share_loan loan{each.vm, tokens, now + kLoanLease};
+    if (known != nullptr) {
+      *known = loan;
+    } else {
+      ledger.lent.push_back(loan);
+    }
+    told.push_back(loan);
+  }
+  return told;
+}
+
+void Borrow(share_ledger& ledger,
+            const vm_id& lender,
+            double tokens_per_s,
+            time_point asked_at,
+            time_point now) {
+  internal::DropLapsed(ledger.borrowed, now);
+  const time_point until = asked_at + kLoanLease;
+  if (!std::isfinite(tokens_per_s) || tokens_per_s <= 0 || until <= now ||
+      asked_at > now) {
+    return;
+  }
+  const share_loan loan{lender, tokens_per_s, until};
+  share_loan* const known = internal::FindLoan(ledger.borrowed, lender);
+  if (known == nullptr) {
+    ledger.borrowed.push_back(loan);
+  } else if (known->until < until) {
+    *known = loan;
+  }
+}
+
+}  // namespace acaciaferry
