Index cached prompt blocks for routing

Cause: routing could not tell which target has part of a prompt cached.

Routing samples the holder of the longest prefix and subtracts the expected cached tokens. Answers to polls are counted by verdict.

--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -29,6 +29,10 @@
     "accepted", "unknown_target", "superseded_incarnation", "old_sequence",
     "implausible"};
 
+constexpr std::array<std::string_view, 5> kCacheVerdictNames{
+    "accepted", "gap", "unknown_target", "superseded_incarnation",
+    "old_sequence"};
+
 }  // namespace internal
 
 void metrics_registry::Count(failure_code code) noexcept {
@@ -43,6 +47,10 @@
   ++reports_[static_cast<std::size_t>(verdict)];
 }
 
+void metrics_registry::Count(cache_verdict verdict) noexcept {
+  ++cache_events_[static_cast<std::size_t>(verdict)];
+}
+
 std::string metrics_registry::ToPrometheusText() const {
   using internal::AppendHelp;
   using internal::AppendValue;
@@ -69,6 +77,12 @@
     AppendValue(text, "acaciaferry_load_reports_total", "verdict",
                 internal::kVerdictNames[i], reports_[i]);
   }
+  AppendHelp(text, "acaciaferry_cache_event_polls_total",
+             "Answers to polls of cache events, by what became of them.");
+  for (std::size_t i = 0; i < cache_events_.size(); ++i) {
+    AppendValue(text, "acaciaferry_cache_event_polls_total", "verdict",
+                internal::kCacheVerdictNames[i], cache_events_[i]);
+  }
   return text;
 }
 
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/reducer/dispatch.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <vector>
 
 #include "acaciaferry/admission/admission.hpp"
@@ -21,6 +22,20 @@
           .now = now};
 }
 
+cached_prefix CachedPrefix(const state& state,
+                           const request_record& record,
+                           time_point now) {
+  const std::vector<std::uint64_t>& blocks = record.request.prefix_blocks;
+  if (blocks.empty() || state.prefix_cache.targets.empty()) {
+    return {};
+  }
+  return {[&state, &blocks, now](const target_id& target) {
+            return ExpectedCachedTokens(state.prefix_cache, target, blocks,
+                                        now);
+          },
+          FindHolder(state.prefix_cache, blocks)};
+}
+
 void ShedLate(state& state, time_point now, effects& out) {
   for (const request_id& id : TooLateToStart(state.waiting, now)) {
     EndRequest(state, id, NotRun(failure_code::kShed), now, out);
@@ -78,7 +93,7 @@
 std::optional<routing_choice> ChooseFor(state& state,
                                         const request_record& record,
                                         time_point now) {
-  const cached_prefix cached;
+  const cached_prefix cached = internal::CachedPrefix(state, record, now);
   return ChooseTarget(state.routing,
                       {record.request, record.work, record.excluded, cached},
                       internal::ViewOf(state, now), state.random);
--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -8,6 +8,7 @@
 #include "acaciaferry/attempts/attempt.hpp"
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/request.hpp"
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -79,6 +80,10 @@
   report_verdict verdict{};
 };
 
+struct count_cache_events {
+  cache_verdict verdict{};
+};
+
 using effect = std::variant<start_attempt,
                             resume_attempt,
                             cancel_attempt,
@@ -89,7 +94,8 @@
                             drain_completed,
                             count_refusal,
                             count_retry,
-                            count_report>;
+                            count_report,
+                            count_cache_events>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -5,6 +5,7 @@
 #include "acaciaferry/attempts/event.hpp"
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/targets/state.hpp"
 
 namespace acaciaferry {
@@ -39,6 +40,7 @@
                            timer_expired,
                            vm_list_received,
                            load_report_received,
+                           cache_events_received,
                            attempt_sent,
                            attempt_accepted,
                            attempt_rejected,
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -50,6 +50,10 @@
     OnLoadReport(state, event.report, now, out);
   }
 
+  void operator()(const cache_events_received& event) const {
+    OnCacheEvents(state, event, now, out);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -17,6 +17,7 @@
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/cost/cost.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/prefix_cache/prefix_cache.hpp"
 #include "acaciaferry/routing/routing.hpp"
 #include "acaciaferry/targets/state.hpp"
 #include "acaciaferry/workspaces/limits.hpp"
@@ -65,6 +66,7 @@
   workspaces_state workspaces;
   waiting_queues waiting;
   routing_state routing;
+  prefix_cache_state prefix_cache;
   std::unordered_map<request_id, request_record> requests;
   /** Deadlines of the requests, earliest first. */
   std::set<std::pair<time_point, request_id>> deadlines;
--- a/src/acaciaferry/reducer/target_knowledge.cpp
+++ b/src/acaciaferry/reducer/target_knowledge.cpp
@@ -1,6 +1,23 @@
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
+#include <vector>
+
 namespace acaciaferry {
+namespace internal {
+
+void ForgetUnlistedCaches(state& state) {
+  std::vector<target_id> unlisted;
+  for (const auto& [id, cached] : state.prefix_cache.targets) {
+    if (FindTarget(state.targets, id) == nullptr) {
+      unlisted.push_back(id);
+    }
+  }
+  for (const target_id& id : unlisted) {
+    ForgetCache(state.prefix_cache, id);
+  }
+}
+
+}  // namespace internal
 
 void OnVmList(state& state, std::span<const vm_entry> vms) {
   ApplyVmList(state.targets, vms);
@@ -8,6 +25,7 @@
   ForgetTargets(state.costs, [&state](const target_id& id) {
     return FindTarget(state.targets, id) != nullptr;
   });
+  internal::ForgetUnlistedCaches(state);
 }
 
 void OnLoadReport(state& state,
@@ -28,4 +46,15 @@
   }
 }
 
+void OnCacheEvents(state& state,
+                   const cache_events_received& answer,
+                   time_point now,
+                   effects& out) {
+  const target* const known = FindTarget(state.targets, answer.target);
+  out.push_back(count_cache_events{
+      known == nullptr ? cache_verdict::kUnknownTarget
+                       : ApplyCacheEvents(state.prefix_cache, answer,
+                                          known->incarnation, now)});
+}
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/target_knowledge.hpp
+++ b/src/acaciaferry/reducer/target_knowledge.hpp
@@ -17,4 +17,10 @@
                   time_point now,
                   effects& out);
 
+/** @brief Takes over cache events, or counts why they were not used. */
+void OnCacheEvents(state& state,
+                   const cache_events_received& answer,
+                   time_point now,
+                   effects& out);
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -168,6 +168,7 @@
   void Execute(count_refusal& value) { metrics_.Count(value.code); }
   void Execute(count_retry& value) { metrics_.Count(value.reason); }
   void Execute(count_report& value) { metrics_.Count(value.verdict); }
+  void Execute(count_cache_events& value) { metrics_.Count(value.verdict); }
 
   const daemon_settings settings_;
   const std::uint64_t incarnation_;
