Count clock steps and absurd counts, and test what is queued

Cause: a clock that stepped back or a report with an absurd number of running requests would have reached the decisions unnoticed, and a caller's timeout of zero was started.

Change: the reducer goes on with its latest time and counts the step; such reports are implausible; a deadline that has passed is refused. Refusals before a queue was looked at carry a time to try again.

--- a/src/acaciaferry/admission/admission.cpp
+++ b/src/acaciaferry/admission/admission.cpp
@@ -53,6 +53,10 @@
     return std::clamp(wait, internal::kShortestRetryAfter,
                       internal::kLongestRetryAfter);
   };
+  if (remaining <= duration::zero()) {
+    return NotRun(failure_code::kDeadlineTooShort,
+                  internal::kShortestRetryAfter);
+  }
   if (expected.waiting >= work.queue_limit) {
     return NotRun(failure_code::kQueueFull, retry_after(expected.wait));
   }
--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -59,6 +59,9 @@
   AppendValue(text, "acaciaferry_requests_total", "", "", requests_);
   AppendHelp(text, "acaciaferry_answers_total", "Requests answered whole.");
   AppendValue(text, "acaciaferry_answers_total", "", "", answers_);
+  AppendHelp(text, "acaciaferry_clock_steps_total",
+             "Events with a time before that of an earlier event.");
+  AppendValue(text, "acaciaferry_clock_steps_total", "", "", clock_steps_);
   AppendHelp(text, "acaciaferry_refusals_total",
              "Requests refused or failed, by reason.");
   for (std::size_t i = 0; i < refusals_.size(); ++i) {
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -19,6 +19,7 @@
  public:
   void CountRequest() noexcept { ++requests_; }
   void CountAnswer() noexcept { ++answers_; }
+  void CountClockStep() noexcept { ++clock_steps_; }
   void Count(failure_code code) noexcept;
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
@@ -35,6 +36,7 @@
 
   std::atomic<std::uint64_t> requests_{};
   std::atomic<std::uint64_t> answers_{};
+  std::atomic<std::uint64_t> clock_steps_{};
   std::array<std::atomic<std::uint64_t>, kFailureCodes> refusals_{};
   std::array<std::atomic<std::uint64_t>, kRetryReasons> retries_{};
   std::array<std::atomic<std::uint64_t>, kVerdicts> reports_{};
--- a/src/acaciaferry/reducer/arrival.cpp
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -10,8 +10,8 @@
 namespace acaciaferry {
 namespace internal {
 
-// Targets come back, or their list arrives, within about this long.
-constexpr duration kNoTargetRetryAfter = std::chrono::seconds(1);
+// Targets, a configuration or another VM are found within about this long.
+constexpr duration kRetryAfter = std::chrono::seconds(1);
 
 void Refuse(const request_id& id, const failure& reason, effects& out) {
   out.push_back(count_refusal{reason.code});
@@ -41,7 +41,8 @@
   }
   const auto victim = FindVictim(state.waiting, newcomer.order);
   if (victim) {
-    EndRequest(state, *victim, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, *victim, NotRun(failure_code::kShed, kRetryAfter), now,
+               out);
   }
   return victim.has_value();
 }
@@ -70,16 +71,14 @@
   const request_id id = record.request.id;
   const auto choice = ChooseFor(state, record, now);
   if (!choice) {
-    return Refuse(id, NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter),
-                  out);
+    return Refuse(id, NotRun(failure_code::kNoLiveTarget, kRetryAfter), out);
   }
   const waiting_request waiting = MakeWaiting(state, record, *choice);
   if (const auto refusal = RefusalOf(state, record, waiting, *choice, now)) {
     return Refuse(id, *refusal, out);
   }
   if (!MakeRoom(state, waiting, now, out)) {
-    return Refuse(id, NotRun(failure_code::kQueueFull, kNoTargetRetryAfter),
-                  out);
+    return Refuse(id, NotRun(failure_code::kQueueFull, kRetryAfter), out);
   }
   const auto wait =
       Spend(state.workspaces, waiting.workspace, waiting.cost, now);
@@ -99,7 +98,7 @@
                       time_point now,
                       effects& out) {
   const auto refuse = [&](failure_code code) {
-    internal::Refuse(request.id, NotRun(code), out);
+    internal::Refuse(request.id, NotRun(code, internal::kRetryAfter), out);
   };
   if (state.closed) {
     return refuse(failure_code::kDraining);
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -13,6 +13,8 @@
 // A lane without room is looked at again after this long: a fraction of what
 // targets may have queued, so that none of them runs dry.
 constexpr duration kBlockedPause = std::chrono::milliseconds(5);
+// What is shed now competes with what is queued for about this long.
+constexpr duration kShedRetryAfter = std::chrono::seconds(2);
 
 routing_view ViewOf(const state& state, time_point now) {
   return {.targets = state.targets,
@@ -38,7 +40,8 @@
 
 void ShedLate(state& state, time_point now, effects& out) {
   for (const request_id& id : TooLateToStart(state.waiting, now)) {
-    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, id, NotRun(failure_code::kShed, kShedRetryAfter), now,
+               out);
   }
 }
 
@@ -55,7 +58,8 @@
   }
   if (choice->is_grounded && now + choice->run > record.deadline) {
     RelaxRunRatio(state.costs, record.request.pool);
-    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, id, NotRun(failure_code::kShed, kShedRetryAfter), now,
+               out);
     return start_result::kShed;
   }
   RemoveWaiting(state.waiting, id, now);
--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -84,6 +84,9 @@
   cache_verdict verdict{};
 };
 
+/** The clock stepped back; the reducer went on with its latest time. */
+struct count_clock_step {};
+
 using effect = std::variant<start_attempt,
                             resume_attempt,
                             cancel_attempt,
@@ -95,7 +98,8 @@
                             count_refusal,
                             count_retry,
                             count_report,
-                            count_cache_events>;
+                            count_cache_events,
+                            count_clock_step>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -62,8 +62,13 @@
 
 }  // namespace internal
 
-effects Reduce(state& state, const event& event, time_point now) {
+effects Reduce(state& state, const event& event, time_point time) {
   effects out;
+  if (time < state.latest) {
+    out.push_back(count_clock_step{});
+  }
+  const time_point now = std::max(time, state.latest);
+  state.latest = now;
   ExpireRequests(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
--- a/src/acaciaferry/reducer/reduce.hpp
+++ b/src/acaciaferry/reducer/reduce.hpp
@@ -17,10 +17,11 @@
  *
  * @param state The state, which is changed.
  * @param event What happened.
- * @param now When it happened; never earlier than in the call before.
+ * @param time When it happened. One earlier than in the call before is
+ * counted, and the event is handled at the later time.
  * @return What must be done, in order.
  */
-[[nodiscard]] effects Reduce(state& state, const event& event, time_point now);
+[[nodiscard]] effects Reduce(state& state, const event& event, time_point time);
 
 /**
  * @brief Tells when the timer must fire next.
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -59,6 +59,8 @@
  */
 struct state {
   identity self;
+  /** The latest time that the reducer has seen. */
+  time_point latest{time_point::min()};
   random_engine random;
   std::optional<deployment> config;
   targets_state targets;
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -169,6 +169,7 @@
   void Execute(count_retry& value) { metrics_.Count(value.reason); }
   void Execute(count_report& value) { metrics_.Count(value.verdict); }
   void Execute(count_cache_events& value) { metrics_.Count(value.verdict); }
+  void Execute(count_clock_step& /*value*/) { metrics_.CountClockStep(); }
 
   const daemon_settings settings_;
   const std::uint64_t incarnation_;
--- a/src/acaciaferry/targets/state.cpp
+++ b/src/acaciaferry/targets/state.cpp
@@ -9,18 +9,21 @@
 
 // Larger figures than any engine has are taken for corruption.
 constexpr std::uint64_t kMaxPlausibleTokens = 1'000'000'000;
+constexpr std::uint64_t kMaxPlausibleRequests = 1'000'000;
 constexpr double kMaxPlausibleRate = 1e9;
 constexpr duration kSilentIncarnation = std::chrono::seconds(10);
 
 bool IsPlausible(const load_report& report) noexcept {
-  const bool tokens_plausible =
+  const bool counts_plausible =
+      report.running <= kMaxPlausibleRequests &&
+      report.waiting <= kMaxPlausibleRequests &&
       report.queued_prefill_tokens <= kMaxPlausibleTokens &&
       report.kv_used_tokens <= kMaxPlausibleTokens &&
       report.kv_capacity_tokens <= kMaxPlausibleTokens;
   const auto rate_plausible = [](double rate) {
     return std::isfinite(rate) && rate >= 0 && rate <= kMaxPlausibleRate;
   };
-  return tokens_plausible && rate_plausible(report.prefill_tokens_per_s) &&
+  return counts_plausible && rate_plausible(report.prefill_tokens_per_s) &&
          rate_plausible(report.decode_ms_per_token);
 }
 
