--- a/src/acaciaferry/deployment/deployment.hpp
+++ b/src/acaciaferry/deployment/deployment.hpp
@@ -24,6 +24,9 @@
   bool checks_fencing{};
   /** KV memory of one engine in tokens; zero for plain services. */
   std::uint64_t kv_capacity_tokens{};
+  /** Models, with their versions and adapters, that each engine must have
+   * loaded, as its load report names them; empty for plain services. */
+  std::vector<std::string> models;
 };
 
 /**
@@ -44,7 +47,7 @@
   std::uint32_t priority{};
   bool idempotent{true};
   /** Requests of this workload that may wait on one VM. */
-  std::uint64_t queue_limit{};
+  std::uint64_t queue_limit{256};
 };
 
 /**
--- a/src/acaciaferry/reducer/arrival.cpp
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -4,8 +4,11 @@
 #include <variant>
 
 #include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
+#include "acaciaferry/reducer/isolation.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
 
 namespace acaciaferry {
 namespace internal {
@@ -13,11 +16,6 @@
 // Targets, a configuration or another VM are found within about this long.
 constexpr duration kRetryAfter = std::chrono::seconds(1);
 
-void Refuse(const request_id& id, const failure& reason, effects& out) {
-  out.push_back(count_refusal{reason.code});
-  out.push_back(fail_request{id, reason});
-}
-
 waiting_request MakeWaiting(const state& state,
                             const request_record& record,
                             const routing_choice& choice) {
@@ -64,11 +62,30 @@
   return refusal;
 }
 
+// A suspect does not queue behind others: it waits for a target of its own.
+void StartSuspect(state& state,
+                  request_record record,
+                  time_point now,
+                  effects& out) {
+  const request_id id = record.request.id;
+  if (!SpendKey(state, record)) {
+    return Refuse(id, NotRun(failure_code::kOperationsFull), out);
+  }
+  state.deadlines.emplace(record.deadline, id);
+  request_record& kept =
+      state.requests.emplace(id, std::move(record)).first->second;
+  StartAttempt(state, kept, NotRun(failure_code::kNoLiveTarget, kRetryAfter),
+               now, out);
+}
+
 void QueueOrRefuse(state& state,
                    request_record record,
                    time_point now,
                    effects& out) {
   const request_id id = record.request.id;
+  if (IsSuspectRequest(state, record, now)) {
+    return StartSuspect(state, std::move(record), now, out);
+  }
   const auto choice = ChooseFor(state, record, now);
   if (!choice) {
     return Refuse(id, NotRun(failure_code::kNoLiveTarget, kRetryAfter), out);
@@ -86,6 +103,10 @@
     return Refuse(id, NotRun(failure_code::kWorkspaceLimit, wait), out);
   }
   record.charged_tokens = waiting.cost;
+  if (!SpendKey(state, record)) {
+    Refund(state.workspaces, waiting.workspace, waiting.cost);
+    return Refuse(id, NotRun(failure_code::kOperationsFull), out);
+  }
   Enqueue(state.waiting, waiting, now);
   state.deadlines.emplace(record.deadline, id);
   state.requests.emplace(id, std::move(record));
@@ -100,20 +121,28 @@
   const auto refuse = [&](failure_code code) {
     internal::Refuse(request.id, NotRun(code, internal::kRetryAfter), out);
   };
+  // A request id names one request: a duplicated event changes nothing.
+  if (state.requests.contains(request.id)) {
+    return;
+  }
+  if (ReplyFromOperations(state, request, now, out)) {
+    return;
+  }
   if (state.closed) {
     return refuse(failure_code::kDraining);
   }
   if (!state.config) {
     return refuse(failure_code::kNoConfiguration);
   }
-  // A request id names one request: a duplicated event changes nothing.
-  if (state.requests.contains(request.id)) {
-    return;
-  }
   const auto verdict = Admit(*state.config, request, now);
   if (const auto* const refusal = std::get_if<failure>(&verdict)) {
     return internal::Refuse(request.id, *refusal, out);
   }
+  if (const auto left = QuarantinedFor(state.quarantine,
+                                       internal::FingerprintOf(request), now)) {
+    return internal::Refuse(request.id,
+                            NotRun(failure_code::kQuarantined, left), out);
+  }
   const auto& [work, deadline] = std::get<admitted>(verdict);
   const routing_view view{state.targets, state.costs, state.config->policy,
                           state.self.failure_domain, now};
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -2,9 +2,12 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <span>
 #include <vector>
 
 #include "acaciaferry/admission/admission.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
+#include "acaciaferry/reducer/isolation.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
 
 namespace acaciaferry {
@@ -98,9 +101,23 @@
                                         const request_record& record,
                                         time_point now) {
   const cached_prefix cached = internal::CachedPrefix(state, record, now);
-  return ChooseTarget(state.routing,
-                      {record.request, record.work, record.excluded, cached},
-                      internal::ViewOf(state, now), state.random);
+  const auto choose = [&](std::span<const target_id> excluded) {
+    return ChooseTarget(state.routing,
+                        {record.request, record.work, excluded, cached},
+                        internal::ViewOf(state, now), state.random);
+  };
+  std::vector<target_id> excluded = TargetsToAvoid(state, record, now);
+  if (excluded.empty()) {
+    return choose(record.excluded);
+  }
+  excluded.insert(excluded.end(), record.excluded.begin(),
+                  record.excluded.end());
+  auto choice = choose(excluded);
+  // A suspect waits; others rather share a target with one than wait.
+  if (!choice && !IsSuspectRequest(state, record, now)) {
+    choice = choose(record.excluded);
+  }
+  return choice;
 }
 
 void LaunchAttempt(state& state,
@@ -110,6 +127,7 @@
                    effects& out) {
   const target& target = *FindTarget(state.targets, choice.target);
   const attempt_id id{record.request.id, ++record.attempts_made};
+  internal::ForgetAnswer(record);
   record.current =
       attempt{id, target.id, target.address, attempt_phase::kUnsent, now};
   RecordDispatch(state.routing, id, choice, IsLongRequest(record.request), now);
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 
 #include "acaciaferry/reducer/arrival.hpp"
+#include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
 #include "acaciaferry/reducer/lifecycle.hpp"
+#include "acaciaferry/reducer/operation_events.hpp"
 #include "acaciaferry/reducer/target_knowledge.hpp"
 
 namespace acaciaferry {
@@ -54,6 +56,18 @@
     OnCacheEvents(state, event, now, out);
   }
 
+  void operator()(const operation_key_requested& event) const {
+    OnOperationKeyRequested(state, event, now, out);
+  }
+
+  void operator()(const peer_learnt& event) const {
+    LearnOwner(state.operations, event);
+  }
+
+  void operator()(const suspects_heard& event) const {
+    MergeSuspects(state.quarantine, Self(state), event, now);
+  }
+
   template <typename AttemptEvent>
   void operator()(const AttemptEvent& event) const {
     OnAttemptEvent(state, event, now, out);
@@ -70,8 +84,12 @@
   const time_point now = std::max(time, state.latest);
   state.latest = now;
   ExpireRequests(state, now, out);
+  ExpireOperations(state.operations, now);
+  ExpireSuspects(state.quarantine, now);
+  CheckProgress(state, now, out);
   state.closed = state.accept_until && now >= *state.accept_until;
   std::visit(internal::dispatcher{state, now, out}, event);
+  internal::StartWaitingSuspects(state, now, out);
   DispatchWaiting(state, now, out);
   if (state.closed && state.requests.empty()) {
     out.push_back(drain_completed{});
@@ -84,6 +102,9 @@
   const auto consider = [&next](time_point at) {
     next = next ? std::min(*next, at) : at;
   };
+  if (!state.requests.empty()) {
+    consider(state.progress_check_at);
+  }
   if (!state.deadlines.empty()) {
     consider(state.deadlines.begin()->first);
   }
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -36,12 +36,8 @@
   return (static_cast<std::uint64_t>(milliseconds) << kRandomBits) | low;
 }
 
-state MakeState(const daemon_settings& settings, std::uint64_t incarnation) {
-  state result;
-  result.self = {settings.vm, settings.failure_domain, settings.region,
-                 incarnation};
-  result.random.seed(incarnation);
-  return result;
+log4cplus::Logger Logger() {
+  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
 }
 
 std::string ReadFile(const std::string& path) {
@@ -51,8 +47,18 @@
   return text.str();
 }
 
-log4cplus::Logger Logger() {
-  return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
+state MakeState(const daemon_settings& settings, std::uint64_t incarnation) {
+  state result;
+  result.self = {settings.vm, settings.failure_domain, settings.region,
+                 incarnation};
+  result.random.seed(incarnation);
+  if (!settings.key_file.empty()) {
+    result.operations.secret = ReadFile(settings.key_file);
+    if (result.operations.secret.empty()) {
+      LOG4CPLUS_ERROR(Logger(), "event=key_file_unreadable");
+    }
+  }
+  return result;
 }
 
 }  // namespace internal
@@ -77,7 +83,13 @@
                  workspaces_,
                  metrics_,
                  [this](event value) { loop_.Post(std::move(value)); }},
-        operators_{metrics_} {
+        operators_{
+            metrics_,
+            {[this](const event_loop::inspection& function) {
+               loop_.Inspect(function);
+             },
+             [this] { Drain(); }, clock_, metrics_},
+            token_check(internal::ReadFile(settings_.operators_token_file))} {
     loop_.Start();
     LoadDeploymentFile();
     callers_server_ = std::make_unique<callers_listener>(callers_);
@@ -90,10 +102,12 @@
     load_task_ = std::make_unique<periodic_task>(
         internal::kLoadPause,
         [this, sink] { PollLoadReports(TargetAddresses(), sink); });
-    LOG4CPLUS_INFO(internal::Logger(),
-                   "event=started port=" << callers_server_->Port()
-                                         << " vm=" << settings_.vm.value
-                                         << " incarnation=" << incarnation_);
+    LOG4CPLUS_INFO(
+        internal::Logger(),
+        "event=started port=" << callers_server_->Port()
+                              << " operators=" << operators_server_->Port()
+                              << " vm=" << settings_.vm.value
+                              << " incarnation=" << incarnation_);
   }
 
   ~parts() {
