--- a/src/acaciaferry/routing/request_mix.hpp
+++ b/src/acaciaferry/routing/request_mix.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <cstddef>
-
 #include "acaciaferry/core/length_class.hpp"
 #include "acaciaferry/core/time.hpp"
 
@@ -14,8 +12,7 @@
 }
 
 /**
- * @brief The work that recent requests of one pool asked for, in seconds of a
- * whole engine.
+ * @brief The work that recent requests of one pool asked for.
  */
 struct request_mix {
   double short_work{};
@@ -32,7 +29,7 @@
 /**
  * @brief Adds a request to the mix.
  * @param mix The mix; older work fades with a half-life of a minute.
- * @param work The request's share of an engine, times how long it holds it.
+ * @param work The request's predicted tokens.
  * @param is_long Whether its prompt is long.
  * @param now When it arrived.
  */
@@ -41,18 +38,13 @@
 /**
  * @brief Sizes the share of engines that take no long prompts.
  *
- * Long prompts are few and hold an engine for long, so the engines that take
- * them need more room for chance than their mean load (square-root staffing).
  * The share changes in steps, and only when the mix has clearly moved, so that
  * VMs that see slightly different mixes agree.
  *
  * @param mix The mix, which keeps the step in force.
- * @param engines Engines of the pool.
  * @param floor The least share, 0 to 0.9.
  * @return The share, 0 to 1.
  */
-[[nodiscard]] double ShortOnlyShare(request_mix& mix,
-                                    std::size_t engines,
-                                    double floor);
+[[nodiscard]] double ShortOnlyShare(request_mix& mix, double floor);
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/routing/routing.cpp
+++ b/src/acaciaferry/routing/routing.cpp
@@ -20,18 +20,11 @@
 // A queue this much longer than the shortest of the sample is a clear
 // difference in load, which no cached prefix outweighs.
 constexpr double kClearDifferenceSeconds = 0.5;
-// Another failure domain must be better by this part of the score, at most by
-// this long: to a long prompt the latency between domains is nothing.
-constexpr double kOtherDomainPart = 0.25;
-constexpr double kOtherDomainMaxSeconds = 0.05;
-// Answers that an engine usually decodes in one step.
-constexpr double kDecodeBatch = 32;
+// Another failure domain must be better by this much to be chosen.
+constexpr double kOtherDomainFactor = 1.25;
+constexpr double kOtherDomainSeconds = 0.03;
 // Leaves room for the growth of the running answers.
 constexpr double kKvFillLimit = 0.95;
-// Short prompts that come and go leave no engine's memory free for a large one.
-// Where long prompts weigh more, one may wait at the engine for what the others
-// free, which keeps short ones out of that engine meanwhile.
-constexpr double kLongFirstKvLimit = 2;
 // Bounds that keep the conversion to whole microseconds defined.
 constexpr double kMaxPredictedSeconds = 1e8;
 
@@ -85,15 +78,11 @@
 
 bool HasRoom(const candidate& at,
              const request_cost& cost,
-             const policy& policy,
              bool is_long) noexcept {
   const load_estimate& load = at.load;
-  const bool may_wait_there =
-      is_long && policy.long_weight > policy.short_weight;
-  const double limit =
-      load.kv_capacity * (may_wait_there ? kLongFirstKvLimit : kKvFillLimit);
-  const bool fits = load.kv_capacity <= 0 || load.running < 1 ||
-                    load.kv_used + cost.kv_tokens <= limit;
+  const bool fits =
+      load.kv_capacity <= 0 || load.running < 1 ||
+      load.kv_used + cost.kv_tokens <= load.kv_capacity * kKvFillLimit;
   const bool is_queue_short = at.queue_s <= kTargetBacklogSeconds;
   // Two long prompts on one engine finish no earlier than one after the other.
   return fits && is_queue_short && !(is_long && load.long_ahead > 0);
@@ -101,6 +90,7 @@
 
 // What the request delays or is delayed by, in weighted seconds.
 double Interference(const candidate& at,
+                    const request_cost& cost,
                     const policy& policy,
                     bool is_long) noexcept {
   const double rate = at.rates.prefill_tokens_per_s;
@@ -108,8 +98,10 @@
     return policy.short_weight *
            std::min(at.load.long_ahead, kPrefillChunkTokens) / rate;
   }
-  // Short prompts that wait are put off by the chunks of the long one.
-  return policy.short_weight * at.load.short_ahead / rate;
+  // Each running short request is slowed by the chunks of the long prefill.
+  const double slowed = std::min(cost.prefill_tokens, kPrefillChunkTokens) *
+                        at.load.running / rate;
+  return policy.short_weight * slowed;
 }
 
 routing_choice Score(const candidate& at,
@@ -133,9 +125,9 @@
   const double decode = cost.decode_tokens * at.rates.decode_s_per_token;
   const double own_weight = is_long ? view.policy.long_weight : 1;
   double score = own_weight * (wait + scored.prefill_tokens / rate) +
-                 Interference(at, view.policy, is_long);
+                 Interference(at, cost, view.policy, is_long);
   if (at.place->failure_domain != view.own_domain) {
-    score += std::min(score * kOtherDomainPart, kOtherDomainMaxSeconds);
+    score = score * kOtherDomainFactor + kOtherDomainSeconds;
   }
   return {.target = at.place->id,
           .cost = cost,
@@ -146,31 +138,13 @@
           .run = Seconds((first + decode) *
                          (at.load.running < 1 ? 1 : pool.run_ratio)),
           .has_room = query.request.kind == request_kind::kServiceCall ||
-                      HasRoom(at, cost, view.policy, is_long),
+                      HasRoom(at, cost, is_long),
           .is_grounded = at.load.is_reported &&
                          query.request.kind == request_kind::kCompletion &&
                          at.place->report->prefill_tokens_per_s > 0,
           .score_s = score};
 }
 
-// The larger of the compute and the memory that a request takes of an engine,
-// each as a share of the engine times the time it is held.
-double EngineSeconds(const routing_view& view,
-                     const target& typical,
-                     const request_cost& cost) {
-  const target_rates rates = RatesOf(view.costs, typical);
-  const double prefill = cost.prefill_tokens / rates.prefill_tokens_per_s;
-  const double decode = cost.decode_tokens * rates.decode_s_per_token;
-  const double capacity =
-      typical.report ? static_cast<double>(typical.report->kv_capacity_tokens)
-                     : 0;
-  const double memory =
-      capacity > 0
-          ? std::min(1.0, cost.kv_tokens / capacity) * (prefill + decode)
-          : 0;
-  return std::max(prefill + decode / kDecodeBatch, memory);
-}
-
 bool IsBetter(const routing_choice& a, const routing_choice& b) noexcept {
   return a.has_room != b.has_room ? a.has_room : a.score_s < b.score_s;
 }
@@ -263,12 +237,9 @@
     return;
   }
   request_mix& mix = state.mixes[request.pool];
+  NoteRequest(mix, cost.Total(), IsLongRequest(request), view.now);
   pool_members& members = found->second;
-  const target& typical = view.targets.targets[members.ordered.front()];
-  NoteRequest(mix, internal::EngineSeconds(view, typical, cost),
-              IsLongRequest(request), view.now);
-  const double share =
-      ShortOnlyShare(mix, members.ordered.size(), view.policy.short_only_floor);
+  const double share = ShortOnlyShare(mix, view.policy.short_only_floor);
   const auto size = static_cast<double>(members.ordered.size());
   const auto wanted = static_cast<std::size_t>(std::ceil(share * size));
   if (std::min(wanted, members.ordered.size() - 1) != members.short_only) {
