--- a/src/acaciaferry/metrics/registry.cpp
+++ b/src/acaciaferry/metrics/registry.cpp
@@ -53,6 +53,9 @@
   AppendHelp(text, name, help);
   AppendValue(text, name, "", "", value);
 }
+constexpr std::array<std::string_view, 5> kCacheVerdictNames{
+    "accepted", "gap", "unknown_target", "superseded_incarnation",
+    "old_sequence"};
 
 }  // namespace internal
 
@@ -76,6 +79,10 @@
   ++releases_[static_cast<std::size_t>(reason)];
 }
 
+void metrics_registry::Count(cache_verdict verdict) noexcept {
+  ++cache_events_[static_cast<std::size_t>(verdict)];
+}
+
 std::uint64_t metrics_registry::Value(failure_code code) const noexcept {
   return refusals_[static_cast<std::size_t>(code)];
 }
@@ -142,6 +149,9 @@
   AppendValue(text, "acaciaferry_requests_total", "", "", requests_);
   AppendHelp(text, "acaciaferry_answers_total", "Requests answered whole.");
   AppendValue(text, "acaciaferry_answers_total", "", "", answers_);
+  AppendHelp(text, "acaciaferry_clock_steps_total",
+             "Events with a time before that of an earlier event.");
+  AppendValue(text, "acaciaferry_clock_steps_total", "", "", clock_steps_);
   AppendHelp(text, "acaciaferry_refusals_total",
              "Requests refused or failed, by reason.");
   for (std::size_t i = 0; i < refusals_.size(); ++i) {
@@ -174,6 +184,12 @@
   }
   AppendPeers(text);
   AppendConfiguration(text);
+  AppendHelp(text, "acaciaferry_cache_event_polls_total",
+             "Answers to polls of cache events, by what became of them.");
+  for (std::size_t i = 0; i < cache_events_.size(); ++i) {
+    AppendValue(text, "acaciaferry_cache_event_polls_total", "verdict",
+                internal::kCacheVerdictNames[i], cache_events_[i]);
+  }
   return text;
 }
 
--- a/src/acaciaferry/metrics/registry.hpp
+++ b/src/acaciaferry/metrics/registry.hpp
@@ -11,6 +11,7 @@
 #include "acaciaferry/membership/message.hpp"
 #include "acaciaferry/metrics/transport_totals.hpp"
 #include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/targets/state.hpp"
 
@@ -23,11 +24,13 @@
  public:
   void CountRequest() noexcept { ++requests_; }
   void CountAnswer() noexcept { ++answers_; }
+  void CountClockStep() noexcept { ++clock_steps_; }
   void Count(failure_code code) noexcept;
   void Count(retry_reason reason) noexcept;
   void Count(report_verdict verdict) noexcept;
   void Count(order_verdict verdict) noexcept;
   void Count(release_reason reason) noexcept;
+  void Count(cache_verdict verdict) noexcept;
 
   /** @return How many requests were refused or failed for this reason. */
   [[nodiscard]] std::uint64_t Value(failure_code code) const noexcept;
@@ -49,12 +52,15 @@
  private:
   static constexpr std::size_t kVerdicts =
       static_cast<std::size_t>(report_verdict::kImplausible) + 1;
+  static constexpr std::size_t kCacheVerdicts =
+      static_cast<std::size_t>(cache_verdict::kOldSequence) + 1;
 
   void AppendPeers(std::string& text) const;
   void AppendConfiguration(std::string& text) const;
 
   std::atomic<std::uint64_t> requests_{};
   std::atomic<std::uint64_t> answers_{};
+  std::atomic<std::uint64_t> clock_steps_{};
   std::array<std::atomic<std::uint64_t>, kFailureCodes> refusals_{};
   std::array<std::atomic<std::uint64_t>, kRetryReasons> retries_{};
   std::array<std::atomic<std::uint64_t>, kVerdicts> reports_{};
@@ -66,6 +72,7 @@
   std::atomic<std::uint64_t> vm_list_bytes_{};
   std::atomic<std::uint64_t> revision_{};
   std::atomic<const transport_totals*> peers_{};
+  std::array<std::atomic<std::uint64_t>, kCacheVerdicts> cache_events_{};
 };
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/reducer/arrival.cpp
+++ b/src/acaciaferry/reducer/arrival.cpp
@@ -13,8 +13,8 @@
 namespace acaciaferry {
 namespace internal {
 
-// Targets come back, or their list arrives, within about this long.
-constexpr duration kNoTargetRetryAfter = std::chrono::seconds(1);
+// Targets, a configuration or another VM are found within about this long.
+constexpr duration kRetryAfter = std::chrono::seconds(1);
 
 waiting_request MakeWaiting(const state& state,
                             const request_record& record,
@@ -39,7 +39,8 @@
   }
   const auto victim = FindVictim(state.waiting, newcomer.order);
   if (victim) {
-    EndRequest(state, *victim, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, *victim, NotRun(failure_code::kShed, kRetryAfter), now,
+               out);
   }
   return victim.has_value();
 }
@@ -81,9 +82,8 @@
   state.deadlines.emplace(record.deadline, id);
   request_record& kept =
       state.requests.emplace(id, std::move(record)).first->second;
-  StartAttempt(state, kept,
-               NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter), now,
-               out);
+  StartAttempt(state, kept, NotRun(failure_code::kNoLiveTarget, kRetryAfter),
+               now, out);
 }
 
 void QueueOrRefuse(state& state,
@@ -96,9 +96,8 @@
   }
   const auto choice = ChooseFor(state, record, now);
   if (!choice) {
-    return RefuseArrival(
-        state, record, NotRun(failure_code::kNoLiveTarget, kNoTargetRetryAfter),
-        out);
+    return RefuseArrival(state, record,
+                         NotRun(failure_code::kNoLiveTarget, kRetryAfter), out);
   }
   const waiting_request waiting = MakeWaiting(state, record, *choice);
   if (const auto refusal = RefusalOf(state, record, waiting, *choice, now)) {
@@ -106,8 +105,7 @@
   }
   if (!MakeRoom(state, waiting, now, out)) {
     return RefuseArrival(state, record,
-                         NotRun(failure_code::kQueueFull, kNoTargetRetryAfter),
-                         out);
+                         NotRun(failure_code::kQueueFull, kRetryAfter), out);
   }
   const auto wait =
       Spend(state.workspaces, waiting.workspace, waiting.cost, now);
@@ -143,10 +141,11 @@
     internal::RefuseArrival(state, record, reason, out);
   };
   if (state.closed) {
-    return refuse(NotRun(failure_code::kDraining));
+    return refuse(NotRun(failure_code::kDraining, internal::kRetryAfter));
   }
   if (!state.config) {
-    return refuse(NotRun(failure_code::kNoConfiguration));
+    return refuse(
+        NotRun(failure_code::kNoConfiguration, internal::kRetryAfter));
   }
   const auto verdict = Admit(*state.config, request, now);
   if (const auto* const refusal = std::get_if<failure>(&verdict)) {
--- a/src/acaciaferry/reducer/dispatch.cpp
+++ b/src/acaciaferry/reducer/dispatch.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/reducer/dispatch.hpp"
 
 #include <algorithm>
+#include <cstdint>
 #include <span>
 #include <vector>
 
@@ -16,6 +17,8 @@
 // A lane without room is looked at again after this long: a fraction of what
 // targets may have queued, so that none of them runs dry.
 constexpr duration kBlockedPause = std::chrono::milliseconds(5);
+// What is shed now competes with what is queued for about this long.
+constexpr duration kShedRetryAfter = std::chrono::seconds(2);
 
 routing_view ViewOf(const state& state, time_point now) {
   return {.targets = state.targets,
@@ -25,9 +28,24 @@
           .now = now};
 }
 
+cached_prefix CachedPrefix(const state& state,
+                           const request_record& record,
+                           time_point now) {
+  const std::vector<std::uint64_t>& blocks = record.request.prefix_blocks;
+  if (blocks.empty() || state.prefix_cache.targets.empty()) {
+    return {};
+  }
+  return {[&state, &blocks, now](const target_id& target) {
+            return ExpectedCachedTokens(state.prefix_cache, target, blocks,
+                                        now);
+          },
+          FindHolder(state.prefix_cache, blocks)};
+}
+
 void ShedLate(state& state, time_point now, effects& out) {
   for (const request_id& id : TooLateToStart(state.waiting, now)) {
-    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, id, NotRun(failure_code::kShed, kShedRetryAfter), now,
+               out);
   }
 }
 
@@ -79,7 +97,8 @@
   }
   if (choice->is_grounded && now + choice->run > record.deadline) {
     RelaxRunRatio(state.costs, record.request.pool);
-    EndRequest(state, id, NotRun(failure_code::kShed), now, out);
+    EndRequest(state, id, NotRun(failure_code::kShed, kShedRetryAfter), now,
+               out);
     return start_result::kShed;
   }
   RemoveWaiting(state.waiting, id, now);
@@ -117,8 +136,8 @@
 std::optional<routing_choice> ChooseFor(state& state,
                                         const request_record& record,
                                         time_point now) {
+  const cached_prefix cached = internal::CachedPrefix(state, record, now);
   const auto choose = [&](std::span<const target_id> excluded) {
-    const cached_prefix cached;
     return ChooseTarget(state.routing,
                         {record.request, record.work, excluded, cached},
                         internal::ViewOf(state, now), state.random);
--- a/src/acaciaferry/reducer/event.hpp
+++ b/src/acaciaferry/reducer/event.hpp
@@ -9,6 +9,7 @@
 #include "acaciaferry/membership/event.hpp"
 #include "acaciaferry/operations/event.hpp"
 #include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
 #include "acaciaferry/reclamation/holding.hpp"
 #include "acaciaferry/spans/reservation.hpp"
@@ -53,6 +54,7 @@
                            demand_learnt,
                            configuration_read,
                            configuration_checked,
+                           cache_events_received,
                            attempt_sent,
                            attempt_accepted,
                            attempt_rejected,
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -53,6 +53,10 @@
     OnReportApplied(state, event.report, verdict, now, out);
   }
 
+  void operator()(const cache_events_received& event) const {
+    OnCacheEvents(state, event, now, out);
+  }
+
   void operator()(const operation_key_requested& event) const {
     OnOperationKeyRequested(state, event, now, out);
   }
@@ -123,8 +127,13 @@
 
 }  // namespace internal
 
-effects Reduce(state& state, const event& event, time_point now) {
+effects Reduce(state& state, const event& event, time_point time) {
   effects out;
+  if (time < state.latest) {
+    out.push_back(count_clock_step{});
+  }
+  const time_point now = std::max(time, state.latest);
+  state.latest = now;
   BeginTurn(state, now);
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
--- a/src/acaciaferry/reducer/state.hpp
+++ b/src/acaciaferry/reducer/state.hpp
@@ -25,6 +25,7 @@
 #include "acaciaferry/membership/vm_list.hpp"
 #include "acaciaferry/operations/operations.hpp"
 #include "acaciaferry/orders/orders.hpp"
+#include "acaciaferry/prefix_cache/prefix_cache.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
 #include "acaciaferry/reclamation/reclamation.hpp"
 #include "acaciaferry/routing/routing.hpp"
@@ -84,6 +85,8 @@
  */
 struct state {
   identity self;
+  /** The latest time that the reducer has seen. */
+  time_point latest{time_point::min()};
   random_engine random;
   std::optional<deployment> config;
   configuration_state configuration;
@@ -95,6 +98,7 @@
   workspaces_state workspaces;
   waiting_queues waiting;
   routing_state routing;
+  prefix_cache_state prefix_cache;
   std::unordered_map<request_id, request_record> requests;
   /** Deadlines of the requests, earliest first. */
   std::set<std::pair<time_point, request_id>> deadlines;
--- a/src/acaciaferry/reducer/target_knowledge.hpp
+++ b/src/acaciaferry/reducer/target_knowledge.hpp
@@ -26,4 +26,10 @@
  */
 bool OnTargetLeaving(state& state, const leaving_target& leaving);
 
+/** @brief Takes over cache events, or counts why they were not used. */
+void OnCacheEvents(state& state,
+                   const cache_events_received& answer,
+                   time_point now,
+                   effects& out);
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/runtime/effect_executor.cpp
+++ b/src/acaciaferry/runtime/effect_executor.cpp
@@ -50,6 +50,12 @@
     adapters.metrics.Count(value.verdict);
   }
 
+  void operator()(count_cache_events& value) const {
+    adapters.metrics.Count(value.verdict);
+  }
+  void operator()(count_clock_step& /*value*/) const {
+    adapters.metrics.CountClockStep();
+  }
   void operator()(count_order& value) const {
     adapters.metrics.Count(value.verdict);
   }
