--- a/src/acaciaferry/reclamation/reclamation.cpp
+++ b/src/acaciaferry/reclamation/reclamation.cpp
@@ -61,6 +61,13 @@
   record.incarnation = std::max(record.incarnation, incarnation);
 }
 
+void ObserveAlive(reclamation_state& state,
+                  const vm_id& vm,
+                  std::uint64_t incarnation) {
+  ObserveIncarnation(state, vm, incarnation);
+  state.owners[vm].absent_since.reset();
+}
+
 void SweepTargets(reclamation_state& state,
                   std::span<const target* const> responsible,
                   time_point now,
--- a/src/acaciaferry/reclamation/reclamation.hpp
+++ b/src/acaciaferry/reclamation/reclamation.hpp
@@ -56,6 +56,14 @@
                         const vm_id& vm,
                         std::uint64_t incarnation);
 
+/**
+ * @brief Takes a VM that is known to be alive: this one, or a peer that is
+ * heard. The list of VMs may not name it yet, or not any more.
+ */
+void ObserveAlive(reclamation_state& state,
+                  const vm_id& vm,
+                  std::uint64_t incarnation);
+
 /**
  * @brief Lists the targets that are due.
  * @param state Sweep times.
--- a/src/acaciaferry/reducer/maintenance.cpp
+++ b/src/acaciaferry/reducer/maintenance.cpp
@@ -63,6 +63,18 @@
 
 }  // namespace internal
 
+void ObserveOwners(state& state,
+                   std::span<const vm_entry> vms,
+                   time_point now) {
+  ObserveVmList(state.reclamation, vms, now);
+  ObserveAlive(state.reclamation, state.self.vm, state.self.incarnation);
+  for (const auto& [vm, each] : state.membership.peers) {
+    if (each.phase == peer_phase::kAlive && !each.stale) {
+      ObserveAlive(state.reclamation, vm, each.incarnation);
+    }
+  }
+}
+
 void MaintainTargets(state& state, time_point now, effects& out) {
   if (now - state.maintained_at > internal::kPauseGap) {
     ResignIssuer(state.orders);
--- a/src/acaciaferry/reducer/maintenance.hpp
+++ b/src/acaciaferry/reducer/maintenance.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/reducer/effect.hpp"
@@ -8,6 +9,10 @@
 
 namespace acaciaferry {
 
+/** @brief Takes the owners that the list of VMs names, this VM itself and the
+ * peers that it hears. */
+void ObserveOwners(state& state, std::span<const vm_entry> vms, time_point now);
+
 /**
  * @brief Lists the holdings of the targets that this VM sweeps, and issues the
  * orders that this VM has to issue.
