--- a/src/acaciaferry/reducer/effect.hpp
+++ b/src/acaciaferry/reducer/effect.hpp
@@ -11,6 +11,7 @@
 #include "acaciaferry/core/request.hpp"
 #include "acaciaferry/membership/effect.hpp"
 #include "acaciaferry/orders/order.hpp"
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/reclamation/holding.hpp"
 #include "acaciaferry/spans/reservation.hpp"
 #include "acaciaferry/targets/state.hpp"
@@ -95,6 +96,13 @@
   order_verdict verdict{};
 };
 
+struct count_cache_events {
+  cache_verdict verdict{};
+};
+
+/** The clock stepped back; the reducer went on with its latest time. */
+struct count_clock_step {};
+
 using effect = std::variant<start_attempt,
                             resume_attempt,
                             cancel_attempt,
@@ -117,7 +125,10 @@
                             count_peer_message,
                             check_configuration,
                             configuration_in_force,
-                            count_configuration>;
+                            count_configuration,
+
+                            count_cache_events,
+                            count_clock_step>;
 
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -45,7 +45,7 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ObserveVmList(state.reclamation, event.vms, now);
+    ObserveOwners(state, event.vms, now);
     OnPeerList(state, event, out);
   }
 
@@ -54,6 +54,10 @@
     OnReportApplied(state, event.report, verdict, now, out);
   }
 
+  void operator()(const cache_events_received& event) const {
+    OnCacheEvents(state, event, now, out);
+  }
+
   void operator()(const operation_key_requested& event) const {
     OnOperationKeyRequested(state, event, now, out);
   }
@@ -124,8 +128,13 @@
 
 }  // namespace internal
 
-effects Reduce(state& state, const event& event, time_point now) {
+effects Reduce(state& state, const event& event, time_point time) {
   effects out;
+  if (time < state.latest) {
+    out.push_back(count_clock_step{});
+  }
+  const time_point now = std::max(time, state.latest);
+  state.latest = now;
   BeginTurn(state, now);
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
