Tell an unreadable answers file from a faulty one

Cause: acaciaferryctl questionnaire ended with 3, answers have faults, when the file could not be read; the page says 1 for what cannot be done. Change: the verbs end with 1 in this case. Result: process_acaciaferryctl checks it and passes.

--- a/apps/acaciaferryctl/questionnaire.cpp
+++ b/apps/acaciaferryctl/questionnaire.cpp
@@ -53,16 +53,19 @@
   }
 }
 
-// Answers without faults, or nothing after the faults were printed.
-std::optional<answers> ReadGoodAnswers(const std::string& path) {
+// Answers without faults, or nothing after the reason was printed; `code` is
+// then the tool's exit code.
+std::optional<answers> ReadGoodAnswers(const std::string& path, int& code) {
   const auto text = ReadFile(path);
   if (!text) {
+    code = kFailed;
     return std::nullopt;
   }
   std::vector<setting_fault> faults;
   answers given = acaciaferry::ReadAnswers(*text, faults);
   PrintFaults(path, faults);
   if (!faults.empty()) {
+    code = kFaults;
     return std::nullopt;
   }
   return given;
@@ -73,26 +76,29 @@
 }
 
 int Check(arguments words) {
-  if (!ReadGoodAnswers(words[0])) {
-    return kFaults;
+  int code = kOk;
+  if (!ReadGoodAnswers(words[0], code)) {
+    return code;
   }
   std::cout << words[0] << ": no faults\n";
   return kOk;
 }
 
 int Generate(arguments words) {
-  const auto given = ReadGoodAnswers(words[0]);
+  int code = kOk;
+  const auto given = ReadGoodAnswers(words[0], code);
   if (!given) {
-    return kFaults;
+    return code;
   }
   std::cout << GenerateDocument(*given);
   return kOk;
 }
 
 int Explain(arguments words) {
-  const auto given = ReadGoodAnswers(words[0]);
+  int code = kOk;
+  const auto given = ReadGoodAnswers(words[0], code);
   if (!given) {
-    return kFaults;
+    return code;
   }
   const auto found = ExplainSetting(*given, words[1]);
   if (!found) {
@@ -109,10 +115,11 @@
 }
 
 int Diff(arguments words) {
-  const auto before = ReadGoodAnswers(words[0]);
-  const auto after = ReadGoodAnswers(words[1]);
+  int code = kOk;
+  const auto before = ReadGoodAnswers(words[0], code);
+  const auto after = ReadGoodAnswers(words[1], code);
   if (!before || !after) {
-    return kFaults;
+    return code;
   }
   for (const auto& change : CompareAnswers(*before, *after)) {
     std::cout << change.name << ": "
--- a/test/process/acaciaferryctl.sh
+++ b/test/process/acaciaferryctl.sh
@@ -89,6 +89,7 @@
 exits 0 "$bin/acaciaferryctl" --help
 echo '[team]' >"$work/faulty.ini"
 exits 3 "$bin/acaciaferryctl" questionnaire check "$work/faulty.ini"
+exits 1 "$bin/acaciaferryctl" questionnaire check "$work/absent.ini"
 exits 0 "$bin/acaciaferryctl" questionnaire check "$root/examples/works/answers.ini"
 
 json 'v["draining"]' drain | expect '^True$'
