--- a/test/acaciaferry/administration/api_test.cpp
+++ b/test/acaciaferry/administration/api_test.cpp
@@ -39,7 +39,8 @@
       },
       [this] { drained = true; }, clock, metrics};
 
-  int Status(const char* method, const char* path, const std::string& body) {
+  int Status(const char* method, const char* path, const std::string& body)
+      const {
     return Administrate(context, method, path, body).status;
   }
 };
