--- a/test/acaciaferry/administration/api_test.cpp
+++ b/test/acaciaferry/administration/api_test.cpp
@@ -39,7 +39,8 @@
       },
       [this] { drained = true; }, clock, metrics};
 
-  int Status(const char* method, const char* path, const std::string& body) {
+  int Status(const char* method, const char* path, const std::string& body)
+      const {
     return Administrate(context, method, path, body).status;
   }
 };
@@ -48,8 +49,8 @@
 TEST(AdministrationApi, EveryViewAnswersWithoutConfiguration) {
   for (const char* const path :
        {"/admin/v1/status", "/admin/v1/targets", "/admin/v1/workspaces",
-        "/admin/v1/configuration", "/admin/v1/requests",
-        "/admin/v1/refusals"}) {
+        "/admin/v1/configuration", "/admin/v1/requests", "/admin/v1/refusals",
+        "/admin/v1/peers"}) {
     CHECK_EQUAL(200, Status("GET", path, ""));
   }
 }
