--- a/src/acaciaferry/prefix_cache/prefix_cache.cpp
+++ b/src/acaciaferry/prefix_cache/prefix_cache.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <ranges>
 #include <utility>
 
 namespace acaciaferry {
@@ -186,8 +187,8 @@
 
 std::optional<target_id> FindHolder(const prefix_cache_state& state,
                                     std::span<const std::uint64_t> blocks) {
-  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
-    const auto found = state.holders.find(*block);
+  for (const std::uint64_t block : std::views::reverse(blocks)) {
+    const auto found = state.holders.find(block);
     if (found != state.holders.end()) {
       return state.slots.at(found->second);
     }
