Let an absence be proved by a list of VMs that is read seldom

Cause: a list counted as fresh for 5 s, but a VM of a fleet with more than about 45 VMs and targets reads it less often, so no owner ever counted as gone.

Change: each list comes with the time to the next reading, and is fresh for three of these, at least 5 s. The absence is the time between two readings: with a long interval, one reading would otherwise prove it.

--- a/src/acaciaferry/platform/pollers.cpp
+++ b/src/acaciaferry/platform/pollers.cpp
@@ -1,5 +1,7 @@
 #include "acaciaferry/platform/pollers.hpp"
 
+#include <algorithm>
+
 #include "acaciaferry/platform/http_get.hpp"
 #include "acaciaferry/target_client/wire.hpp"
 
@@ -10,9 +12,17 @@
 constexpr std::size_t kMaxListBytes = 4 << 20;
 constexpr std::size_t kMaxReportBytes = 64 << 10;
 constexpr int kOk = 200;
+constexpr double kListBytesPerSecond = 2'000;
+constexpr duration kShortestListInterval = std::chrono::seconds(1);
 
 }  // namespace internal
 
+duration ListInterval(std::size_t bytes) {
+  return std::max(
+      internal::kShortestListInterval,
+      FromSeconds(static_cast<double>(bytes) / internal::kListBytesPerSecond));
+}
+
 std::size_t PollVmList(const std::string& address, const event_sink& sink) {
   const auto reply = HttpGet(address, "/v1/vms", internal::kPollTimeout,
                              internal::kMaxListBytes);
@@ -20,7 +30,7 @@
     return 0;
   }
   if (auto vms = ParseVmList(reply->body)) {
-    sink(vm_list_received{*std::move(vms)});
+    sink(vm_list_received{*std::move(vms), ListInterval(reply->body.size())});
   }
   return reply->body.size();
 }
--- a/src/acaciaferry/platform/pollers.hpp
+++ b/src/acaciaferry/platform/pollers.hpp
@@ -10,6 +10,17 @@
 
 using event_sink = std::function<void(event)>;
 
+/**
+ * @brief The time between two readings of the list.
+ *
+ * Every VM reads the list and tells its failure domain what has changed, so
+ * that a long list may be read seldom by each.
+ *
+ * @param bytes Length of the list.
+ * @return At least a second, and at most 2 KB/s.
+ */
+[[nodiscard]] duration ListInterval(std::size_t bytes);
+
 /**
  * @brief Reads the platform's list of VMs once.
  * @param address The service's address.
--- a/src/acaciaferry/reclamation/reclamation.cpp
+++ b/src/acaciaferry/reclamation/reclamation.cpp
@@ -11,7 +11,7 @@
 constexpr duration kForgetOwner = std::chrono::hours(2);
 
 bool IsVmListFresh(const reclamation_state& state, time_point now) noexcept {
-  return state.vm_list_at && now - *state.vm_list_at <= kFreshVmList;
+  return state.vm_list_at && now - *state.vm_list_at <= state.fresh_for;
 }
 
 // An owner that this process has never heard of may be too new for the list,
@@ -27,10 +27,10 @@
 
 void ObserveVmList(reclamation_state& state,
                    std::span<const vm_entry> vms,
+                   duration next_reading,
                    time_point now) {
   // Absence is only proved by lists without a gap between them.
-  const bool has_gap =
-      !state.vm_list_at || now - *state.vm_list_at > kFreshVmList;
+  const bool has_gap = !internal::IsVmListFresh(state, now);
   std::unordered_set<vm_id> listed;
   for (const vm_entry& entry : vms) {
     if (entry.role != vm_role::kEntry) {
@@ -52,6 +52,7 @@
     return absent_since && now - *absent_since > internal::kForgetOwner;
   });
   state.vm_list_at = now;
+  state.fresh_for = std::max(kFreshVmList, kFreshReadings * next_reading);
 }
 
 void ObserveIncarnation(reclamation_state& state,
@@ -92,9 +93,11 @@
   if (value.owner_incarnation < owner.incarnation) {
     return release_reason::kOwnerSuperseded;
   }
+  // The time between two lists counts, not the time since the first one: a
+  // list that is read seldom proves nothing about the time after its reading.
   const bool is_gone = owner.absent_since &&
-                       now - *owner.absent_since >= kOwnerAbsence &&
-                       internal::IsVmListFresh(state, now);
+                       internal::IsVmListFresh(state, now) &&
+                       *state.vm_list_at - *owner.absent_since >= kOwnerAbsence;
   if (is_gone) {
     return release_reason::kOwnerGone;
   }
--- a/src/acaciaferry/reclamation/reclamation.hpp
+++ b/src/acaciaferry/reclamation/reclamation.hpp
@@ -19,8 +19,10 @@
 inline constexpr duration kHoldingGrace = std::chrono::seconds(10);
 /** How long the list of VMs must not name an owner before it counts as gone. */
 inline constexpr duration kOwnerAbsence = std::chrono::seconds(30);
-/** An older list of VMs proves no absence. */
+/** An older list of VMs proves no absence, unless this VM reads the list less
+ * often: then it is one that is older than kFreshReadings readings. */
 inline constexpr duration kFreshVmList = std::chrono::seconds(5);
+inline constexpr int kFreshReadings = 3;
 /** Pause between two listings of one target. */
 inline constexpr duration kSweepInterval = std::chrono::seconds(5);
 
@@ -44,11 +46,21 @@
   std::map<vm_id, owner_record> owners;
   std::map<target_id, time_point> next_sweep;
   std::optional<time_point> vm_list_at;
+  /** Age up to which that list is fresh. */
+  duration fresh_for{kFreshVmList};
 };
 
-/** @brief Takes the entry VMs of a fresh list of VMs. */
+/**
+ * @brief Takes the entry VMs of a fresh list of VMs.
+ * @param state What is known of the owners.
+ * @param vms The whole list.
+ * @param next_reading Time until the list is read again; a long list is read
+ * seldom.
+ * @param now When the list was read.
+ */
 void ObserveVmList(reclamation_state& state,
                    std::span<const vm_entry> vms,
+                   duration next_reading,
                    time_point now);
 
 /** @brief Takes an incarnation from an authenticated message of its VM. */
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -44,7 +44,7 @@
   void operator()(const timer_expired& /*event*/) const {}
 
   void operator()(const vm_list_received& event) const {
-    ObserveVmList(state.reclamation, event.vms, now);
+    ObserveVmList(state.reclamation, event.vms, event.next_reading, now);
     OnPeerList(state, event, out);
   }
 
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -27,7 +27,6 @@
 namespace internal {
 
 constexpr duration kVmListPause = std::chrono::seconds(1);
-constexpr double kListBytesPerSecond = 2'000;
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
 log4cplus::Logger Logger() {
@@ -47,12 +46,6 @@
   return value.membership.relay_interval;
 }
 
-// Every VM reads the list and tells its failure domain what has changed, so
-// that a long list may be read seldom by each.
-duration ListPause(std::size_t bytes) {
-  return FromSeconds(static_cast<double>(bytes) / kListBytesPerSecond);
-}
-
 watch_order OrderFor(const state& value) {
   const bool is_watcher = IsResponsible(value.membership, role::kWatch,
                                         {value.self.failure_domain, ""});
@@ -181,7 +174,9 @@
           if (clock_.Now() >= next_list_) {
             const std::size_t bytes = PollVmList(settings_.vm_list, sink_);
             metrics_.CountVmListBytes(bytes);
-            next_list_ = clock_.Now() + internal::ListPause(bytes);
+            // Half a pause allows for the rounding to whole pauses.
+            next_list_ =
+                clock_.Now() + ListInterval(bytes) - internal::kVmListPause / 2;
           }
         });
     load_task_ = std::make_unique<periodic_task>(internal::kLoadPause, [this] {
--- a/src/acaciaferry/targets/state.hpp
+++ b/src/acaciaferry/targets/state.hpp
@@ -14,6 +14,8 @@
 /** The platform's list of VMs arrived. */
 struct vm_list_received {
   std::vector<vm_entry> vms;
+  /** Time until this VM reads the list again, if the reading succeeds. */
+  duration next_reading{};
 };
 
 /** A load report arrived, from the target itself or through a peer. */
