Lend shares of limits inside a failure domain

Change: Spend measures demand, heartbeats name what exceeds the static share, and each peer answers with share_loans, a new kind of message. A loan names the time of its demand by the borrower's clock, from which its lease counts. Lapses take effect at their own time, also after a pause. Summaries carry no demand.

--- a/src/acaciaferry/membership/event.hpp
+++ b/src/acaciaferry/membership/event.hpp
@@ -27,10 +27,19 @@
   peer_message message;
 };
 
-/** A peer, or a remote failure domain, reported demand by workspace. */
+/** A peer wants more of some workspaces' limits than its static share. */
 struct demand_learnt {
   vm_id vm;
+  std::uint64_t incarnation{};
+  /** When it asked, by its own clock. */
+  std::uint64_t asked_at{};
   std::vector<workspace_demand> demand;
 };
 
+/** A peer lent parts of its shares. */
+struct loans_learnt {
+  vm_id vm;
+  share_loans body;
+};
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/membership/exchange.cpp
+++ b/src/acaciaferry/membership/exchange.cpp
@@ -74,6 +74,7 @@
   result.leaving = state.leaving;
   result.revision = view.revision;
   result.demand = Bounded(state.demand, kMaxDemands);
+  result.asked_at = result.demand.empty() ? 0 : state.asked_at;
   result.suspects = Bounded(state.suspects, kMaxSuspects);
   result.leaving_targets = LeavingTargets(state, view.targets);
   if (full) {
@@ -168,7 +169,6 @@
   result.revision = view.revision;
   result.leaving_targets = LeavingTargets(state, view.targets);
   result.suspects = state.domain_suspects;
-  result.demand = Bounded(state.demand, kMaxDemands);
   result.members = Members(state, now, full);
   if (full) {
     result.suspects.insert(result.suspects.end(), state.older_suspects.begin(),
@@ -268,8 +268,11 @@
     news.leaving_targets = body.leaving_targets;
     news.suspects = body.suspects;
     news.demand = body.demand;
+    news.asked_at = body.asked_at;
   }
 
+  void operator()(const share_loans& body) const { news.loans = body; }
+
   void operator()(const load_relay& body) const { news.reports = body.reports; }
 
   void operator()(const domain_summary& body) const {
@@ -282,7 +285,6 @@
     news.reports = body.reports;
     news.leaving_targets = body.leaving_targets;
     news.suspects = body.suspects;
-    news.demand = body.demand;
     if (!body.relayed) {
       news.revision = body.revision;
     }
--- a/src/acaciaferry/membership/exchange.hpp
+++ b/src/acaciaferry/membership/exchange.hpp
@@ -49,6 +49,8 @@
   std::vector<vm_entry> list_changes;
   std::vector<suspect_report> suspects;
   std::vector<workspace_demand> demand;
+  std::uint64_t asked_at{};
+  std::optional<share_loans> loans;
 };
 
 /**
--- a/src/acaciaferry/membership/message.hpp
+++ b/src/acaciaferry/membership/message.hpp
@@ -35,6 +35,13 @@
   [[nodiscard]] bool operator==(const workspace_demand&) const = default;
 };
 
+/** A part of a workspace's limit that the receiver may use for a lease. */
+struct workspace_loan {
+  workspace_id workspace;
+  double tokens_per_second{};
+  [[nodiscard]] bool operator==(const workspace_loan&) const = default;
+};
+
 struct leaving_target {
   target_id target;
   std::uint64_t incarnation{};
@@ -61,6 +68,9 @@
   std::vector<workspace_demand> demand;
   std::vector<suspect_report> suspects;
   std::vector<leaving_target> leaving_targets;
+  /** When the demand was measured, in microseconds of the sender's own clock;
+   * a loan names it. */
+  std::uint64_t asked_at{};
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
 
@@ -120,6 +130,15 @@
   [[nodiscard]] bool operator==(const list_changes&) const = default;
 };
 
+/** Answers the demand of one heartbeat with parts of the sender's share. */
+struct share_loans {
+  /** The borrower's incarnation and the time in its heartbeat. */
+  std::uint64_t incarnation{};
+  std::uint64_t asked_at{};
+  std::vector<workspace_loan> loans;
+  [[nodiscard]] bool operator==(const share_loans&) const = default;
+};
+
 /** A kind that a later version added. */
 struct unknown_body {
   [[nodiscard]] bool operator==(const unknown_body&) const = default;
@@ -131,6 +150,7 @@
                                configuration_request,
                                configuration_part,
                                list_changes,
+                               share_loans,
                                unknown_body>;
 
 /**
--- a/src/acaciaferry/membership/state.hpp
+++ b/src/acaciaferry/membership/state.hpp
@@ -72,6 +72,8 @@
 
   /** Filled by the modules that own the contents; cut to the lists' bounds. */
   std::vector<workspace_demand> demand;
+  /** When the demand was measured, in microseconds of this VM's clock. */
+  std::uint64_t asked_at{};
   std::vector<suspect_report> suspects;
   /** Suspects for the summaries, and those that only full ones carry. */
   std::vector<suspect_report> domain_suspects;
--- a/src/acaciaferry/peer/codec.cpp
+++ b/src/acaciaferry/peer/codec.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint64_t kConfigurationRequestKind = 4;
 constexpr std::uint64_t kConfigurationPartKind = 5;
 constexpr std::uint64_t kListChangesKind = 6;
+constexpr std::uint64_t kShareLoansKind = 7;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -205,6 +206,7 @@
   static std::size_t MaxItems(workspace_demand*) noexcept {
     return kMaxDemands;
   }
+  static std::size_t MaxItems(workspace_loan*) noexcept { return kMaxDemands; }
   static std::size_t MaxItems(suspect_report*) noexcept { return kMaxSuspects; }
   static std::size_t MaxItems(leaving_target*) noexcept {
     return kMaxLeavingTargets;
@@ -228,6 +230,13 @@
   if constexpr (std::is_same_v<type, workspace_demand>) {
     visit(0, value.workspace);
     visit(1, value.tokens_per_second);
+  } else if constexpr (std::is_same_v<type, workspace_loan>) {
+    visit(0, value.workspace);
+    visit(1, value.tokens_per_second);
+  } else if constexpr (std::is_same_v<type, share_loans>) {
+    visit(0, value.incarnation);
+    visit(1, value.asked_at);
+    visit(2, value.loans);
   } else if constexpr (std::is_same_v<type, suspect_report>) {
     visit(0, value.fingerprint);
     visit(1, value.source.first);
@@ -284,6 +293,7 @@
     visit(6, value.demand);
     visit(7, value.suspects);
     visit(8, value.leaving_targets);
+    visit(9, value.asked_at);
   } else if constexpr (std::is_same_v<type, load_relay>) {
     visit(0, value.reports);
   } else if constexpr (std::is_same_v<type, domain_summary>) {
@@ -322,6 +332,7 @@
   std::uint64_t operator()(const list_changes&) const {
     return kListChangesKind;
   }
+  std::uint64_t operator()(const share_loans&) const { return kShareLoansKind; }
   std::uint64_t operator()(const unknown_body&) const { return 0; }
 };
 
@@ -348,6 +359,8 @@
       return ReadBody<configuration_part>(fields, unknown);
     case kListChangesKind:
       return ReadBody<list_changes>(fields, unknown);
+    case kShareLoansKind:
+      return ReadBody<share_loans>(fields, unknown);
     default:
       return unknown_body{};
   }
--- a/src/acaciaferry/reducer/peering.cpp
+++ b/src/acaciaferry/reducer/peering.cpp
@@ -134,7 +134,31 @@
   TellPeers(state, out);
 }
 
-std::vector<peering_event> EventsOf(const vm_id& vm, peer_news& news) {
+// Limits are only lent inside a failure domain, whose VMs hear one another
+// directly.
+void ListDemand(state& state, time_point now, effects& out) {
+  membership_state& told = state.membership;
+  told.demand.clear();
+  told.asked_at = static_cast<std::uint64_t>(now.time_since_epoch().count());
+  for (const auto& [workspace, tokens] : MeasureDemand(state.workspaces, now)) {
+    told.demand.push_back({workspace, tokens});
+  }
+  for (loans_to_peer& each : LendShares(state.workspaces, now)) {
+    const auto borrower = told.peers.find(each.vm);
+    if (borrower == told.peers.end() || borrower->second.address.empty()) {
+      continue;
+    }
+    share_loans body{each.incarnation, each.asked_at, {}};
+    for (const auto& [workspace, tokens] : each.loans) {
+      body.loans.push_back({workspace, tokens});
+    }
+    out.push_back(send_to_peers{{borrower->second.address}, std::move(body)});
+  }
+}
+
+std::vector<peering_event> EventsOf(const peer_message& message,
+                                    peer_news& news) {
+  const vm_id& vm = message.vm;
   std::vector<peering_event> events;
   for (peer_learnt& each : news.learnt) {
     events.emplace_back(std::move(each));
@@ -143,7 +167,11 @@
     events.emplace_back(suspects_heard{std::move(news.suspects)});
   }
   if (!news.demand.empty()) {
-    events.emplace_back(demand_learnt{vm, std::move(news.demand)});
+    events.emplace_back(demand_learnt{vm, message.incarnation, news.asked_at,
+                                      std::move(news.demand)});
+  }
+  if (news.loans) {
+    events.emplace_back(loans_learnt{vm, *std::move(news.loans)});
   }
   return events;
 }
@@ -224,7 +252,7 @@
                           out);
   }
   internal::ApplyConfigurationNews(state, event.message, news, now, out);
-  return internal::EventsOf(event.message.vm, news);
+  return internal::EventsOf(event.message, news);
 }
 
 void OnDeploymentReceived(state& state,
@@ -270,6 +298,7 @@
 void SendDueMessages(state& state, time_point now, effects& out) {
   if (now >= state.membership.next_heartbeat) {
     internal::ListSuspects(state, now);
+    internal::ListDemand(state, now, out);
   }
   std::vector<send_to_peers> messages;
   SendDue(state.membership, internal::ViewOf(state), now, messages);
--- a/src/acaciaferry/reducer/peering.hpp
+++ b/src/acaciaferry/reducer/peering.hpp
@@ -12,7 +12,8 @@
 namespace acaciaferry {
 
 /** What a peer's message teaches to modules other than those below. */
-using peering_event = std::variant<peer_learnt, suspects_heard, demand_learnt>;
+using peering_event =
+    std::variant<peer_learnt, suspects_heard, demand_learnt, loans_learnt>;
 
 /** @brief Moves silent peers on; marks all knowledge stale after a pause. */
 void BeginTurn(state& state, time_point now);
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -111,8 +111,32 @@
     }
   }
 
-  // The module that uses this is not there yet.
-  void operator()(const demand_learnt& /*event*/) const {}
+  void operator()(const demand_learnt& event) const {
+    const auto sender = state.membership.peers.find(event.vm);
+    if (sender == state.membership.peers.end() ||
+        sender->second.failure_domain != state.membership.failure_domain) {
+      return;
+    }
+    for (const workspace_demand& each : event.demand) {
+      HearDemand(state.workspaces, each.workspace,
+                 {{event.vm, each.tokens_per_second},
+                  event.incarnation,
+                  event.asked_at});
+    }
+  }
+
+  void operator()(const loans_learnt& event) const {
+    // A loan to an earlier process was asked for by another clock.
+    if (event.body.incarnation != state.self.incarnation) {
+      return;
+    }
+    const time_point asked_at{
+        duration(static_cast<duration::rep>(event.body.asked_at))};
+    for (const workspace_loan& each : event.body.loans) {
+      BorrowShare(state.workspaces, each.workspace,
+                  {event.vm, each.tokens_per_second, asked_at}, now);
+    }
+  }
 
   void operator()(const configuration_read& event) const {
     OnConfigurationEvent(state, event, now, out);
@@ -138,6 +162,7 @@
   const time_point now = std::max(time, state.latest);
   state.latest = now;
   BeginTurn(state, now);
+  AdvanceShares(state.workspaces, now);
   ExpireRequests(state, now, out);
   ExpireOperations(state.operations, now);
   ExpireSuspects(state.quarantine, now);
--- a/src/acaciaferry/workspaces/limits.cpp
+++ b/src/acaciaferry/workspaces/limits.cpp
@@ -1,6 +1,9 @@
 #include "acaciaferry/workspaces/limits.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <map>
+#include <tuple>
 #include <utility>
 
 namespace acaciaferry {
@@ -8,6 +11,8 @@
 
 // Bursts of this long pass without a wait.
 constexpr double kBurstSeconds = 2;
+// The time over which demand is smoothed, of the order of a lease.
+constexpr double kDemandSeconds = 5;
 constexpr duration kLongestWait = std::chrono::minutes(10);
 
 double Burst(const workspace_account& account) noexcept {
@@ -23,6 +28,28 @@
   account.filled_at = now;
 }
 
+void ForEachLoan(const share_ledger& ledger, const auto& visit) {
+  for (const share_loan& each : ledger.lent) {
+    visit(each);
+  }
+  for (const share_loan& each : ledger.borrowed) {
+    visit(each);
+  }
+}
+
+void UseLedger(workspaces_state& state,
+               const workspace_id& workspace,
+               workspace_account& account,
+               time_point now) {
+  SetShare(state, workspace,
+           DemandShare(account.ledger, account.static_share, now), now);
+  ForEachLoan(account.ledger, [&state, now](const share_loan& each) {
+    if (each.until > now) {
+      state.next_lapse = std::min(state.next_lapse, each.until);
+    }
+  });
+}
+
 duration TimeToFill(const workspace_account& account) noexcept {
   if (account.share <= 0) {
     return kLongestWait;
@@ -45,9 +72,18 @@
     workspace_account account{.weight = each.weight,
                               .fleet_limit = each.tokens_per_second,
                               .share = each.tokens_per_second / vms,
-                              .filled_at = now};
-    account.tokens = internal::Burst(account);
+                              .filled_at = now,
+                              .static_share = each.tokens_per_second / vms,
+                              .measured_at = now};
     const auto known = state.accounts.find(each.id);
+    if (known != state.accounts.end()) {
+      account.ledger = known->second.ledger;
+      account.demand = known->second.demand;
+      account.share =
+          std::min(account.fleet_limit,
+                   DemandShare(account.ledger, account.static_share, now));
+    }
+    account.tokens = internal::Burst(account);
     if (known != state.accounts.end() && known->second.fleet_limit > 0) {
       internal::Fill(known->second, now);
       account.tokens = std::min(account.tokens, known->second.tokens);
@@ -71,6 +107,115 @@
   account.tokens = std::min(account.tokens, internal::Burst(account));
 }
 
+void AdvanceShares(workspaces_state& state, time_point now) {
+  if (now < state.next_lapse) {
+    return;
+  }
+  state.next_lapse = time_point::max();
+  for (auto& [workspace, account] : state.accounts) {
+    std::vector<time_point> lapses;
+    internal::ForEachLoan(account.ledger, [&](const share_loan& each) {
+      if (each.until <= now) {
+        lapses.push_back(each.until);
+      }
+    });
+    std::sort(lapses.begin(), lapses.end());
+    for (const time_point at : lapses) {
+      internal::UseLedger(state, workspace, account, at);
+    }
+    const auto has_lapsed = [now](const share_loan& each) {
+      return each.until <= now;
+    };
+    std::erase_if(account.ledger.lent, has_lapsed);
+    std::erase_if(account.ledger.borrowed, has_lapsed);
+    internal::UseLedger(state, workspace, account, now);
+  }
+}
+
+workspace_rates MeasureDemand(workspaces_state& state, time_point now) {
+  workspace_rates rates;
+  for (auto& [workspace, account] : state.accounts) {
+    if (account.fleet_limit <= 0 || now <= account.measured_at) {
+      continue;
+    }
+    const double seconds = ToSeconds(now - account.measured_at);
+    const double weight = 1 - std::exp(-seconds / internal::kDemandSeconds);
+    account.demand +=
+        (account.asked_tokens / seconds - account.demand) * weight;
+    account.asked_tokens = 0;
+    account.measured_at = now;
+    if (account.demand > account.static_share) {
+      rates.emplace_back(workspace, account.demand);
+    }
+  }
+  std::sort(rates.begin(), rates.end(), [](const auto& a, const auto& b) {
+    return std::tie(b.second, a.first) < std::tie(a.second, b.first);
+  });
+  return rates;
+}
+
+void HearDemand(workspaces_state& state,
+                const workspace_id& workspace,
+                const heard_demand& heard) {
+  const auto found = state.accounts.find(workspace);
+  if (found == state.accounts.end()) {
+    return;
+  }
+  std::erase_if(found->second.heard, [&heard](const heard_demand& each) {
+    return each.demand.vm == heard.demand.vm;
+  });
+  found->second.heard.push_back(heard);
+}
+
+std::vector<loans_to_peer> LendShares(workspaces_state& state, time_point now) {
+  std::map<vm_id, loans_to_peer> answers;
+  for (auto& [workspace, account] : state.accounts) {
+    const auto heard = std::exchange(account.heard, {});
+    std::vector<peer_demand> demands;
+    for (const heard_demand& each : heard) {
+      demands.push_back(each.demand);
+    }
+    if (demands.empty()) {
+      continue;
+    }
+    for (const share_loan& loan :
+         LendSpare(account.ledger, account.static_share, account.demand,
+                   demands, now)) {
+      const auto asked = std::find_if(heard.begin(), heard.end(),
+                                      [&loan](const heard_demand& each) {
+                                        return each.demand.vm == loan.peer;
+                                      });
+      loans_to_peer& answer = answers[loan.peer];
+      answer.vm = loan.peer;
+      answer.incarnation = asked->incarnation;
+      // The earliest of the demands, so that no loan outlives its lease.
+      answer.asked_at = answer.loans.empty()
+                            ? asked->asked_at
+                            : std::min(answer.asked_at, asked->asked_at);
+      answer.loans.emplace_back(workspace, loan.tokens_per_s);
+    }
+    internal::UseLedger(state, workspace, account, now);
+  }
+  std::vector<loans_to_peer> result;
+  for (auto& [vm, answer] : answers) {
+    result.push_back(std::move(answer));
+  }
+  return result;
+}
+
+void BorrowShare(workspaces_state& state,
+                 const workspace_id& workspace,
+                 const offered_loan& loan,
+                 time_point now) {
+  const auto found = state.accounts.find(workspace);
+  if (found == state.accounts.end()) {
+    return;
+  }
+  Borrow(found->second.ledger, loan.lender, loan.tokens_per_s, loan.asked_at,
+         now);
+  internal::UseLedger(state, workspace, found->second, now);
+}
+
 double WeightOf(const workspaces_state& state,
                 const workspace_id& workspace) noexcept {
   const auto found = state.accounts.find(workspace);
@@ -87,6 +232,7 @@
   }
   workspace_account& account = found->second;
   internal::Fill(account, now);
+  account.asked_tokens += std::max(0.0, tokens);
   if (account.tokens <= 0) {
     return internal::TimeToFill(account);
   }
--- a/src/acaciaferry/workspaces/limits.hpp
+++ b/src/acaciaferry/workspaces/limits.hpp
@@ -1,14 +1,28 @@
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/deployment/deployment.hpp"
+#include "acaciaferry/workspaces/shares.hpp"
 
 namespace acaciaferry {
 
+/**
+ * @brief The last demand of a peer, which a loan names.
+ */
+struct heard_demand {
+  peer_demand demand;
+  std::uint64_t incarnation{};
+  /** By the peer's own clock. */
+  std::uint64_t asked_at{};
+};
+
 /**
  * @brief A workspace's terms and its token bucket on this VM.
  */
@@ -21,6 +35,15 @@
   /** Tokens that may be spent now; negative after a large request. */
   double tokens{};
   time_point filled_at{};
+  /** The share without loans. */
+  double static_share{};
+  share_ledger ledger;
+  /** Tokens asked for since `measured_at`, and the smoothed rate before. */
+  double asked_tokens{};
+  double demand{};
+  time_point measured_at{};
+  /** Demands since the last loans; one for each peer. */
+  std::vector<heard_demand> heard;
 };
 
 /**
@@ -28,6 +51,31 @@
  */
 struct workspaces_state {
   std::unordered_map<workspace_id, workspace_account> accounts;
+  /** When the next loan lapses. */
+  time_point next_lapse{time_point::max()};
+};
+
+/** Tokens a second by workspace. */
+using workspace_rates = std::vector<std::pair<workspace_id, double>>;
+
+/**
+ * @brief What to lend to one peer, in answer to one demand.
+ */
+struct loans_to_peer {
+  vm_id vm;
+  std::uint64_t incarnation{};
+  std::uint64_t asked_at{};
+  workspace_rates loans;
+};
+
+/**
+ * @brief A loan as the borrower hears of it.
+ */
+struct offered_loan {
+  vm_id lender;
+  double tokens_per_s{};
+  /** When the demand was measured that the loan answers. */
+  time_point asked_at{};
 };
 
 /**
@@ -52,6 +100,34 @@
               double share,
               time_point now);
 
+/** @brief Ends the loans that lapsed until now, each at its own time. */
+void AdvanceShares(workspaces_state& state, time_point now);
+
+/**
+ * @brief Measures this VM's demand; called about once a second.
+ * @return The demands above the static share, the largest first.
+ */
+[[nodiscard]] workspace_rates MeasureDemand(workspaces_state& state,
+                                            time_point now);
+
+/** @brief Keeps a peer's demand for the next LendShares. */
+void HearDemand(workspaces_state& state,
+                const workspace_id& workspace,
+                const heard_demand& heard);
+
+/**
+ * @brief Answers the demands that were heard.
+ * @return The loans, by peer.
+ */
+[[nodiscard]] std::vector<loans_to_peer> LendShares(workspaces_state& state,
+                                                    time_point now);
+
+/** @brief Takes a loan over; one that has lapsed changes nothing. */
+void BorrowShare(workspaces_state& state,
+                 const workspace_id& workspace,
+                 const offered_loan& loan,
+                 time_point now);
+
 /** @return The workspace's weight; 1 when it is not configured. */
 [[nodiscard]] double WeightOf(const workspaces_state& state,
                               const workspace_id& workspace) noexcept;
--- a/test/acaciaferry/peer/golden_messages.hpp
+++ b/test/acaciaferry/peer/golden_messages.hpp
@@ -57,6 +57,9 @@
                                 .count = 2,
                                 .digest = 0x1234'5678'9ABC'DEF0,
                                 .text = "[policy]\nentry_vms = 7\n"};
+  const heartbeat asking{.demand = {{{"floor-leads"}, 1'500.5}},
+                         .asked_at = 1ULL << 40};
+  const share_loans loans{incarnation, 1ULL << 40, {{{"floor-leads"}, 250.5}}};
   const vm_entry entry{.name = "e9",
                        .address = "10.0.0.9:9000",
                        .failure_domain = {"tx-c"},
@@ -73,6 +76,8 @@
       {"v1_configuration_request.bin",
        {{"vm2"}, incarnation, 5, configuration_request{3'700}}},
       {"v1_list_changes.bin", {{"vm2"}, incarnation, 7, list_changes{{entry}}}},
+      {"v1_heartbeat_asking.bin", {{"vm1"}, incarnation, 8, asking}},
+      {"v1_share_loans.bin", {{"vm2"}, incarnation, 9, loans}},
       {"v1_configuration_part.bin", {{"vm2"}, incarnation, 6, part}}};
 }
 
--- a/test/acaciaferry/support/test_network.hpp
+++ b/test/acaciaferry/support/test_network.hpp
@@ -65,6 +65,11 @@
   /** @brief Hands an event to a node at its own time. */
   void Post(test_node& node, const event& event);
 
+  /** @return The time by a node's own clock. */
+  [[nodiscard]] time_point TimeOf(const test_node& node) const {
+    return time_point{now_ + node.clock_offset};
+  }
+
   /** Sees the effects that the network does not handle itself. */
   std::function<void(test_node&, const effect&)> on_effect;
 
