Hand closed operation keys over before a VM exits

Cause: once a VM had drained and exited, calls with its keys were answered unknown, although it knew what had become of each.

Change: a VM that has closed and has no request left sends its spent keys to two peers of its failure domain and exits when both have confirmed them, or after 1 s. They answer spent keys with the stored outcome, and unspent ones as not run once they have every part. Heartbeats and full summaries name who has a set, and other VMs forward calls there. Keys that had expired at the closing are unknown.

--- a/src/acaciaferry/membership/event.hpp
+++ b/src/acaciaferry/membership/event.hpp
@@ -36,6 +36,24 @@
   std::vector<workspace_demand> demand;
 };
 
+/** A peer that exits sent a part of its closed set. */
+struct closed_keys_learnt {
+  vm_id vm;
+  std::uint64_t incarnation{};
+  closed_keys_part part;
+};
+
+/** A peer has the closed set of an incarnation of this VM. */
+struct receipt_learnt {
+  vm_id vm;
+  std::uint64_t incarnation{};
+};
+
+/** Peers have the closed sets of VMs that have exited. */
+struct closed_sets_learnt {
+  std::vector<closed_set_holder> sets;
+};
+
 /** A peer lent parts of its shares. */
 struct loans_learnt {
   vm_id vm;
--- a/src/acaciaferry/membership/exchange.cpp
+++ b/src/acaciaferry/membership/exchange.cpp
@@ -76,6 +76,7 @@
   result.demand = Bounded(state.demand, kMaxDemands);
   result.asked_at = result.demand.empty() ? 0 : state.asked_at;
   result.suspects = Bounded(state.suspects, kMaxSuspects);
+  result.closed_sets = Bounded(state.closed_sets, kMaxClosedSets);
   result.leaving_targets = LeavingTargets(state, view.targets);
   if (full) {
     result.failure_domain = state.failure_domain;
@@ -171,6 +172,7 @@
   result.suspects = state.domain_suspects;
   result.members = Members(state, now, full);
   if (full) {
+    result.closed_sets = Bounded(state.domain_closed_sets, kMaxClosedSets);
     result.suspects.insert(result.suspects.end(), state.older_suspects.begin(),
                            state.older_suspects.end());
     for (const target* const each : SummarisedTargets(state, view.targets)) {
@@ -229,7 +231,7 @@
 bool HasContents(const domain_summary& summary) noexcept {
   return !summary.members.empty() || !summary.reports.empty() ||
          !summary.leaving_targets.empty() || !summary.suspects.empty() ||
-         !summary.demand.empty();
+         !summary.closed_sets.empty() || !summary.demand.empty();
 }
 
 // Passes a peer's process and callers' address on when either is new.
@@ -269,6 +271,7 @@
     news.suspects = body.suspects;
     news.demand = body.demand;
     news.asked_at = body.asked_at;
+    news.closed_sets = body.closed_sets;
   }
 
   void operator()(const share_loans& body) const { news.loans = body; }
@@ -285,6 +288,7 @@
     news.reports = body.reports;
     news.leaving_targets = body.leaving_targets;
     news.suspects = body.suspects;
+    news.closed_sets = body.closed_sets;
     if (!body.relayed) {
       news.revision = body.revision;
     }
@@ -305,6 +309,9 @@
   void operator()(const configuration_request& /*body*/) const {}
   void operator()(const configuration_part& /*body*/) const {}
   void operator()(const unknown_body& /*body*/) const {}
+  // The operations module takes these from the message.
+  void operator()(const closed_keys_part& /*body*/) const {}
+  void operator()(const closed_keys_receipt& /*body*/) const {}
 
   void operator()(const list_changes& body) const {
     news.list_changes = body.entries;
--- a/src/acaciaferry/membership/exchange.hpp
+++ b/src/acaciaferry/membership/exchange.hpp
@@ -51,6 +51,7 @@
   std::vector<workspace_demand> demand;
   std::uint64_t asked_at{};
   std::optional<share_loans> loans;
+  std::vector<closed_set_holder> closed_sets;
 };
 
 /**
--- a/src/acaciaferry/membership/message.hpp
+++ b/src/acaciaferry/membership/message.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -22,6 +23,10 @@
 inline constexpr std::size_t kMaxRelayedReports = 256;
 inline constexpr std::size_t kMaxListChanges = 128;
 
+inline constexpr std::size_t kMaxClosedSets = 64;
+inline constexpr std::size_t kMaxKeysInPart = 1'024;
+inline constexpr std::uint32_t kMaxClosedParts = 40;
+
 /** Text bytes in one part of a document; leaves room for the envelope. */
 inline constexpr std::size_t kMaxPartBytes = 60'000;
 inline constexpr std::size_t kMaxDocumentBytes = 1 << 20;
@@ -42,6 +47,32 @@
   [[nodiscard]] bool operator==(const workspace_loan&) const = default;
 };
 
+/** A peer that has the whole closed set of a VM that has exited. */
+struct closed_set_holder {
+  vm_id holder;
+  vm_id minter;
+  std::uint64_t incarnation{};
+  [[nodiscard]] bool operator==(const closed_set_holder&) const = default;
+};
+
+/** What became of the call of a spent key. */
+enum class closed_result { kUnknown, kAnswer, kFailure, kAnswerDropped };
+
+/** A spent operation key of a VM that exits. */
+struct closed_key {
+  std::uint64_t sequence{};
+  std::uint64_t fingerprint{};
+  closed_result result{};
+  /** Of an answer. */
+  std::uint32_t http_status{};
+  std::string content_type;
+  std::string body;
+  /** Of a failure: its code as callers see it, and its outcome. */
+  std::string code;
+  outcome failure_outcome{};
+  [[nodiscard]] bool operator==(const closed_key&) const = default;
+};
+
 struct leaving_target {
   target_id target;
   std::uint64_t incarnation{};
@@ -71,6 +102,7 @@
   /** When the demand was measured, in microseconds of the sender's own clock;
    * a loan names it. */
   std::uint64_t asked_at{};
+  std::vector<closed_set_holder> closed_sets;
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
 
@@ -102,6 +134,7 @@
   std::vector<leaving_target> leaving_targets;
   std::vector<suspect_report> suspects;
   std::vector<workspace_demand> demand;
+  std::vector<closed_set_holder> closed_sets;
   [[nodiscard]] bool operator==(const domain_summary&) const = default;
 };
 
@@ -139,6 +172,25 @@
   [[nodiscard]] bool operator==(const share_loans&) const = default;
 };
 
+/** A part of the sender's closed set; the sender starts no call any more. */
+struct closed_keys_part {
+  /** Keys from this number on were never minted. */
+  std::uint64_t next_sequence{};
+  /** When the sender closed, in microseconds of its own clock; keys that had
+   * expired by then may be missing. */
+  std::uint64_t closed_at{};
+  std::uint32_t index{};
+  std::uint32_t count{};
+  std::vector<closed_key> keys;
+  [[nodiscard]] bool operator==(const closed_keys_part&) const = default;
+};
+
+/** The sender has all parts of the receiver's closed set. */
+struct closed_keys_receipt {
+  std::uint64_t incarnation{};
+  [[nodiscard]] bool operator==(const closed_keys_receipt&) const = default;
+};
+
 /** A kind that a later version added. */
 struct unknown_body {
   [[nodiscard]] bool operator==(const unknown_body&) const = default;
@@ -151,6 +203,8 @@
                                configuration_part,
                                list_changes,
                                share_loans,
+                               closed_keys_part,
+                               closed_keys_receipt,
                                unknown_body>;
 
 /**
--- a/src/acaciaferry/membership/state.hpp
+++ b/src/acaciaferry/membership/state.hpp
@@ -79,6 +79,10 @@
   std::vector<suspect_report> domain_suspects;
   std::vector<suspect_report> older_suspects;
 
+  /** Closed sets that this VM, and its failure domain, can answer from. */
+  std::vector<closed_set_holder> closed_sets;
+  std::vector<closed_set_holder> domain_closed_sets;
+
   std::uint64_t turns{};
   time_point next_heartbeat{};
   time_point next_relay{};
--- a/src/acaciaferry/operations/operations.hpp
+++ b/src/acaciaferry/operations/operations.hpp
@@ -4,49 +4,22 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/membership/event.hpp"
+#include "acaciaferry/operations/handover.hpp"
 #include "acaciaferry/operations/operation_key.hpp"
 
 namespace acaciaferry {
 
-/**
- * @brief A whole answer of a plain service.
- */
-struct stored_answer {
-  int http_status{};
-  std::string content_type;
-  std::string body;
-};
-
-/** The call was started and has not ended. */
-struct operation_running {};
-
-/** The call ran; its answer had to be dropped to keep the bound on bytes. */
-struct operation_answer_dropped {};
-
-using operation_result = std::variant<operation_running,
-                                      stored_answer,
-                                      failure,
-                                      operation_answer_dropped>;
-
-/**
- * @brief A spent key.
- */
-struct operation {
-  /** The only request that may be answered under this key. */
-  std::uint64_t fingerprint{};
-  time_point expires{};
-  operation_result result;
-};
-
 /**
  * @brief A peer that may have minted keys.
  */
@@ -70,6 +43,12 @@
   std::size_t answer_bytes{};
   /** Newest incarnation of each peer; at most 4,096, the latest. */
   std::unordered_map<vm_id, key_owner> owners;
+  /** Set when this VM hands its closed keys over. */
+  std::optional<key_handover> leaving;
+  /** Closed sets of other VMs. */
+  std::map<key_set, closed_set> closed;
+  /** Who else has closed sets. */
+  std::map<key_set, std::map<vm_id, time_point>> holders;
 };
 
 /**
@@ -158,6 +137,37 @@
 /** @brief Forgets ended calls whose keys have expired. */
 void ExpireOperations(operations_state& state, time_point now);
 
+/**
+ * @brief Builds what a VM that has closed hands over.
+ *
+ * Must only be called once this VM starts no operation any more and none runs.
+ */
+[[nodiscard]] key_handover CloseKeys(const operations_state& state,
+                                     time_point now);
+
+/**
+ * @brief Takes a part of another VM's closed set.
+ * @return Whether all parts are there.
+ */
+bool TakeClosedKeys(operations_state& state,
+                    const key_set& minter,
+                    const closed_keys_part& part,
+                    time_point now);
+
+/** @brief Learns which peers have closed sets. */
+void LearnHolders(operations_state& state,
+                  std::span<const closed_set_holder> sets,
+                  time_point now);
+
+/** @return The closed sets that this VM has in full. */
+[[nodiscard]] std::vector<key_set> CompleteSets(const operations_state& state,
+                                                time_point now);
+
+/** @return The peers that have said lately that they have closed sets. */
+[[nodiscard]] std::vector<closed_set_holder> KnownHolders(
+    const operations_state& state,
+    time_point now);
+
 /** @brief Learns the address of a peer; older incarnations are ignored. */
 void LearnOwner(operations_state& state, const peer_learnt& event);
 
--- a/src/acaciaferry/peer/codec.cpp
+++ b/src/acaciaferry/peer/codec.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t kConfigurationPartKind = 5;
 constexpr std::uint64_t kListChangesKind = 6;
 constexpr std::uint64_t kShareLoansKind = 7;
+constexpr std::uint64_t kClosedKeysPartKind = 8;
+constexpr std::uint64_t kClosedKeysReceiptKind = 9;
 
 using packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -85,6 +87,10 @@
   void Write(const std::string& value) { out_.pack(value); }
   void Write(duration value) { out_.pack(ToAgeMs(value)); }
   void Write(vm_role value) { out_.pack(static_cast<std::uint64_t>(value)); }
+  void Write(outcome value) { out_.pack(static_cast<std::uint64_t>(value)); }
+  void Write(closed_result value) {
+    out_.pack(static_cast<std::uint64_t>(value));
+  }
   void Write(target_phase value) {
     out_.pack(static_cast<std::uint64_t>(value));
   }
@@ -165,6 +171,25 @@
                                           : target_phase::kLeaving;
   }
 
+  template <typename Enumeration>
+  static void ReadEnumeration(const msgpack::object& from,
+                              Enumeration last,
+                              Enumeration& value) {
+    const auto number = from.as<std::uint64_t>();
+    if (number > static_cast<std::uint64_t>(last)) {
+      throw malformed_error{};
+    }
+    value = static_cast<Enumeration>(number);
+  }
+
+  static void Read(const msgpack::object& from, outcome& value) {
+    ReadEnumeration(from, outcome::kUnknown, value);
+  }
+
+  static void Read(const msgpack::object& from, closed_result& value) {
+    ReadEnumeration(from, closed_result::kAnswerDropped, value);
+  }
+
   static void Read(const msgpack::object& from, vm_role& value) {
     const auto number = from.as<std::uint64_t>();
     if (number > static_cast<std::uint64_t>(vm_role::kService)) {
@@ -207,6 +232,10 @@
     return kMaxDemands;
   }
   static std::size_t MaxItems(workspace_loan*) noexcept { return kMaxDemands; }
+  static std::size_t MaxItems(closed_set_holder*) noexcept {
+    return kMaxClosedSets;
+  }
+  static std::size_t MaxItems(closed_key*) noexcept { return kMaxKeysInPart; }
   static std::size_t MaxItems(suspect_report*) noexcept { return kMaxSuspects; }
   static std::size_t MaxItems(leaving_target*) noexcept {
     return kMaxLeavingTargets;
@@ -233,6 +262,27 @@
   } else if constexpr (std::is_same_v<type, workspace_loan>) {
     visit(0, value.workspace);
     visit(1, value.tokens_per_second);
+  } else if constexpr (std::is_same_v<type, closed_set_holder>) {
+    visit(0, value.holder);
+    visit(1, value.minter);
+    visit(2, value.incarnation);
+  } else if constexpr (std::is_same_v<type, closed_key>) {
+    visit(0, value.sequence);
+    visit(1, value.fingerprint);
+    visit(2, value.result);
+    visit(3, value.http_status);
+    visit(4, value.content_type);
+    visit(5, value.body);
+    visit(6, value.code);
+    visit(7, value.failure_outcome);
+  } else if constexpr (std::is_same_v<type, closed_keys_part>) {
+    visit(0, value.next_sequence);
+    visit(1, value.closed_at);
+    visit(2, value.index);
+    visit(3, value.count);
+    visit(4, value.keys);
+  } else if constexpr (std::is_same_v<type, closed_keys_receipt>) {
+    visit(0, value.incarnation);
   } else if constexpr (std::is_same_v<type, share_loans>) {
     visit(0, value.incarnation);
     visit(1, value.asked_at);
@@ -294,6 +344,7 @@
     visit(7, value.suspects);
     visit(8, value.leaving_targets);
     visit(9, value.asked_at);
+    visit(10, value.closed_sets);
   } else if constexpr (std::is_same_v<type, load_relay>) {
     visit(0, value.reports);
   } else if constexpr (std::is_same_v<type, domain_summary>) {
@@ -305,6 +356,7 @@
     visit(5, value.leaving_targets);
     visit(6, value.suspects);
     visit(7, value.demand);
+    visit(8, value.closed_sets);
   } else if constexpr (std::is_same_v<type, configuration_request>) {
     visit(0, value.after);
   } else if constexpr (std::is_same_v<type, configuration_part>) {
@@ -333,6 +385,12 @@
     return kListChangesKind;
   }
   std::uint64_t operator()(const share_loans&) const { return kShareLoansKind; }
+  std::uint64_t operator()(const closed_keys_part&) const {
+    return kClosedKeysPartKind;
+  }
+  std::uint64_t operator()(const closed_keys_receipt&) const {
+    return kClosedKeysReceiptKind;
+  }
   std::uint64_t operator()(const unknown_body&) const { return 0; }
 };
 
@@ -359,6 +417,10 @@
       return ReadBody<configuration_part>(fields, unknown);
     case kListChangesKind:
       return ReadBody<list_changes>(fields, unknown);
+    case kClosedKeysPartKind:
+      return ReadBody<closed_keys_part>(fields, unknown);
+    case kClosedKeysReceiptKind:
+      return ReadBody<closed_keys_receipt>(fields, unknown);
     case kShareLoansKind:
       return ReadBody<share_loans>(fields, unknown);
     default:
--- a/src/acaciaferry/reducer/peering.cpp
+++ b/src/acaciaferry/reducer/peering.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
+#include <string>
 #include <utility>
 
 #include "acaciaferry/configuration/state.hpp"
@@ -156,6 +158,40 @@
   }
 }
 
+void ListClosedSets(state& state, time_point now) {
+  membership_state& told = state.membership;
+  told.closed_sets.clear();
+  for (const key_set& each : CompleteSets(state.operations, now)) {
+    told.closed_sets.push_back({told.self, each.first, each.second});
+  }
+  told.domain_closed_sets = told.closed_sets;
+  for (const closed_set_holder& each : KnownHolders(state.operations, now)) {
+    if (IsFromOwnDomain(state, each.holder)) {
+      told.domain_closed_sets.push_back(each);
+    }
+  }
+}
+
+// The peers of this failure domain that take the closed keys; several VMs that
+// exit at the same time choose different ones.
+std::map<vm_id, std::string> HandOverReceivers(const state& state) {
+  std::vector<std::pair<std::uint64_t, const peer*>> present;
+  for (const auto& [vm, known] : state.membership.peers) {
+    if (known.failure_domain == state.membership.failure_domain &&
+        known.phase == peer_phase::kAlive && !known.leaving &&
+        !known.address.empty()) {
+      present.emplace_back(
+          CallFingerprint(state.self.incarnation, "", vm.value), &known);
+    }
+  }
+  std::sort(present.begin(), present.end());
+  std::map<vm_id, std::string> receivers;
+  for (std::size_t i = 0; i < std::min<std::size_t>(2, present.size()); ++i) {
+    receivers.emplace(present[i].second->vm, present[i].second->address);
+  }
+  return receivers;
+}
+
 std::vector<peering_event> EventsOf(const peer_message& message,
                                     peer_news& news) {
   const vm_id& vm = message.vm;
@@ -170,6 +206,16 @@
     events.emplace_back(demand_learnt{vm, message.incarnation, news.asked_at,
                                       std::move(news.demand)});
   }
+  if (!news.closed_sets.empty()) {
+    events.emplace_back(closed_sets_learnt{std::move(news.closed_sets)});
+  }
+  if (const auto* const part = std::get_if<closed_keys_part>(&message.body)) {
+    events.emplace_back(closed_keys_learnt{vm, message.incarnation, *part});
+  }
+  if (const auto* const receipt =
+          std::get_if<closed_keys_receipt>(&message.body)) {
+    events.emplace_back(receipt_learnt{vm, receipt->incarnation});
+  }
   if (news.loans) {
     events.emplace_back(loans_learnt{vm, *std::move(news.loans)});
   }
@@ -299,12 +345,37 @@
   if (now >= state.membership.next_heartbeat) {
     internal::ListSuspects(state, now);
     internal::ListDemand(state, now, out);
+    internal::ListClosedSets(state, now);
   }
   std::vector<send_to_peers> messages;
   SendDue(state.membership, internal::ViewOf(state), now, messages);
   internal::Append(messages, out);
 }
 
+bool HandOverKeys(state& state, time_point now, effects& out) {
+  operations_state& operations = state.operations;
+  if (!operations.leaving) {
+    operations.leaving = CloseKeys(operations, now);
+    operations.leaving->receivers = internal::HandOverReceivers(state);
+  }
+  key_handover& handover = *operations.leaving;
+  if (handover.parts.empty() || handover.receivers.empty() ||
+      now >= handover.deadline) {
+    return true;
+  }
+  if (now >= handover.next_send) {
+    handover.next_send = now + kHandoverRepeat;
+    std::vector<std::string> addresses;
+    for (const auto& [vm, address] : handover.receivers) {
+      addresses.push_back(address);
+    }
+    for (const closed_keys_part& each : handover.parts) {
+      out.push_back(send_to_peers{addresses, each});
+    }
+  }
+  return false;
+}
+
 std::optional<time_point> NextPeerMessage(const state& state) {
   if (state.membership.peers.empty()) {
     return std::nullopt;
--- a/src/acaciaferry/reducer/peering.hpp
+++ b/src/acaciaferry/reducer/peering.hpp
@@ -12,8 +12,13 @@
 namespace acaciaferry {
 
 /** What a peer's message teaches to modules other than those below. */
-using peering_event =
-    std::variant<peer_learnt, suspects_heard, demand_learnt, loans_learnt>;
+using peering_event = std::variant<peer_learnt,
+                                   suspects_heard,
+                                   demand_learnt,
+                                   loans_learnt,
+                                   closed_keys_learnt,
+                                   receipt_learnt,
+                                   closed_sets_learnt>;
 
 /** @brief Moves silent peers on; marks all knowledge stale after a pause. */
 void BeginTurn(state& state, time_point now);
@@ -72,6 +77,12 @@
 /** @brief Sends the heartbeat, reports and summaries that are due. */
 void SendDueMessages(state& state, time_point now, effects& out);
 
+/**
+ * @brief Hands the closed keys over to peers when this VM has ended its work.
+ * @return Whether the hand-over has ended, so that the process may exit.
+ */
+[[nodiscard]] bool HandOverKeys(state& state, time_point now, effects& out);
+
 /** @return When SendDueMessages has something to do; nothing without peers. */
 [[nodiscard]] std::optional<time_point> NextPeerMessage(const state& state);
 
--- a/src/acaciaferry/reducer/reduce.cpp
+++ b/src/acaciaferry/reducer/reduce.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "acaciaferry/membership/exchange.hpp"
 #include "acaciaferry/reducer/arrival.hpp"
 #include "acaciaferry/reducer/attempt_control.hpp"
 #include "acaciaferry/reducer/dispatch.hpp"
@@ -125,6 +126,28 @@
     }
   }
 
+  void operator()(const closed_keys_learnt& event) const {
+    const bool complete = TakeClosedKeys(
+        state.operations, {event.vm, event.incarnation}, event.part, now);
+    const auto minter = state.membership.peers.find(event.vm);
+    if (complete && minter != state.membership.peers.end()) {
+      out.push_back(send_to_peers{{minter->second.address},
+                                  closed_keys_receipt{event.incarnation}});
+      SendNewsSoon(state.membership, now);
+    }
+  }
+
+  void operator()(const receipt_learnt& event) const {
+    if (event.incarnation == state.self.incarnation &&
+        state.operations.leaving) {
+      state.operations.leaving->receivers.erase(event.vm);
+    }
+  }
+
+  void operator()(const closed_sets_learnt& event) const {
+    LearnHolders(state.operations, event.sets, now);
+  }
+
   void operator()(const loans_learnt& event) const {
     // A loan to an earlier process was asked for by another clock.
     if (event.body.incarnation != state.self.incarnation) {
@@ -178,7 +201,7 @@
     TellOwnCrashes(state, now);
   }
   SendDueMessages(state, now, out);
-  if (state.closed && state.requests.empty()) {
+  if (state.closed && state.requests.empty() && HandOverKeys(state, now, out)) {
     out.push_back(drain_completed{});
   }
   return out;
@@ -207,6 +230,10 @@
   if (const auto maintenance_at = NextMaintenance(state)) {
     consider(*maintenance_at);
   }
+  if (const auto& leaving = state.operations.leaving;
+      leaving && !leaving->receivers.empty()) {
+    consider(std::min(leaving->next_send, leaving->deadline));
+  }
   if (const auto send_at = NextPeerMessage(state)) {
     consider(*send_at);
   }
--- a/test/acaciaferry/peer/golden_messages.hpp
+++ b/test/acaciaferry/peer/golden_messages.hpp
@@ -60,6 +60,27 @@
   const heartbeat asking{.demand = {{{"floor-leads"}, 1'500.5}},
                          .asked_at = 1ULL << 40};
   const share_loans loans{incarnation, 1ULL << 40, {{{"floor-leads"}, 250.5}}};
+  const heartbeat holder{.closed_sets = {{{"vm1"}, {"vm3"}, 99}}};
+  const domain_summary holders{.failure_domain = {"tx-b"},
+                               .closed_sets = {{{"vm2"}, {"vm3"}, 99}}};
+  const closed_keys_part closed{
+      .next_sequence = 500,
+      .closed_at = 1ULL << 41,
+      .index = 1,
+      .count = 2,
+      .keys = {{.sequence = 7,
+                .fingerprint = 0xFEED'FACE,
+                .result = closed_result::kAnswer,
+                .http_status = 201,
+                .content_type = "application/json",
+                .body = R"({"vat":3})"},
+               {.sequence = 8,
+                .fingerprint = 9,
+                .result = closed_result::kFailure,
+                .code = "target_rejected",
+                .failure_outcome = outcome::kNotRun},
+               {.sequence = 9, .result = closed_result::kAnswerDropped},
+               {.sequence = 10}}};
   const vm_entry entry{.name = "e9",
                        .address = "10.0.0.9:9000",
                        .failure_domain = {"tx-c"},
@@ -78,6 +99,11 @@
       {"v1_list_changes.bin", {{"vm2"}, incarnation, 7, list_changes{{entry}}}},
       {"v1_heartbeat_asking.bin", {{"vm1"}, incarnation, 8, asking}},
       {"v1_share_loans.bin", {{"vm2"}, incarnation, 9, loans}},
+      {"v1_heartbeat_holder.bin", {{"vm1"}, incarnation, 10, holder}},
+      {"v1_domain_summary_holder.bin", {{"vm2"}, incarnation, 11, holders}},
+      {"v1_closed_keys_part.bin", {{"vm3"}, incarnation, 12, closed}},
+      {"v1_closed_keys_receipt.bin",
+       {{"vm1"}, incarnation, 13, closed_keys_receipt{99}}},
       {"v1_configuration_part.bin", {{"vm2"}, incarnation, 6, part}}};
 }
 
