Poll cache events, and let no silent target delay other polls

Cause: nothing read the engines' cache events, so the index was empty. Targets were polled one after the other, so a silent one held the rest up for 1 s.

Four threads poll, and a target that did not answer last time comes after the others, one at a time.

--- a/src/acaciaferry/platform/pollers.cpp
+++ b/src/acaciaferry/platform/pollers.cpp
@@ -11,10 +11,28 @@
 constexpr duration kPollTimeout = std::chrono::seconds(1);
 constexpr std::size_t kMaxListBytes = 4 << 20;
 constexpr std::size_t kMaxReportBytes = 64 << 10;
+// A snapshot of the 4,096 blocks that are indexed has a quarter of this.
+constexpr std::size_t kMaxCacheBytes = 1 << 20;
 constexpr int kOk = 200;
 constexpr double kListBytesPerSecond = 2'000;
 constexpr duration kShortestListInterval = std::chrono::seconds(1);
 
+void PollCache(const target_poll& poll, const event_sink& sink) {
+  const std::string path =
+      "/v1/cache/events?after=" + std::to_string(poll.cache->after) +
+      (poll.cache->snapshot ? "&snapshot=1" : "");
+  const auto reply = HttpGet(poll.address, path, kPollTimeout, kMaxCacheBytes);
+  if (!reply || reply->status != kOk) {
+    return;
+  }
+  if (auto events = ParseCacheEvents(reply->body)) {
+    events->target = poll.target;
+    events->incarnation = poll.incarnation;
+    events->is_snapshot = poll.cache->snapshot;
+    sink(*std::move(events));
+  }
+}
+
 }  // namespace internal
 
 duration ListInterval(std::size_t bytes) {
@@ -35,18 +53,24 @@
   return reply->body.size();
 }
 
-void PollLoadReports(const std::vector<std::string>& addresses,
-                     const event_sink& sink) {
-  for (const std::string& address : addresses) {
-    const auto reply = HttpGet(address, "/v1/load", internal::kPollTimeout,
-                               internal::kMaxReportBytes);
-    if (!reply || reply->status != internal::kOk) {
-      continue;
-    }
-    if (auto report = ParseLoadReport(reply->body)) {
-      sink(load_report_received{*std::move(report)});
-    }
+bool PollTarget(const target_poll& poll, const event_sink& sink) {
+  const auto reply = HttpGet(poll.address, "/v1/load", internal::kPollTimeout,
+                             internal::kMaxReportBytes);
+  if (!reply || reply->status != internal::kOk) {
+    return false;
+  }
+  auto report = ParseLoadReport(reply->body);
+  if (!report) {
+    return true;
+  }
+  // The position belongs to one process of the target; a later one starts with
+  // a snapshot at the next poll.
+  const bool is_same = report->incarnation == poll.incarnation;
+  sink(load_report_received{*std::move(report)});
+  if (poll.cache && is_same) {
+    internal::PollCache(poll, sink);
   }
+  return true;
 }
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/platform/pollers.hpp
+++ b/src/acaciaferry/platform/pollers.hpp
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
-#include <vector>
 
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/prefix_cache/prefix_cache.hpp"
 #include "acaciaferry/reducer/event.hpp"
 
 namespace acaciaferry {
@@ -30,11 +33,23 @@
 std::size_t PollVmList(const std::string& address, const event_sink& sink);
 
 /**
- * @brief Reads the load reports of targets once, one after the other.
- * @param addresses The targets' addresses.
- * @param sink Receives load_report_received for each that answered.
+ * @brief What to read from one target.
  */
-void PollLoadReports(const std::vector<std::string>& addresses,
-                     const event_sink& sink);
+struct target_poll {
+  std::string address;
+  target_id target;
+  /** The incarnation that `cache` is about. */
+  std::uint64_t incarnation{};
+  /** Nothing for targets without a prefix cache. */
+  std::optional<cache_poll> cache;
+};
+
+/**
+ * @brief Reads a target's load report and then its cache events.
+ * @param poll What to read.
+ * @param sink Receives load_report_received and cache_events_received.
+ * @return Whether the target answered.
+ */
+bool PollTarget(const target_poll& poll, const event_sink& sink);
 
 }  // namespace acaciaferry
--- a/src/acaciaferry/runtime/daemon.cpp
+++ b/src/acaciaferry/runtime/daemon.cpp
@@ -16,6 +16,7 @@
 #include "acaciaferry/platform/configuration_watcher.hpp"
 #include "acaciaferry/platform/periodic_task.hpp"
 #include "acaciaferry/platform/pollers.hpp"
+#include "acaciaferry/platform/target_poller.hpp"
 #include "acaciaferry/runtime/configuration_checker.hpp"
 #include "acaciaferry/runtime/effect_executor.hpp"
 #include "acaciaferry/runtime/event_loop.hpp"
@@ -27,19 +28,27 @@
 namespace internal {
 
 constexpr duration kVmListPause = std::chrono::seconds(1);
+// A round of 8 targets, which takes some milliseconds when all answer.
+constexpr std::size_t kPollThreads = 4;
 constexpr duration kLoadPause = std::chrono::milliseconds(500);
 
 log4cplus::Logger Logger() {
   return log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("acaciaferry"));
 }
 
-std::vector<std::string> AddressesToPoll(const state& value) {
-  std::vector<std::string> addresses;
+std::vector<target_poll> TargetPolls(const state& value) {
+  std::vector<target_poll> polls;
   for (const target* const each :
        TargetsToPoll(value.membership, value.targets)) {
-    addresses.push_back(each->address);
+    const pool* const known =
+        value.config ? FindPool(*value.config, each->pool) : nullptr;
+    target_poll poll{each->address, each->id, each->incarnation, {}};
+    if (known != nullptr && known->kind == request_kind::kCompletion) {
+      poll.cache = NextCachePoll(value.prefix_cache, each->id);
+    }
+    polls.push_back(std::move(poll));
   }
-  return addresses;
+  return polls;
 }
 
 duration RelayInterval(const state& value) {
@@ -185,7 +194,7 @@
         // the rounding to whole pauses.
         next_poll_ = clock_.Now() + Ask(internal::RelayInterval) -
                      internal::kLoadPause / 2;
-        PollLoadReports(Ask(internal::AddressesToPoll), sink_);
+        poller_.Poll(Ask(internal::TargetPolls));
       }
     });
     if (!settings_.configuration_service.empty()) {
@@ -222,6 +231,9 @@
   std::unique_ptr<effect_executor> executor_;
   std::unique_ptr<callers_listener> callers_server_;
   std::unique_ptr<operators_listener> operators_server_;
+  target_poller poller_{
+      internal::kPollThreads,
+      [this](const target_poll& poll) { return PollTarget(poll, sink_); }};
   std::unique_ptr<periodic_task> vm_list_task_;
   std::unique_ptr<periodic_task> load_task_;
   std::unique_ptr<configuration_watcher> watcher_;
--- a/src/acaciaferry/target_client/wire.cpp
+++ b/src/acaciaferry/target_client/wire.cpp
@@ -99,6 +99,37 @@
   return holdings;
 }
 
+std::uint64_t ReadBlock(const std::string& text) {
+  constexpr int kHexadecimal = 16;
+  std::uint64_t block = 0;
+  const char* const last = text.data() + text.size();
+  const auto [end, error] =
+      std::from_chars(text.data(), last, block, kHexadecimal);
+  if (error != std::errc{} || end != last) {
+    throw json::other_error::create(0, "block is not hexadecimal", nullptr);
+  }
+  return block;
+}
+
+cache_event ReadCacheEvent(const json& value) {
+  const auto operation = value.at("op").get<std::string>();
+  if (operation != "add" && operation != "evict") {
+    throw json::other_error::create(0, "unknown operation", nullptr);
+  }
+  return {.sequence = value.at("seq").get<std::uint64_t>(),
+          .is_eviction = operation == "evict",
+          .block = ReadBlock(value.at("block").get<std::string>())};
+}
+
+cache_events_received ReadCacheEvents(const json& value) {
+  cache_events_received result;
+  result.first = value.at("first").get<std::uint64_t>();
+  for (const json& each : value.at("events")) {
+    result.events.push_back(ReadCacheEvent(each));
+  }
+  return result;
+}
+
 std::vector<vm_entry> ReadVmList(const json& value) {
   std::vector<vm_entry> vms;
   for (const json& vm : value.at("vms")) {
@@ -136,6 +167,10 @@
   return internal::Parse(json, internal::ReadHoldings);
 }
 
+std::optional<cache_events_received> ParseCacheEvents(std::string_view json) {
+  return internal::Parse(json, internal::ReadCacheEvents);
+}
+
 std::optional<std::vector<vm_entry>> ParseVmList(std::string_view json) {
   return internal::Parse(json, internal::ReadVmList);
 }
--- a/src/acaciaferry/target_client/wire.hpp
+++ b/src/acaciaferry/target_client/wire.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "acaciaferry/prefix_cache/event.hpp"
 #include "acaciaferry/reclamation/holding.hpp"
 #include "acaciaferry/targets/target.hpp"
 
@@ -43,6 +44,15 @@
 [[nodiscard]] std::optional<std::vector<holding>> ParseHoldings(
     std::string_view json);
 
+/**
+ * @brief Parses a target's answer to a poll of its cache events.
+ * @param json Text from a target.
+ * @return The first event that is kept and the events, without the fields that
+ * the answer does not have; nothing when any line of it is malformed.
+ */
+[[nodiscard]] std::optional<cache_events_received> ParseCacheEvents(
+    std::string_view json);
+
 /**
  * @brief Parses the platform's list of VMs.
  * @param json Text from the platform.
--- /dev/null
+++ b/test/acaciaferry/platform/target_poller_test.cpp
@@ -0,0 +1,128 @@
+#include "acaciaferry/platform/target_poller.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+
+namespace {
+
+// Only ends a test that would hang otherwise.
+constexpr auto kPatience = std::chrono::seconds(60);
+
+// Targets of which some stay silent until they are released.
+class fake_targets {
+ public:
+  bool Poll(const target_poll& poll) {
+    std::unique_lock lock(mutex_);
+    ++polls_[poll.address];
+    changed_.notify_all();
+    if (poll.address.starts_with("silent")) {
+      ++silent_now_;
+      most_silent_ = std::max(most_silent_, silent_now_);
+      changed_.wait_for(lock, kPatience, [this] { return released_; });
+      --silent_now_;
+      return false;
+    }
+    return true;
+  }
+
+  bool AwaitPolls(const std::string& address, int count) {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, kPatience,
+                             [&] { return polls_[address] >= count; });
+  }
+
+  void Release(bool released) {
+    const std::lock_guard lock(mutex_);
+    released_ = released;
+    changed_.notify_all();
+  }
+
+  int Polls(const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    return polls_[address];
+  }
+
+  int TakeMostSilent() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(most_silent_, 0);
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::map<std::string, int> polls_;
+  bool released_{};
+  int silent_now_{};
+  int most_silent_{};
+};
+
+std::vector<target_poll> Round(const std::vector<std::string>& addresses) {
+  std::vector<target_poll> round;
+  for (const std::string& each : addresses) {
+    round.push_back({each, {each}, 1, {}});
+  }
+  return round;
+}
+
+}  // namespace
+
+TEST_GROUP(TargetPoller){};
+
+// Guards against a silent target that holds up the polls of all others, in its
+// own round and in the next ones.
+TEST(TargetPoller, SilentTargetsDoNotDelayTheOthers) {
+  fake_targets targets;
+  {
+    target_poller poller(
+        4, [&](const target_poll& poll) { return targets.Poll(poll); });
+    for (int round = 1; round <= 3; ++round) {
+      poller.Poll(Round({"silent1", "silent2", "silent3", "a", "b", "c"}));
+      for (const char* const each : {"a", "b", "c"}) {
+        CHECK_TRUE(targets.AwaitPolls(each, round));
+      }
+    }
+    // A poll that still runs is not started again.
+    CHECK_EQUAL(1, targets.Polls("silent1"));
+    targets.Release(true);
+  }
+}
+
+// Guards against silent targets that take all threads in every round.
+TEST(TargetPoller, OneTargetThatWasSilentIsPolledAtATime) {
+  fake_targets targets;
+  target_poller poller(
+      4, [&](const target_poll& poll) { return targets.Poll(poll); });
+  const auto round =
+      Round({"silent1", "silent2", "silent3", "silent4", "silent5", "a"});
+  targets.Release(true);
+  // The second poll of each shows that the first one has ended.
+  for (int polls = 1; polls <= 2; ++polls) {
+    for (const target_poll& each : round) {
+      while (targets.Polls(each.address) < polls) {
+        poller.Poll(round);
+        std::this_thread::yield();
+      }
+    }
+  }
+  // All have been silent once; now they keep their threads.
+  targets.TakeMostSilent();
+  targets.Release(false);
+  const int before = targets.Polls("a");
+  for (int polls = 1; polls <= 3; ++polls) {
+    poller.Poll(round);
+    CHECK_TRUE(targets.AwaitPolls("a", before + polls));
+  }
+  CHECK_TRUE(targets.TakeMostSilent() <= 1);
+  targets.Release(true);
+}
