Check in a process test that cache events are read

Cause: the polls of cache events were only tested from the parsed answer on. Change: completion.sh waits until the daemon has accepted a stand-in engine's answer.

--- a/test/process/completion.sh
+++ b/test/process/completion.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Guards against a broken path from a caller through a daemon to an engine.
+# Guards against a broken path from a caller through a daemon to an engine, and
+# against cache events that are not read.
 # shellcheck source=test/process/common.sh
 source "$(dirname "$0")/common.sh"
 
@@ -26,6 +27,16 @@
 streamed=$(sed -n 's/.*"content":"\([^"]*\)".*/\1/p' "$work/chat_stream" | tr -d '\n')
 grep -q "\"content\":\"$streamed\"" "$work/chat"
 
+# The daemon reads the engine's cache events, too.
+operators=$(sed -n 's/.* operators=\([0-9]*\).*/\1/p' "$work/daemon" | head -1)
+for _ in $(seq 200); do
+  polls=$(curl -sS "http://127.0.0.1:$operators/metrics" |
+    sed -n 's/^acaciaferry_cache_event_polls_total{verdict="accepted"} //p')
+  [ "${polls:-0}" -gt 0 ] && break
+  sleep 0.05
+done
+[ "${polls:-0}" -gt 0 ] || fail "no cache events were accepted"
+
 kill "$daemon_pid"
 wait "$daemon_pid"
 echo "completion: text and chat, streamed and collected; graceful stop exited 0"
