Test that the fullest closed set fits into its parts

Cause: the bound on parts and bytes was only computed. Change: a test fills the store, encodes each part and takes all of them over.

--- a/test/acaciaferry/operations/handover_test.cpp
+++ b/test/acaciaferry/operations/handover_test.cpp
@@ -9,6 +9,8 @@
 #include <variant>
 #include <vector>
 
+#include "acaciaferry/operations/operations.hpp"
+#include "acaciaferry/peer/codec.hpp"
 #include "support/test_network.hpp"
 
 #include <CppUTest/TestHarness.h>
@@ -214,6 +216,39 @@
   CHECK_TRUE(fleet.exited[0]);
 }
 
+// Guards against a closed set that does not fit: a part that is too long to be
+// sent, or more parts than a receiver takes.
+TEST(KeyHandover, FullestSetFitsIntoItsParts) {
+  const time_point now{1h};
+  operations_state minter;
+  minter.secret = kSecret;
+  operation_call call{{{"vm1"}, 1, 0, now + 1min}, 5, false};
+  do {
+    ++call.key.sequence;
+    if (call.key.sequence % 50 == 0) {
+      StoreResult(minter, call.key.sequence - 1,
+                  stored_answer{200, "text/plain", std::string(15'000, '.')});
+    } else {
+      StoreFailure(
+          minter, call.key.sequence - 1,
+          {failure_code::kOperationKeysUnavailable, outcome::kUnknown, {}});
+    }
+  } while (Spend(minter, call));
+  minter.next_sequence = call.key.sequence + 1;
+  const key_handover handover = CloseKeys(minter, now);
+  CHECK_TRUE(handover.parts.size() <= kMaxClosedParts);
+  operations_state receiver;
+  bool complete = false;
+  for (const closed_keys_part& each : handover.parts) {
+    CHECK_FALSE(EncodePayload({{"vm1"}, 1, 1, each}).empty());
+    CHECK_FALSE(complete);
+    complete = TakeClosedKeys(receiver, {{"vm1"}, 1}, each, now);
+  }
+  CHECK_TRUE(complete);
+  CHECK_EQUAL(minter.spent.size(),
+              receiver.closed.begin()->second.spent.size());
+}
+
 // Guards against `not-run` for a key whose record was forgotten because it had
 // expired, and against closed sets that are kept for ever.
 TEST(KeyHandover, ExpiredKeysAreUnknown) {
