Correct the race in the tests of the target poller

Cause: a round leaves out a target whose last poll has not quite ended, and the tests added each round once, so they could wait for a poll that never came. Change: the tests add rounds until the poll was made, while the silent targets still hold their threads.

--- a/test/acaciaferry/platform/target_poller_test.cpp
+++ b/test/acaciaferry/platform/target_poller_test.cpp
@@ -18,6 +18,7 @@
 
 // Only ends a test that would hang otherwise.
 constexpr auto kPatience = std::chrono::seconds(60);
+constexpr int kMostRounds = 20'000;
 
 // Targets of which some stay silent until they are released.
 class fake_targets {
@@ -36,12 +37,6 @@
     return true;
   }
 
-  bool AwaitPolls(const std::string& address, int count) {
-    std::unique_lock lock(mutex_);
-    return changed_.wait_for(lock, kPatience,
-                             [&] { return polls_[address] >= count; });
-  }
-
   void Release(bool released) {
     const std::lock_guard lock(mutex_);
     released_ = released;
@@ -75,6 +70,20 @@
   return round;
 }
 
+// Adds rounds until a target was polled so often: a round leaves out those
+// whose last poll has not quite ended.
+bool PollUntil(target_poller& poller,
+               const std::vector<target_poll>& round,
+               fake_targets& targets,
+               const std::string& address,
+               int count) {
+  for (int i = 0; i < kMostRounds && targets.Polls(address) < count; ++i) {
+    poller.Poll(round);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return targets.Polls(address) >= count;
+}
+
 }  // namespace
 
 TEST_GROUP(TargetPoller){};
@@ -87,9 +96,10 @@
     target_poller poller(
         4, [&](const target_poll& poll) { return targets.Poll(poll); });
     for (int round = 1; round <= 3; ++round) {
-      poller.Poll(Round({"silent1", "silent2", "silent3", "a", "b", "c"}));
       for (const char* const each : {"a", "b", "c"}) {
-        CHECK_TRUE(targets.AwaitPolls(each, round));
+        CHECK_TRUE(PollUntil(
+            poller, Round({"silent1", "silent2", "silent3", "a", "b", "c"}),
+            targets, each, round));
       }
     }
     // A poll that still runs is not started again.
@@ -120,8 +130,7 @@
   targets.Release(false);
   const int before = targets.Polls("a");
   for (int polls = 1; polls <= 3; ++polls) {
-    poller.Poll(round);
-    CHECK_TRUE(targets.AwaitPolls("a", before + polls));
+    CHECK_TRUE(PollUntil(poller, round, targets, "a", before + polls));
   }
   CHECK_TRUE(targets.TakeMostSilent() <= 1);
   targets.Release(true);
