Run the demo with the configuration service, peers and operators

Cause: the demo's daemons ran without peers and without operators' tokens, and fell back to a deployment file, so that a fault there passed unseen. The exit code ignored the ledger. Change: each daemon has a [peers] section with the key file, an operators' token file and the configuration service. The VM list names entry VMs by their peers' listener, and all members by their real incarnation. Members keep fixed ports. The exit code is 1 for late, corrupt or duplicated requests and when answered+refused+failed+corrupt differs from sent.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -4,10 +4,13 @@
 import argparse
 import contextlib
 import dataclasses
+import hashlib
 import json
 import pathlib
+import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -23,6 +26,7 @@
 SERVICE_TARGETS = 3
 # At this speed a million tokens are prefilled in about five seconds.
 ENGINE_SPEED = 10
+OPERATORS_TOKEN = "operator"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,6 +67,8 @@
     process: subprocess.Popen = None
     address: str = ""
     operators_address: str = ""
+    peers_address: str = ""
+    incarnation: int = 0
     listed_state: str = "live"
 
     def start(self):
@@ -71,6 +77,7 @@
             self.process = subprocess.Popen(self.command, stdout=log, stderr=subprocess.STDOUT,
                                             stdin=subprocess.DEVNULL, start_new_session=True)
         self.address = f"127.0.0.1:{self._wait_for_port(offset)}"
+        self.incarnation = self._read_incarnation(offset)
 
     def _wait_for_port(self, offset):
         end = time.monotonic() + START_TIMEOUT_S
@@ -84,6 +91,15 @@
             time.sleep(0.02)
         raise FleetError(f"{self.name} did not start; see {self.log}")
 
+    def _read_incarnation(self, offset):
+        if self.role == "entry":
+            text = self.log.read_bytes()[offset:].decode(errors="replace")
+            return int(next(word for word in text.split() if word.startswith("incarnation="))[12:])
+        if self.role == "platform":
+            return 0
+        with urllib.request.urlopen(f"http://{self.address}/v1/load", timeout=10) as reply:
+            return json.load(reply)["incarnation"]
+
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
@@ -92,6 +108,21 @@
             self.process.send_signal(number)
 
 
+def free_addresses(count):
+    """Returns loopback addresses whose ports no outgoing connection takes."""
+    addresses = []
+    for port in random.sample(range(20000, 32000), 12000):
+        with socket.socket() as each:
+            try:
+                each.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        addresses.append(f"127.0.0.1:{port}")
+        if len(addresses) == count:
+            return addresses
+    raise FleetError("there are not enough free ports")
+
+
 def control(address, verb, body=None):
     """Sends a control switch to a stand-in and returns its state."""
     request = urllib.request.Request(f"http://{address}/control/{verb}", method="POST",
@@ -108,25 +139,48 @@
         self.deployment = DEPLOYMENTS[name]
         self.directory = pathlib.Path(directory)
         self.members = []
-        self.vms_file = self.directory / "vms.json"
         self.configuration_file = self.directory / "configuration.json"
+        self.key_file = self.directory / "key"
+        self.token_file = self.directory / "operators"
 
     # Start and stop
 
     def start(self):
+        self.key_file.write_text("the key of a deployment on loopback\n")
+        self.token_file.write_text(hashlib.sha256(OPERATORS_TOKEN.encode()).hexdigest() + "\n")
         self._start_targets()
-        self.write_vm_list()
-        document = ROOT / "examples" / self.deployment_name / "deployment.ini"
-        self.write_configuration(1, document.read_text())
-        platform = self._add("platform", "platform", "", [
-            BIN / "acaciaferry-standin-platform", "--address", "127.0.0.1:0",
-            "--vms", self.vms_file, "--configuration", self.configuration_file])
-        platform.start()
+        self.write_configuration(1, self.first_document())
+        self._start_platforms()
         for number in range(ENTRY_VMS):
-            self._start_entry(number, platform.address, document)
+            self._start_entry(number)
         self.write_vm_list()
         self._wait_until_ready()
 
+    # All domains read one platform, unless a subclass gives each its own.
+    def platform_name(self, _domain):
+        return "platform"
+
+    def _start_platforms(self):
+        for domain in self.deployment.domains:
+            name = self.platform_name(domain)
+            if any(member.name == name for member in self.members):
+                continue
+            vms = self.directory / f"{name}-vms.json"
+            vms.write_text('{"vms": []}')
+            self._add(name, "platform", domain, [
+                BIN / "acaciaferry-standin-platform", "--address", "127.0.0.1:0",
+                "--vms", vms, "--configuration", self.configuration_file,
+                "--vm-lag-ms", self.vm_lag_ms]).start()
+
+    def platform_of(self, domain):
+        name = self.platform_name(domain)
+        return next(member for member in self.members if member.name == name)
+
+    vm_lag_ms = 0
+
+    def first_document(self):
+        return (ROOT / "examples" / self.deployment_name / "deployment.ini").read_text()
+
     def stop(self):
         """Ends the daemons first, so that they can finish their requests."""
         for roles in (("entry",), ("engine", "service", "platform")):
@@ -154,7 +208,7 @@
     def _start_targets(self):
         kind = self.deployment
         for number in range(kind.engines):
-            command = [BIN / "acaciaferry-standin-engine", "--address", "127.0.0.1:0",
+            command = [BIN / "acaciaferry-standin-engine", "--address", free_addresses(1)[0],
                        "--name", f"engine{number}", "--model", f"{kind.model}@v1",
                        "--speed", ENGINE_SPEED, "--report-lag-ms", 300,
                        "--event-lag-ms", 500, "--event-loss-per-mille", 10]
@@ -162,50 +216,32 @@
             self._add(f"engine{number}", "engine", self._domain(number), command).start()
         for number in range(SERVICE_TARGETS):
             self._add(f"service{number}", "service", self._domain(number), [
-                BIN / "acaciaferry-standin-service", "--address", "127.0.0.1:0",
+                BIN / "acaciaferry-standin-service", "--address", free_addresses(1)[0],
                 "--name", f"service{number}"]).start()
 
     def _domain(self, number):
         domains = self.deployment.domains
         return domains[number % len(domains)]
 
-    def _start_entry(self, number, platform, document):
+    def _start_entry(self, number):
         name = f"entry{number}"
         settings = self.directory / f"{name}.ini"
         member = self._add(name, "entry", self._domain(number),
                            [BIN / "acaciaferryd", "--config", settings])
-        text = "\n".join([
+        # A VM keeps its addresses over restarts.
+        platform = self.platform_of(member.domain).address
+        callers, member.operators_address, member.peers_address = free_addresses(3)
+        settings.write_text("\n".join([
             "[vm]", f"name = {name}", f"failure_domain = {member.domain}",
-            f"region = {self.deployment.region}", "drain_grace_ms = 500",
-            "[callers]", "address = 127.0.0.1:0",
-            "[operators]", "address = 127.0.0.1:0",
-            "[platform]", f"vm_list = {platform}", "{source}", ""])
-        settings.write_text(text.format(source=f"configuration_service = {platform}"))
+            f"region = {self.deployment.region}", f"drain_grace_ms = {self.drain_grace_ms}",
+            "[callers]", f"address = {callers}",
+            "[operators]", f"address = {member.operators_address}",
+            f"token_file = {self.token_file}",
+            "[peers]", f"address = {member.peers_address}", f"key_file = {self.key_file}",
+            "[platform]", f"vm_list = {platform}", f"configuration_service = {platform}", ""]))
         member.start()
-        if not self._serves(member):
-            member.signal(signal.SIGTERM)
-            member.process.wait()
-            settings.write_text(text.format(source=f"deployment_file = {document}"))
-            member.start()
-
-    def _serves(self, member):
-        """Tells whether a daemon has taken its configuration from the service."""
-        if self.uses_configuration_file():
-            return False
-        end = time.monotonic() + 3
-        while time.monotonic() < end:
-            reply = self.try_completion(member)
-            # Without a configuration, a daemon knows no workspace.
-            if "no_configuration" not in reply and "unauthenticated" not in reply:
-                return True
-            time.sleep(0.1)
-        self._service_unsupported = True
-        return False
 
-    _service_unsupported = False
-
-    def uses_configuration_file(self):
-        return self._service_unsupported
+    drain_grace_ms = 500
 
     def try_completion(self, member):
         """Sends a tiny completion and returns the reply's text."""
@@ -235,14 +271,20 @@
         return [member for member in self.members if member.role == role]
 
     def write_vm_list(self):
-        """Lists the members that have been started, as the platform sees them."""
+        """Lists the members that have been started, as each platform sees them."""
         kind = self.deployment
         pools = {"engine": kind.model, "service": kind.service, "entry": ""}
-        vms = [{"name": member.name, "address": member.address,
-                "failure_domain": member.domain, "region": kind.region, "role": member.role,
-                "pool": pools[member.role], "state": member.listed_state, "incarnation": 0}
-               for member in self.members if member.role in pools and member.address]
-        self._replace(self.vms_file, {"vms": vms})
+        listed = [member for member in self.members if member.role in pools and member.address]
+        for platform in self.by_role("platform"):
+            vms = [{"name": member.name, "address": self.address_for(platform.domain, member),
+                    "failure_domain": member.domain, "region": kind.region, "role": member.role,
+                    "pool": pools[member.role], "state": member.listed_state,
+                    "incarnation": member.incarnation} for member in listed]
+            self._replace(self.directory / f"{platform.name}-vms.json", {"vms": vms})
+
+    def address_for(self, _domain, member):
+        """Returns the address under which a failure domain reaches a member."""
+        return member.peers_address or member.address
 
     def write_configuration(self, revision, document):
         self._replace(self.configuration_file, {"revision": revision, "document": document})
@@ -304,20 +346,33 @@
     return load.returncode, output
 
 
+def ledger_faults(ledger):
+    """Names what must not be in a ledger of a fleet without faults."""
+    if not ledger:
+        return ["missing"]
+    faults = [f"{key}={ledger[key]}" for key in ("late", "corrupt", "duplicated") if ledger[key]]
+    ended = sum(ledger[key] for key in ("answered", "refused", "failed", "corrupt"))
+    return faults + ([] if ended == ledger["sent"] else [f"{ended} of {ledger['sent']} ended"])
+
+
 def demo(options):
     with running_fleet(options) as fleet:
         count = {role: len(fleet.by_role(role)) for role in ("entry", "engine", "service")}
-        source = "a file" if fleet.uses_configuration_file() else "the configuration service"
         print(f"fleet: {options.deployment}, {len(fleet.deployment.domains)} failure domains, "
               f"{count['entry']} entry VMs, {count['engine']} engines, "
-              f"{count['service']} service targets; configuration from {source}", flush=True)
+              f"{count['service']} service targets; configuration from the configuration service",
+              flush=True)
         code, output = run_load(fleet, options)
+        ledger = json.loads((fleet.directory / "load.json").read_text())["ledger"] if not code else {}
         dead = [member.name for member in fleet.members if not member.is_running()]
     if dead:
         print(f"fleet: processes that ended early: {', '.join(dead)}")
+    broken = ledger_faults(ledger)
+    if broken:
+        print(f"fleet: the ledger is wrong: {', '.join(broken)}")
     # The ledger line comes last.
     print(output, end="", flush=True)
-    return 1 if dead or code else 0
+    return 1 if dead or code or broken else 0
 
 
 VERBS = {"demo": demo}
