Write each request of the load into its report

Change: load.json lists every request with its entry VMs, times of the monotonic clock, ending, and connections that broke before the whole reply.

--- a/apps/acaciaferry-load/caller.cpp
+++ b/apps/acaciaferry-load/caller.cpp
@@ -126,7 +126,8 @@
   const bool is_call = request.type == request_type::kReadingCall ||
                        request.type == request_type::kMutatingCall;
   request_result result = is_call ? CallService(request) : Complete(request);
-  result.late = clock_.Now() > result.sent_at + request.timeout;
+  result.ended_at = clock_.Now();
+  result.late = result.ended_at > result.sent_at + request.timeout;
   return result;
 }
 
@@ -186,16 +187,23 @@
         }
       }
     }
+    if (!ended && result.reason.empty()) {
+      result.reason = "ended early";
+      result.broken.push_back({request.entry, result.sent_at, result.reason});
+    }
   } catch (const Poco::Exception& error) {
     result.reason = error.name();
+    result.broken.push_back({request.entry, result.sent_at, result.reason});
   }
   result.end = internal::Judge(text, expected, ended);
   return result;
 }
 
-std::string caller::FetchOperationKey(const std::string& entry) const {
+std::string caller::FetchOperationKey(request_result& result) const {
+  const std::size_t entry = result.request.entry;
+  const time_point sent_at = clock_.Now();
   try {
-    internal::exchange link(entry, options_.service_timeout);
+    internal::exchange link(options_.entries[entry], options_.service_timeout);
     internal::HTTPRequest http(internal::HTTPRequest::HTTP_POST,
                                "/v1/operation-keys",
                                internal::HTTPRequest::HTTP_1_1);
@@ -207,7 +215,8 @@
     const std::string header = link.Response().get("Idempotency-Key", "");
     const auto body = internal::json::parse(text, nullptr, false);
     return body.is_object() ? body.value("key", header) : header;
-  } catch (const Poco::Exception&) {
+  } catch (const Poco::Exception& error) {
+    result.broken.push_back({entry, sent_at, error.name()});
     return "";
   }
 }
@@ -229,8 +238,7 @@
       "?call=" + result.call;
   const std::string body =
       is_mutating ? internal::json{{"call", result.call}}.dump() : "";
-  const std::string key =
-      is_mutating ? FetchOperationKey(options_.entries[request.entry]) : "";
+  const std::string key = is_mutating ? FetchOperationKey(result) : "";
   const std::size_t attempts =
       is_mutating && key.empty() ? 1 : options_.entries.size();
   bool may_have_run = false;
@@ -238,8 +246,10 @@
     const std::size_t entry = (request.entry + i) % options_.entries.size();
     result.end = ending::kFailed;
     result.told_not_run = false;
+    result.entries_asked = i + 1;
+    const time_point sent_at = clock_.Now();
     try {
-      const duration left = end - clock_.Now();
+      const duration left = end - sent_at;
       internal::exchange link(options_.entries[entry], left);
       internal::HTTPRequest http(method,
                                  "/v1/services/" + options_.service + path,
@@ -262,6 +272,7 @@
       internal::ReadFailure(link, reply, result);
     } catch (const Poco::Exception& error) {
       result.reason = error.name();
+      result.broken.push_back({entry, sent_at, result.reason});
     }
     if (result.end == ending::kRefused) {
       break;
--- a/apps/acaciaferry-load/caller.hpp
+++ b/apps/acaciaferry-load/caller.hpp
@@ -30,7 +30,7 @@
   [[nodiscard]] request_result Complete(const planned_request& request) const;
   [[nodiscard]] request_result CallService(
       const planned_request& request) const;
-  [[nodiscard]] std::string FetchOperationKey(const std::string& entry) const;
+  [[nodiscard]] std::string FetchOperationKey(request_result& result) const;
 
   const options& options_;
   const corpus& text_;
--- a/apps/acaciaferry-load/report.cpp
+++ b/apps/acaciaferry-load/report.cpp
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <map>
 #include <set>
+#include <string_view>
+#include <utility>
 
 #include "acaciaferry/core/length_class.hpp"
 #include "acaciaferry/platform/http_get.hpp"
@@ -126,6 +128,70 @@
   return check;
 }
 
+std::string_view NameOf(request_type type) {
+  switch (type) {
+    case request_type::kCompletion:
+      return "completion";
+    case request_type::kChat:
+      return "chat";
+    case request_type::kReadingCall:
+      return "reading_call";
+    case request_type::kMutatingCall:
+      return "mutating_call";
+  }
+  return "";
+}
+
+std::string_view NameOf(ending end) {
+  switch (end) {
+    case ending::kAnswered:
+      return "answered";
+    case ending::kRefused:
+      return "refused";
+    case ending::kFailed:
+      return "failed";
+    case ending::kCorrupt:
+      return "corrupt";
+  }
+  return "";
+}
+
+// Milliseconds of the monotonic clock, which all processes of a machine share.
+double MonotonicMs(time_point time) {
+  return ToMilliseconds(time.time_since_epoch());
+}
+
+json Request(const request_result& result) {
+  json broken = json::array();
+  for (const broken_connection& each : result.broken) {
+    broken.push_back({{"entry", each.entry},
+                      {"sent_ms", MonotonicMs(each.sent_at)},
+                      {"reason", each.reason}});
+  }
+  return {{"number", result.request.number},
+          {"type", NameOf(result.request.type)},
+          {"prompt_tokens", result.request.prompt_tokens},
+          {"entry", result.request.entry},
+          {"entries_asked", result.entries_asked},
+          {"sent_ms", MonotonicMs(result.sent_at)},
+          {"ended_ms", MonotonicMs(result.ended_at)},
+          {"timeout_ms", ToMilliseconds(result.request.timeout)},
+          {"end", NameOf(result.end)},
+          {"late", result.late},
+          {"told_not_run", result.told_not_run},
+          {"call", result.call},
+          {"reason", result.reason},
+          {"broken", std::move(broken)}};
+}
+
+json Requests(std::span<const request_result> results) {
+  json list = json::array();
+  for (const request_result& result : results) {
+    list.push_back(Request(result));
+  }
+  return list;
+}
+
 std::string Line(const json& entry, const std::string& label) {
   std::array<char, 128> line{};
   std::snprintf(
@@ -192,7 +258,8 @@
           {"unread_journals", unread},
           {"reasons", reasons},
           {"classes", internal::Classes(results)},
-          {"slowdown", internal::Slowdown(results)}};
+          {"slowdown", internal::Slowdown(results)},
+          {"requests", internal::Requests(results)}};
 }
 
 void PrintReport(const nlohmann::json& report, std::ostream& out) {
--- a/apps/acaciaferry-load/result.hpp
+++ b/apps/acaciaferry-load/result.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "acaciaferry/core/time.hpp"
 #include "plan.hpp"
@@ -23,12 +25,25 @@
   kCorrupt
 };
 
+/**
+ * @brief A connection to an entry VM that ended before the whole reply.
+ */
+struct broken_connection {
+  std::size_t entry{};
+  time_point sent_at;
+  /** The name of the exception, or "ended early" for a stream. */
+  std::string reason;
+};
+
 struct request_result {
   planned_request request;
   ending end{ending::kFailed};
   /** When sending began, with the prompt already prepared. */
   time_point sent_at;
+  time_point ended_at{};
   bool late{};
+  /** How many entry VMs were asked, one after the other. */
+  std::size_t entries_asked{1};
   /** Told not-run by every VM that was asked. */
   bool told_not_run{};
   std::optional<duration> first_token;
@@ -36,6 +51,7 @@
   std::string call;
   /** The failure code of the last error reply, for the report. */
   std::string reason;
+  std::vector<broken_connection> broken{};
 };
 
 }  // namespace acaciaferry::load
