Write answers of the questionnaire without an exponent

Cause: the generator wrote prefill_tokens_per_second = 200000 as 2e+05, which the daemon does not read as a whole number. It refused the document, so the fleet had no configuration. Change: numbers of the answers are written in fixed notation. Result: before, the daemons logged configuration_fault for revision 1 and stayed unready; now they take it. Test QuestionnaireDocument.RoundNumbersGenerateAcceptableDocuments.

--- a/src/acaciaferry/questionnaire/document.cpp
+++ b/src/acaciaferry/questionnaire/document.cpp
@@ -43,10 +43,11 @@
     Entry(key, std::string_view(std::to_string(value)));
   }
 
+  // Without an exponent: whole numbers are read back as integers.
   void Entry(std::string_view key, double value) {
     std::array<char, 32> digits{};
-    const auto end =
-        std::to_chars(digits.data(), digits.data() + digits.size(), value);
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
+                                   value, std::chars_format::fixed);
     Entry(key, std::string_view(digits.data(), static_cast<std::size_t>(
                                                    end.ptr - digits.data())));
   }
--- a/test/acaciaferry/questionnaire/document_test.cpp
+++ b/test/acaciaferry/questionnaire/document_test.cpp
@@ -53,6 +53,19 @@
   }
 }
 
+// Guards against answers that are written with an exponent ("2e+05"), which the
+// daemon does not read as a whole number and so refuses the document.
+TEST(QuestionnaireDocument, RoundNumbersGenerateAcceptableDocuments) {
+  answers given = ReadGood("works/answers.ini");
+  for (const double rate : {50'000., 100'000., 200'000., 1'000'000.}) {
+    given.models.front().prefill_tokens_per_second = rate;
+    std::vector<setting_fault> faults;
+    const std::string document = GenerateDocument(given);
+    CHECK(CheckDocument(document, faults) == document_verdict::kFollows);
+    CHECK_EQUAL(0U, faults.size());
+  }
+}
+
 // Guards against published examples that no longer follow from their answers.
 TEST(QuestionnaireDocument, CommittedDocumentsAreUpToDate) {
   CHECK_EQUAL(ReadExample("works/deployment.ini"),
