Add fuzz targets for all parsers of outside bytes

Cause: bytes of peers, callers, targets and the platform were only tested with chosen examples. The load's report tells when the last VM was asked.

--- a/apps/acaciaferry-load/caller.cpp
+++ b/apps/acaciaferry-load/caller.cpp
@@ -147,6 +147,7 @@
   const std::string expected =
       standin::ExpectedAnswer(prompt, request.output_tokens);
   result.sent_at = clock_.Now();
+  result.last_sent_at = result.sent_at;
   std::string text;
   bool ended = false;
   try {
@@ -248,6 +249,7 @@
     result.told_not_run = false;
     result.entries_asked = i + 1;
     const time_point sent_at = clock_.Now();
+    result.last_sent_at = sent_at;
     try {
       const duration left = end - sent_at;
       internal::exchange link(options_.entries[entry], left);
--- a/apps/acaciaferry-load/report.cpp
+++ b/apps/acaciaferry-load/report.cpp
@@ -174,6 +174,7 @@
           {"entry", result.request.entry},
           {"entries_asked", result.entries_asked},
           {"sent_ms", MonotonicMs(result.sent_at)},
+          {"last_sent_ms", MonotonicMs(result.last_sent_at)},
           {"ended_ms", MonotonicMs(result.ended_at)},
           {"timeout_ms", ToMilliseconds(result.request.timeout)},
           {"end", NameOf(result.end)},
--- a/apps/acaciaferry-load/result.hpp
+++ b/apps/acaciaferry-load/result.hpp
@@ -44,6 +44,8 @@
   bool late{};
   /** How many entry VMs were asked, one after the other. */
   std::size_t entries_asked{1};
+  /** When the last of them was asked. */
+  time_point last_sent_at{};
   /** Told not-run by every VM that was asked. */
   bool told_not_run{};
   std::optional<duration> first_token;
--- /dev/null
+++ b/test/fuzz/stream_item.cpp
@@ -0,0 +1,14 @@
+#include "acaciaferry/target_client/wire.hpp"
+
+#include <cstddef>
+#include <cstdint>
+
+#include "input.hpp"
+
+// A stream item of an engine is parsed or refused.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  using namespace acaciaferry;
+  static_cast<void>(ParseStreamItem(fuzz::Text(data, size)));
+  return 0;
+}
