--- a/test/process/common.sh
+++ b/test/process/common.sh
@@ -9,6 +9,14 @@
 cleanup() {
   local pid
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
+  # A child that gets the signal between fork and exec may lose it.
+  for pid in "${pids[@]}"; do
+    for _ in $(seq 100); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.05
+    done
+    kill -9 "$pid" 2>/dev/null || true
+  done
   wait
   rm -rf "$work"
 }
@@ -24,6 +32,7 @@
 start() {
   local log=$1
   shift
+  # The child creates its log only after the fork.
   : >"$log"
   "$@" >>"$log" 2>&1 &
   pid=$!
@@ -42,16 +51,20 @@
   printf '{"name":"%s","address":"127.0.0.1:%s","failure_domain":"tx-a","region":"central-tx","role":"%s","pool":"%s","state":"live","incarnation":1}' "$@"
 }
 
-# Starts the platform with the VM lines that are passed, and one daemon. Sets
-# `platform_port`, `daemon_port` and `daemon_pid`. DAEMON_CALLERS adds lines to
-# the section [callers]; DEPLOYMENT_FILE replaces the example of Works.
-start_daemon() {
-  (IFS=, && echo "{\"vms\":[$*]}") >"$work/vms.json"
-  start "$work/platform" "$bin/acaciaferry-standin-platform" --address 127.0.0.1:0 --vms "$work/vms.json"
+# Starts a platform with the VM lines that are passed after the daemon's name,
+# and the daemon. Sets `platform_port`, `daemon_port` and `daemon_pid`.
+# DAEMON_CALLERS adds lines to the section [callers]; DEPLOYMENT_FILE replaces
+# the example of Works.
+start_daemon_as() {
+  local name=$1
+  shift
+  (IFS=, && echo "{\"vms\":[$*]}") >"$work/$name.vms"
+  echo "the key of the test deployment" >"$work/key"
+  start "$work/$name.platform" "$bin/acaciaferry-standin-platform" --address 127.0.0.1:0 --vms "$work/$name.vms"
   platform_port=$port
-  cat >"$work/daemon.ini" <<INI
+  cat >"$work/$name.ini" <<INI
 [vm]
-name = vm1
+name = $name
 failure_domain = tx-a
 region = central-tx
 drain_grace_ms = 100
@@ -60,20 +73,24 @@
 ${DAEMON_CALLERS:-}
 [operators]
 address = 127.0.0.1:0
+[peers]
+key_file = $work/key
 [platform]
 vm_list = 127.0.0.1:$platform_port
 deployment_file = ${DEPLOYMENT_FILE:-$root/examples/works/deployment.ini}
 INI
-  start "$work/daemon" "$bin/acaciaferryd" --config "$work/daemon.ini"
+  start "$work/$name.log" "$bin/acaciaferryd" --config "$work/$name.ini"
   daemon_port=$port
   daemon_pid=$pid
 }
 
+start_daemon() { start_daemon_as vm1 "$@"; }
+
 # Calls the daemon: PATH, then options of curl. Prints head and body.
 call() {
   local path=$1
   shift
-  curl -sS -i --max-time 60 -H 'Authorization: Bearer secret' "http://127.0.0.1:$daemon_port$path" "$@"
+  curl -sS -N -i --max-time 60 -H 'Authorization: Bearer secret' "http://127.0.0.1:$daemon_port$path" "$@"
 }
 
 # Asks for a completion: PROMPT, MAX_TOKENS, STREAM (true or false).
@@ -100,3 +117,10 @@
 
 # Joins the texts of a streamed completion.
 stream_text() { sed -n 's/.*"text":"\([^"]*\)".*/\1/p' <<<"$1" | tr -d '\n'; }
+
+# Fails the test unless the text on stdin has the pattern.
+expect_text() {
+  local text
+  text=$(cat)
+  grep -q "$1" <<<"$text" || fail "expected $1, got: $text"
+}
--- a/test/process/configuration.sh
+++ b/test/process/configuration.sh
@@ -2,17 +2,8 @@
 # Guards against a revision that does not reach every VM, against an invalid
 # document that replaces a valid one, and against a VM that needs the platform
 # to start although its peers have the configuration.
-set -euo pipefail
-bin=$1
-root=$(cd "$(dirname "$0")/../.." && pwd)
-work=$(mktemp -d)
-pids=()
-cleanup() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  wait
-  rm -rf "$work"
-}
-trap cleanup EXIT
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
 
 # Prints a value that a program reported, or fails.
 await_report() {
--- a/test/process/failover.sh
+++ b/test/process/failover.sh
@@ -1,18 +1,18 @@
 #!/usr/bin/env bash
 # Guards against a cut or mixed answer when an engine is killed in the middle
 # of a stream, and against a request that takes down engine after engine.
-set -euo pipefail
-source "$(dirname "$0")/processes.bash"
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
 
-vms=
+lines=()
 declare -A engine_port engine_pid
 for name in e1 e2 e3 e4 e5; do
   start "$work/$name" "$bin/acaciaferry-standin-engine" --address 127.0.0.1:0 --name $name --token-ms 100
   engine_port[$name]=$port
-  engine_pid[$name]=${pids[-1]}
-  list_vm $name "$port" engine batch-model
+  engine_pid[$name]=$pid
+  lines+=("$(vm_line $name "$port" engine batch-model)")
 done
-start_daemon vm1
+start_daemon "${lines[@]}"
 ask() {
   call /v1/completions -d "{\"model\":\"batch-model\",\"prompt\":\"$1\",\"max_tokens\":$2,\"stream\":true}"
 }
@@ -70,8 +70,8 @@
   sleep 0.5
 done
 wait $request
-expect '"code":"quarantined".*"outcome":"unknown"' <"$work/crash"
-ask crash 200 | expect 'Acaciaferry-Outcome: not-run'
-ask crash 200 | expect 'Retry-After: '
-ask other 1 | expect 'Acaciaferry-Outcome: ran'
+expect_text '"code":"quarantined".*"outcome":"unknown"' <"$work/crash"
+ask crash 200 | expect_text 'Acaciaferry-Outcome: not-run'
+ask crash 200 | expect_text 'Retry-After: '
+ask other 1 | expect_text 'Acaciaferry-Outcome: ran'
 echo "failover: the stream went on exactly; quarantined after $kills engines"
--- a/test/process/operations.sh
+++ b/test/process/operations.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Guards against a second run of a call that is sent again with its key.
-set -euo pipefail
-source "$(dirname "$0")/processes.bash"
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
 
 cat >"$work/service.py" <<'PY'
 # Counts the calls that it executes; holds each for a second.
@@ -27,13 +27,12 @@
 server.serve_forever()
 PY
 touch "$work/journal"
-vms=
 start "$work/service" python3 "$work/service.py" "$work/journal"
-service=${pids[-1]}
-list_vm s1 "$port" service kiosk
-start_daemon vm2
-other_port=$port
-start_daemon vm1
+service=$pid
+line=$(vm_line s1 "$port" service kiosk)
+start_daemon_as vm2 "$line"
+other_port=$daemon_port
+start_daemon "$line"
 release() { call /v1/services/kiosk/vat-release/"$2" -d '{}' -H "Idempotency-Key: $1"; }
 mint() { call /v1/operation-keys -d '' | sed -n 's/.*"key":"\([^"]*\)".*/\1/p'; }
 
@@ -44,10 +43,10 @@
   grep -q 'no_live_target\|no_configuration' <<<"$reply" || break
   sleep 0.1
 done
-expect 'released' <<<"$reply"
-expect 'Acaciaferry-Outcome: ran' <<<"$reply"
-release "$key" 1 | expect 'released'
-release "$key" 2 | expect 'operation_key_reused'
+expect_text 'released' <<<"$reply"
+expect_text 'Acaciaferry-Outcome: ran' <<<"$reply"
+release "$key" 1 | expect_text 'released'
+release "$key" 2 | expect_text 'operation_key_reused'
 [ "$(wc -l <"$work/journal")" = 1 ]
 
 key=$(mint)
@@ -57,16 +56,16 @@
   grep -q '/3' "$work/journal" && break
   sleep 0.02
 done
-release "$key" 3 | expect 'operation_in_progress'
+release "$key" 3 | expect_text 'operation_in_progress'
 kill -9 "$service"
 wait $first
-expect 'Acaciaferry-Outcome: unknown' <"$work/first"
-release "$key" 3 | expect 'target_lost'
+expect_text 'Acaciaferry-Outcome: unknown' <"$work/first"
+release "$key" 3 | expect_text 'target_lost'
 [ "$(grep -c '/3' "$work/journal")" = 1 ]
 
-release my-own-key 4 | expect '"operation_key":"op1\.'
-release "${key}x" 4 | expect 'operation_key_invalid'
+release my-own-key 4 | expect_text '"operation_key":"op1\.'
+release "${key}x" 4 | expect_text 'operation_key_invalid'
 # Without heartbeats, the other VM cannot reach the one that minted the key.
-port=$other_port
-release "$key" 3 | expect '"code":"operation_owner_lost".*"outcome":"unknown"'
+daemon_port=$other_port
+release "$key" 3 | expect_text '"code":"operation_owner_lost".*"outcome":"unknown"'
 echo "operations: each call ran once"
