Test that a drain waits for its grace and for requests in flight

Cause: no unit test failed when the drain completed with requests in flight, or when it refused requests during its grace. Change: Attempts.DrainAcceptsDuringItsGraceAndWaitsForRequests. Result: passes; fails for each of the two mutations in a scratch copy.

--- a/test/acaciaferry/reducer/attempts_test.cpp
+++ b/test/acaciaferry/reducer/attempts_test.cpp
@@ -370,6 +370,22 @@
                        outcome::kNotRun));
 }
 
+// Guards against a graceful shutdown that refuses requests during its grace, or
+// that ends while a request is in flight.
+TEST(Attempts, DrainAcceptsDuringItsGraceAndWaitsForRequests) {
+  vm.Do(drain_requested{std::chrono::seconds(2)});
+  CHECK_TRUE(All<drain_completed>(vm.Wait(1)).empty());
+  const attempt_id id = The<start_attempt>(vm.Complete()).attempt;
+  vm.Do(attempt_accepted{id, 200, "t"});
+  CHECK_TRUE(All<drain_completed>(vm.Wait(2)).empty());
+  CHECK_TRUE(
+      FailsWith(vm.Complete(2), failure_code::kDraining, outcome::kNotRun));
+  CHECK_TRUE(All<drain_completed>(vm.Do(answer_chunk{id, 0, "x"})).empty());
+  const effects last = vm.Do(answer_ended{id, 1, "stop"});
+  CHECK_EQUAL(1U, All<finish_request>(last).size());
+  CHECK_EQUAL(1U, All<drain_completed>(last).size());
+}
+
 // Guards against a client-made key that seems to protect a call, and against
 // a fresh key that does not work.
 TEST(Attempts, ClientMadeKeyIsAnsweredWithAFreshOne) {
