Give the benchmark the policies of the generated examples

Cause: the bench's documents had floors of 0.4 (Works) and 0.2 (Trust) and a retry budget of 0.1 in both, which no questionnaire answers lead to.

Change: floors of 0.3 and 0.1, and a retry budget of 0.2 in Trust, as in examples/*/deployment.ini.

--- a/src/acaciaferry/experiment/fleet_document.cpp
+++ b/src/acaciaferry/experiment/fleet_document.cpp
@@ -6,13 +6,13 @@
 namespace acaciaferry {
 namespace internal {
 
-// The weights and limits that each deployment's answers lead to: Works puts
-// the slowdown of short requests first, Trust the first token of long ones.
+// The policies of the examples: Works puts the slowdown of short requests
+// first, Trust the first token of long ones.
 constexpr std::string_view kWorksPolicy = R"(
 [policy]
 short_weight = 3
 long_weight = 1
-short_only_floor = 0.4
+short_only_floor = 0.3
 retry_budget = 0.1
 weight_store_rate = 6
 )";
@@ -21,8 +21,8 @@
 [policy]
 short_weight = 1
 long_weight = 3
-short_only_floor = 0.2
-retry_budget = 0.1
+short_only_floor = 0.1
+retry_budget = 0.2
 weight_store_rate = 6
 )";
 
