Give long prompts room where they weigh more

Cause: the short-only share follows tokens, not the time that long prompts hold memory, and a long prompt only started where its memory was free at once, which short prompts seldom leave.

Change: where long_weight exceeds short_weight, the short-only share is the configured floor, and a long prompt may wait at an engine without another long prefill up to 1.5 times its memory.

A turn order between VMs by hash did not help and is not in.

--- a/test/acaciaferry/routing/routing_test.cpp
+++ b/test/acaciaferry/routing/routing_test.cpp
@@ -202,3 +202,47 @@
   fleet.Report(1, 3'000);
   CHECK_EQUAL(std::string("e1"), fleet.Choose(kShort)->target.value);
 }
+
+// Guards against long prompts that starve because short ones always hold part
+// of each engine's memory, and against giving them that room where short
+// requests weigh more.
+TEST(Routing, LongPromptWaitsAtAnEngineOnlyWhereLongOnesWeighMore) {
+  fleet fleet(1);
+  load_report report{.target = {fleet::Name(0)},
+                     .incarnation = 1,
+                     .sequence = 1,
+                     .running = 5,
+                     .kv_used_tokens = 50'000,
+                     .kv_capacity_tokens = 400'000,
+                     .prefill_tokens_per_s = 30'000,
+                     .decode_ms_per_token = 10};
+  (void)ApplyLoadReport(fleet.targets, report, fleet.now);
+  fleet.weights.short_weight = 3;
+  CHECK_FALSE(fleet.Choose(360'000)->has_room);
+  fleet.weights.short_weight = 1;
+  fleet.weights.long_weight = 3;
+  CHECK_TRUE(fleet.Choose(360'000)->has_room);
+  // Another long prefill that waits there keeps it away.
+  report.sequence = 2;
+  report.queued_prefill_tokens = 300'000;
+  (void)ApplyLoadReport(fleet.targets, report, fleet.now);
+  CHECK_FALSE(fleet.Choose(360'000)->has_room);
+}
+
+// Guards against a measured share that takes engines from long prompts where
+// those weigh more: only the configured floor is kept from them.
+TEST(Routing, OnlyTheFloorIsShortOnlyWhereLongPromptsWeighMore) {
+  for (const bool prefers_long : {false, true}) {
+    fleet fleet(20);
+    fleet.weights.short_only_floor = 0.1;
+    fleet.weights.long_weight = prefers_long ? 3 : 1;
+    request ask;
+    ask.pool = {"m"};
+    ask.prompt_tokens = 100'000;
+    NoteArrival(fleet.routing, fleet.View(), ask, {100'000, 0, 0});
+    ask.prompt_tokens = 1'000;
+    NoteArrival(fleet.routing, fleet.View(), ask, {100'000, 0, 0});
+    CHECK_EQUAL(prefers_long ? 2U : 10U,
+                fleet.routing.index.pools.at({"m"}).short_only);
+  }
+}
