Revert "Give long prompts room where they weigh more"

Change: revert it.

Conclusion: the room for long prompts must end when short requests wait. Making it depend on the short lane of the VM is the next try.

--- a/src/acaciaferry/routing/routing.cpp
+++ b/src/acaciaferry/routing/routing.cpp
@@ -25,17 +25,9 @@
 constexpr double kOtherDomainSeconds = 0.03;
 // Leaves room for the growth of the running answers.
 constexpr double kKvFillLimit = 0.95;
-// Short prompts that come and go keep every engine's memory partly in use.
-// Where long prompts weigh more, one may wait at an engine for memory, up to
-// this multiple of it; its pending prefill keeps further work away meanwhile.
-constexpr double kLongFirstKvLimit = 1.5;
 // Bounds that keep the conversion to whole microseconds defined.
 constexpr double kMaxPredictedSeconds = 1e8;
 
-bool PrefersLong(const policy& policy) noexcept {
-  return policy.long_weight > policy.short_weight;
-}
-
 struct candidate {
   const target* place{};
   target_rates rates;
@@ -86,13 +78,11 @@
 
 bool HasRoom(const candidate& at,
              const request_cost& cost,
-             const policy& policy,
              bool is_long) noexcept {
   const load_estimate& load = at.load;
-  const double limit =
-      is_long && PrefersLong(policy) ? kLongFirstKvLimit : kKvFillLimit;
-  const bool fits = load.kv_capacity <= 0 || load.running < 1 ||
-                    load.kv_used + cost.kv_tokens <= load.kv_capacity * limit;
+  const bool fits =
+      load.kv_capacity <= 0 || load.running < 1 ||
+      load.kv_used + cost.kv_tokens <= load.kv_capacity * kKvFillLimit;
   const bool is_queue_short = at.queue_s <= kTargetBacklogSeconds;
   // Two long prompts on one engine finish no earlier than one after the other.
   return fits && is_queue_short && !(is_long && load.long_ahead > 0);
@@ -148,7 +138,7 @@
           .run = Seconds((first + decode) *
                          (at.load.running < 1 ? 1 : pool.run_ratio)),
           .has_room = query.request.kind == request_kind::kServiceCall ||
-                      HasRoom(at, cost, view.policy, is_long),
+                      HasRoom(at, cost, is_long),
           .is_grounded = at.load.is_reported &&
                          query.request.kind == request_kind::kCompletion &&
                          at.place->report->prefill_tokens_per_s > 0,
@@ -249,12 +239,7 @@
   request_mix& mix = state.mixes[request.pool];
   NoteRequest(mix, cost.Total(), IsLongRequest(request), view.now);
   pool_members& members = found->second;
-  double share = ShortOnlyShare(mix, view.policy.short_only_floor);
-  if (internal::PrefersLong(view.policy)) {
-    // The measured share counts tokens, not the time that long prompts hold
-    // memory, and leaves them too few engines.
-    share = mix.share = view.policy.short_only_floor;
-  }
+  const double share = ShortOnlyShare(mix, view.policy.short_only_floor);
   const auto size = static_cast<double>(members.ordered.size());
   const auto wanted = static_cast<std::size_t>(std::ceil(share * size));
   if (std::min(wanted, members.ordered.size() - 1) != members.short_only) {
@@ -315,7 +300,7 @@
   // Long prompts that weigh more still give way to the shortest ones, whose
   // prefill costs them almost nothing.
   const std::uint32_t offset =
-      internal::PrefersLong(policy) ? std::min(rank, 1U) : rank;
+      policy.long_weight > policy.short_weight ? std::min(rank, 1U) : rank;
   return std::min(kLastPriority, work.priority + offset);
 }
 
