Keep only the floor from long prompts where they weigh more

Cause: the measured short-only share counts tokens, not the time that long prompts hold memory, and leaves them too few engines.

Change: where long_weight exceeds short_weight, the share is the configured floor.

--- a/src/acaciaferry/routing/routing.cpp
+++ b/src/acaciaferry/routing/routing.cpp
@@ -239,7 +239,12 @@
   request_mix& mix = state.mixes[request.pool];
   NoteRequest(mix, cost.Total(), IsLongRequest(request), view.now);
   pool_members& members = found->second;
-  const double share = ShortOnlyShare(mix, view.policy.short_only_floor);
+  double share = ShortOnlyShare(mix, view.policy.short_only_floor);
+  if (view.policy.long_weight > view.policy.short_weight) {
+    // The measured share counts tokens, not the time that long prompts hold
+    // memory, and leaves them too few engines.
+    share = mix.share = view.policy.short_only_floor;
+  }
   const auto size = static_cast<double>(members.ordered.size());
   const auto wanted = static_cast<std::size_t>(std::ceil(share * size));
   if (std::min(wanted, members.ordered.size() - 1) != members.short_only) {
--- a/test/acaciaferry/routing/routing_test.cpp
+++ b/test/acaciaferry/routing/routing_test.cpp
@@ -202,3 +202,21 @@
   fleet.Report(1, 3'000);
   CHECK_EQUAL(std::string("e1"), fleet.Choose(kShort)->target.value);
 }
+
+// Guards against a measured share that takes engines from long prompts where
+// those weigh more: only the configured floor is kept from them.
+TEST(Routing, OnlyTheFloorIsShortOnlyWhereLongPromptsWeighMore) {
+  for (const bool prefers_long : {false, true}) {
+    fleet fleet(20);
+    fleet.weights.short_only_floor = 0.1;
+    fleet.weights.long_weight = prefers_long ? 3 : 1;
+    request ask;
+    ask.pool = {"m"};
+    ask.prompt_tokens = 100'000;
+    NoteArrival(fleet.routing, fleet.View(), ask, {100'000, 0, 0});
+    ask.prompt_tokens = 1'000;
+    NoteArrival(fleet.routing, fleet.View(), ask, {100'000, 0, 0});
+    CHECK_EQUAL(prefers_long ? 2U : 10U,
+                fleet.routing.index.pools.at({"m"}).short_only);
+  }
+}
