--- a/src/acaciaferry/admission/admission.cpp
+++ b/src/acaciaferry/admission/admission.cpp
@@ -9,6 +9,9 @@
 // ends this much earlier.
 constexpr duration kLargestMargin = std::chrono::milliseconds(200);
 constexpr int kMarginDivisor = 20;
+// A re-send near the caller's own deadline has little time left, of which a
+// twentieth does not cover the way back.
+constexpr duration kSmallestMargin = std::chrono::milliseconds(10);
 
 // The bounds of what a refused caller is told to wait.
 constexpr duration kShortestRetryAfter = std::chrono::milliseconds(500);
@@ -31,7 +34,8 @@
 duration TimeLimit(const workload& work, const request& request) noexcept {
   const duration limit =
       std::min(work.deadline, request.timeout.value_or(work.deadline));
-  return limit - std::min(kLargestMargin, limit / kMarginDivisor);
+  return limit -
+         std::clamp(limit / kMarginDivisor, kSmallestMargin, kLargestMargin);
 }
 
 }  // namespace internal
@@ -43,7 +47,11 @@
   if (work == nullptr) {
     return NotRun(internal::UnmatchedCode(config, request));
   }
-  return admitted{*work, now + internal::TimeLimit(*work, request)};
+  const duration limit = internal::TimeLimit(*work, request);
+  if (limit <= duration::zero()) {
+    return NotRun(failure_code::kDeadlineTooShort);
+  }
+  return admitted{*work, now + limit};
 }
 
 std::optional<failure> CheckProspect(const workload& work,
--- a/src/acaciaferry/peer/transport.hpp
+++ b/src/acaciaferry/peer/transport.hpp
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -63,6 +64,8 @@
  private:
   struct connection {
     nng_socket socket{};
+    /** Established connections, counted by nng's threads: 0 or 1. */
+    std::shared_ptr<std::atomic<int>> pipes;
     time_point used_at{};
   };
 
--- a/test/acaciaferry/admission/admission_test.cpp
+++ b/test/acaciaferry/admission/admission_test.cpp
@@ -46,6 +46,26 @@
   }));
 }
 
+// Guards against an answer that reaches a caller after its own timer, which
+// the drill showed for re-sends with little time left.
+TEST(Admission, ShortTimeoutsKeepAMarginOrAreRefused) {
+  deployment config;
+  config.pools = {{.id = {"m"}}};
+  config.workloads = {{.id = {"w"},
+                       .pool = {"m"},
+                       .max_prompt_tokens = 10,
+                       .deadline = std::chrono::seconds(60)}};
+  request asked;
+  asked.pool = {"m"};
+  asked.timeout = std::chrono::milliseconds(50);
+  const auto verdict = Admit(config, asked, kStart);
+  CHECK_TRUE(std::get<admitted>(verdict).deadline ==
+             kStart + std::chrono::milliseconds(40));
+  asked.timeout = std::chrono::milliseconds(10);
+  CHECK_TRUE(std::get<failure>(Admit(config, asked, kStart)).code ==
+             failure_code::kDeadlineTooShort);
+}
+
 // Guards against a queue that grows past its workload's limit.
 TEST(Admission, RefusesWhenTheQueueIsFull) {
   const auto refusal =
