--- a/src/acaciaferry/admission/admission.cpp
+++ b/src/acaciaferry/admission/admission.cpp
@@ -49,7 +49,8 @@
   }
   const duration limit = internal::TimeLimit(*work, request);
   if (limit <= duration::zero()) {
-    return NotRun(failure_code::kDeadlineTooShort);
+    return NotRun(failure_code::kDeadlineTooShort,
+                  internal::kShortestRetryAfter);
   }
   return admitted{*work, now + limit};
 }
--- a/test/process/completion.sh
+++ b/test/process/completion.sh
@@ -28,7 +28,7 @@
 grep -q "\"content\":\"$streamed\"" "$work/chat"
 
 # The daemon reads the engine's cache events, too.
-operators=$(sed -n 's/.* operators=\([0-9]*\).*/\1/p' "$work/daemon" | head -1)
+operators=$(sed -n 's/.* operators=\([0-9]*\).*/\1/p' "$work/vm1.log" | head -1)
 for _ in $(seq 200); do
   polls=$(curl -sS "http://127.0.0.1:$operators/metrics" |
     sed -n 's/^acaciaferry_cache_event_polls_total{verdict="accepted"} //p')
