--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -124,7 +124,8 @@
   auto workspace =
       workspaces.Authenticate(std::string_view(header).substr(kScheme.size()));
   if (!workspace) {
-    throw Refused(failure_code::kUnauthenticated);
+    throw Refused(workspaces.IsConfigured() ? failure_code::kUnauthenticated
+                                            : failure_code::kNoConfiguration);
   }
   return *std::move(workspace);
 }
--- a/src/acaciaferry/http/workspace_directory.cpp
+++ b/src/acaciaferry/http/workspace_directory.cpp
@@ -16,6 +16,7 @@
       next->models.push_back(each.id.value);
     }
   }
+  next->is_configured = true;
   const std::lock_guard lock(mutex_);
   current_ = std::move(next);
 }
@@ -32,6 +33,10 @@
   return found->second;
 }
 
+bool workspace_directory::IsConfigured() const {
+  return Current()->is_configured;
+}
+
 std::vector<std::string> workspace_directory::Models() const {
   return Current()->models;
 }
--- a/src/acaciaferry/http/workspace_directory.hpp
+++ b/src/acaciaferry/http/workspace_directory.hpp
@@ -39,6 +39,10 @@
   [[nodiscard]] std::optional<authenticated_workspace> Authenticate(
       std::string_view token) const;
 
+  /** @return Whether a configuration has come into force. Until then no token
+   * is known, which says nothing about the caller. */
+  [[nodiscard]] bool IsConfigured() const;
+
   /** @return The ids of the model pools. */
   [[nodiscard]] std::vector<std::string> Models() const;
 
@@ -46,6 +50,7 @@
   struct content {
     std::unordered_map<std::string, authenticated_workspace> by_digest;
     std::vector<std::string> models;
+    bool is_configured{};
   };
 
   [[nodiscard]] std::shared_ptr<const content> Current() const;
--- a/src/acaciaferry/operations/operations.cpp
+++ b/src/acaciaferry/operations/operations.cpp
@@ -307,7 +307,9 @@
       static_cast<std::uint64_t>(now.time_since_epoch().count())};
   std::size_t bytes = 0;
   std::size_t answer_bytes = 0;
-  // The latest first: their callers are the likeliest to ask.
+  // The latest first: their callers are the likeliest to ask. clang-tidy 14
+  // cannot parse the reverse view of libstdc++ 12.
+  // NOLINTNEXTLINE(modernize-loop-convert)
   for (auto each = state.spent.rbegin(); each != state.spent.rend(); ++each) {
     closed_key key = internal::Closed(each->first, each->second, answer_bytes);
     const std::size_t size = internal::kClosedKeyBytes + key.body.size() +
--- a/src/acaciaferry/prefix_cache/prefix_cache.cpp
+++ b/src/acaciaferry/prefix_cache/prefix_cache.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 #include <utility>
 
 namespace acaciaferry {
@@ -187,8 +186,10 @@
 
 std::optional<target_id> FindHolder(const prefix_cache_state& state,
                                     std::span<const std::uint64_t> blocks) {
-  for (const std::uint64_t block : std::views::reverse(blocks)) {
-    const auto found = state.holders.find(block);
+  // clang-tidy 14 cannot parse the reverse view of libstdc++ 12.
+  // NOLINTNEXTLINE(modernize-loop-convert)
+  for (auto block = blocks.rbegin(); block != blocks.rend(); ++block) {
+    const auto found = state.holders.find(*block);
     if (found != state.holders.end()) {
       return state.slots.at(found->second);
     }
--- a/src/acaciaferry/workspaces/limits.cpp
+++ b/src/acaciaferry/workspaces/limits.cpp
@@ -172,6 +172,7 @@
   for (auto& [workspace, account] : state.accounts) {
     const auto heard = std::exchange(account.heard, {});
     std::vector<peer_demand> demands;
+    demands.reserve(heard.size());
     for (const heard_demand& each : heard) {
       demands.push_back(each.demand);
     }
@@ -197,6 +198,7 @@
     internal::UseLedger(state, workspace, account, now);
   }
   std::vector<loans_to_peer> result;
+  result.reserve(answers.size());
   for (auto& [vm, answer] : answers) {
     result.push_back(std::move(answer));
   }
