--- a/test/process/command_line.sh
+++ b/test/process/command_line.sh
@@ -2,8 +2,10 @@
 # Guards against a command that help, completion or the manual page leave out,
 # against settings that the manual page leaves out, and against a completion
 # script that bash cannot run.
-set -euo pipefail
-source "$(dirname "$0")/processes.bash"
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
+# The completion script needs the shell's own command of that name.
+unset -f complete
 
 commands=$("$bin/acaciaferryctl" --help | sed -n 's/^  \([a-z]*\)  .*/\1/p')
 [ "$(wc -l <<<"$commands")" -ge 12 ] || { echo "the help text lists: $commands"; exit 1; }
@@ -16,10 +18,10 @@
   _acaciaferryctl
 }
 for command in $commands; do
-  "$bin/acaciaferryctl" "$command" --help | expect "^  acaciaferryctl $command"
+  "$bin/acaciaferryctl" "$command" --help | expect_text "^  acaciaferryctl $command"
   complete_words acaciaferryctl "$command"
   [ "${COMPREPLY[*]}" = "$command" ] || { echo "$command completes to ${COMPREPLY[*]}"; exit 1; }
-  expect "^\.B $command\b" <"$root/docs/man/acaciaferryctl.1"
+  expect_text "^\.B $command\b" <"$root/docs/man/acaciaferryctl.1"
 done
 complete_words acaciaferryctl status --output ''
 [ "${COMPREPLY[*]}" = "text json" ] || { echo "--output completes to ${COMPREPLY[*]}"; exit 1; }
@@ -33,9 +35,9 @@
   grep -o 'reader\.[A-Za-z]*( *"[a-z_]*"' | sed 's/.*"\(.*\)"/\1/' | sort -u)
 [ "$(wc -l <<<"$keys")" -ge 14 ] || { echo "settings found: $keys"; exit 1; }
 for key in $keys; do
-  expect "^\.IR\? $key\b" <"$root/docs/man/acaciaferryd.1"
+  expect_text "^\.IR\? $key\b" <"$root/docs/man/acaciaferryd.1"
 done
 for page in acaciaferryctl acaciaferryd; do
-  expect "^\.TH ${page^^} 1 " <"$root/docs/man/$page.1"
+  expect_text "^\.TH ${page^^} 1 " <"$root/docs/man/$page.1"
 done
 echo "command_line: $(wc -l <<<"$commands") commands have help, completion and a manual entry"
--- a/test/process/common.sh
+++ b/test/process/common.sh
@@ -60,6 +60,8 @@
   shift
   (IFS=, && echo "{\"vms\":[$*]}") >"$work/$name.vms"
   echo "the key of the test deployment" >"$work/key"
+  echo operator >"$work/token"
+  printf operator | sha256sum | cut -d ' ' -f 1 >"$work/token-digests"
   start "$work/$name.platform" "$bin/acaciaferry-standin-platform" --address 127.0.0.1:0 --vms "$work/$name.vms"
   platform_port=$port
   cat >"$work/$name.ini" <<INI
@@ -73,6 +75,7 @@
 ${DAEMON_CALLERS:-}
 [operators]
 address = 127.0.0.1:0
+token_file = $work/token-digests
 [peers]
 key_file = $work/key
 [platform]
@@ -93,6 +96,12 @@
   curl -sS -N -i --max-time 60 -H 'Authorization: Bearer secret' "http://127.0.0.1:$daemon_port$path" "$@"
 }
 
+# Prints the port of the operators' listener from a daemon's log.
+operators_port() { sed -n 's/.*operators=\([0-9]*\).*/\1/p' "$1" | head -1; }
+
+# Prints the id of the request whose reply is on stdin.
+request_id() { sed -n 's/^Acaciaferry-Request-Id: \([0-9a-f-]*\).*/\1/p'; }
+
 # Asks for a completion: PROMPT, MAX_TOKENS, STREAM (true or false).
 complete() {
   call /v1/completions -d "{\"model\":\"batch-model\",\"prompt\":\"$1\",\"max_tokens\":$2,\"stream\":$3}"
@@ -109,6 +118,12 @@
   fail "the daemon did not become ready: $reply"
 }
 
+# Waits until the daemon answers a completion of the batch model.
+await_answer() {
+  until_ready complete hello 1 false
+  complete hello 1 false | expect_text 'Acaciaferry-Outcome: ran'
+}
+
 # Sends a control switch: PORT, VERB, JSON body.
 control() { curl -sS --max-time 10 -X POST "http://127.0.0.1:$1/control/$2" -d "${3:-{\}}"; }
 
--- a/test/process/metrics.sh
+++ b/test/process/metrics.sh
@@ -1,38 +1,38 @@
 #!/usr/bin/env bash
 # Guards against latencies and refusals that are missing from /metrics or the
 # status page, and against names of workspaces on either.
-set -euo pipefail
-source "$(dirname "$0")/processes.bash"
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
 
-vms=
+vms=()
 start "$work/e1" "$bin/acaciaferry-standin-engine" --address 127.0.0.1:0 --name e1
-list_vm e1 "$port" engine batch-model
-start_daemon vm1
-operators=$(operators_port "$work/vm1")
+vms+=("$(vm_line e1 "$port" engine batch-model)")
+start_daemon "${vms[@]}"
+operators=$(operators_port "$work/vm1.log")
 ask() { call /v1/completions -d "{\"model\":\"batch-model\",\"prompt\":\"hello\",\"max_tokens\":2,\"stream\":$1}"; }
 for _ in $(seq 100); do
   reply=$(ask true)
   grep -q 'no_live_target\|no_configuration' <<<"$reply" || break
   sleep 0.1
 done
-expect 'Acaciaferry-Outcome: ran' <<<"$reply"
-ask false | expect 'Acaciaferry-Outcome: ran'
-curl -sS "http://127.0.0.1:$port/v1/models" | expect '"code":"unauthenticated"'
-call /v1/completions -d '{"prompt":' | expect '"code":"malformed_request"'
+expect_text 'Acaciaferry-Outcome: ran' <<<"$reply"
+ask false | expect_text 'Acaciaferry-Outcome: ran'
+curl -sS "http://127.0.0.1:$port/v1/models" | expect_text '"code":"unauthenticated"'
+call /v1/completions -d '{"prompt":' | expect_text '"code":"malformed_request"'
 
 page=$(curl -sS -i "http://127.0.0.1:$operators/")
-expect 'Content-Type: text/html' <<<"$page"
-expect '<td>tx-a</td><td class="number">1</td>' <<<"$page"
-expect '<td>malformed_request</td><td class="number">1</td>' <<<"$page"
+expect_text 'Content-Type: text/html' <<<"$page"
+expect_text '<td>tx-a</td><td class="number">1</td>' <<<"$page"
+expect_text '<td>malformed_request</td><td class="number">1</td>' <<<"$page"
 metrics=$(curl -sS "http://127.0.0.1:$operators/metrics")
 answers=$(sed -n 's/^acaciaferry_answers_total //p' <<<"$metrics")
 [ "$answers" -ge 2 ]
 for name in first_token last_byte; do
   sed -n "s/^acaciaferry_time_to_${name}_seconds_count{kind=\"completion\",length_class=\"up_to_4k\".*} //p" \
-    <<<"$metrics" | awk '{ sum += $1 } END { print sum }' | expect "^$answers\$"
+    <<<"$metrics" | awk '{ sum += $1 } END { print sum }' | expect_text "^$answers\$"
 done
-expect 'acaciaferry_refusals_total{code="unauthenticated"} 1' <<<"$metrics"
-expect 'acaciaferry_refusals_total{code="malformed_request"} 1' <<<"$metrics"
+expect_text 'acaciaferry_refusals_total{code="unauthenticated"} 1' <<<"$metrics"
+expect_text 'acaciaferry_refusals_total{code="malformed_request"} 1' <<<"$metrics"
 workspaces=$(sed -n 's/^\[workspace\.\(.*\)\]/\1/p' "$root/examples/works/deployment.ini")
 [ -n "$workspaces" ] || { echo "the example has no workspaces"; exit 1; }
 for workspace in $workspaces; do
--- a/test/process/openapi.sh
+++ b/test/process/openapi.sh
@@ -2,18 +2,18 @@
 # Guards against a path of the administration API that docs/openapi.json has
 # and the daemon has not, against an answer of another status or type, and
 # against a path that the documents leave out or that needs no token.
-set -euo pipefail
-source "$(dirname "$0")/processes.bash"
+# shellcheck source=test/process/common.sh
+source "$(dirname "$0")/common.sh"
 
-vms=
+vms=()
 start "$work/e1" "$bin/acaciaferry-standin-engine" --address 127.0.0.1:0 --name e1
-list_vm e1 "$port" engine batch-model
-list_vm vm2 1 entry ''
-start_daemon vm1
+vms+=("$(vm_line e1 "$port" engine batch-model)")
+vms+=("$(vm_line vm2 1 entry '')")
+start_daemon "${vms[@]}"
 await_answer
 id=$(call /v1/completions -d '{"model":"batch-model","prompt":"hello","max_tokens":1}' | request_id)
 [ -n "$id" ]
-python3 - "$root" "http://127.0.0.1:$(operators_port "$work/vm1")" "$id" <<'PY'
+python3 - "$root" "http://127.0.0.1:$(operators_port "$work/vm1.log")" "$id" <<'PY'
 import json, re, sys, urllib.error, urllib.request
 
 root, daemon, request_id = sys.argv[1:]
