--- a/src/acaciaferry/operations/operation_key.cpp
+++ b/src/acaciaferry/operations/operation_key.cpp
@@ -7,6 +7,8 @@
 #include <charconv>
 #include <vector>
 
+#include "acaciaferry/core/token_digest.hpp"
+
 namespace acaciaferry {
 namespace internal {
 
@@ -29,19 +31,6 @@
   return Poco::DigestEngine::digestToHex(hmac.digest());
 }
 
-// Takes the same time wherever the first difference is.
-bool EqualInConstantTime(std::string_view a, std::string_view b) noexcept {
-  if (a.size() != b.size()) {
-    return false;
-  }
-  unsigned difference = 0;
-  for (std::size_t i = 0; i < a.size(); ++i) {
-    difference |=
-        static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
-  }
-  return difference == 0;
-}
-
 void AppendNumber(std::string& text, std::uint64_t value) {
   std::array<char, 16> digits{};
   const auto end =
@@ -116,8 +105,7 @@
       .incarnation = numbers[2],
       .sequence = numbers[0],
       .expires = time_point(duration(static_cast<duration::rep>(numbers[1])))};
-  const bool genuine =
-      internal::EqualInConstantTime(*mac, internal::Mac(key, secret));
+  const bool genuine = EqualInConstantTime(*mac, internal::Mac(key, secret));
   return genuine ? presented_key{key_verdict::kGenuine, key} : forged();
 }
 
