--- a/apps/acaciaferryd/main.cpp
+++ b/apps/acaciaferryd/main.cpp
@@ -14,8 +14,12 @@
 #include <thread>
 #include <vector>
 
+#include "acaciaferry/entry/decision_log.hpp"
+#include "acaciaferry/entry/entry_daemon.hpp"
+#include "acaciaferry/entry/entry_settings.hpp"
 #include "acaciaferry/runtime/daemon.hpp"
 #include "acaciaferry/settings/daemon_settings.hpp"
+#include "platform_dialect.hpp"
 
 namespace {
 
@@ -65,6 +69,34 @@
   }
 }
 
+bool HasFaults(const std::string& path,
+               const std::vector<acaciaferry::setting_fault>& faults) {
+  for (const acaciaferry::setting_fault& fault : faults) {
+    std::cerr << path << ": " << ToString(fault) << '\n';
+  }
+  return !faults.empty();
+}
+
+// Forwards calls by published routes, on one thread.
+int RunEntry(const std::string& path, const std::string& text) {
+  std::vector<acaciaferry::setting_fault> faults;
+  auto settings = acaciaferry::entry::ParseEntrySettings(text, faults);
+  if (HasFaults(path, faults)) {
+    return kExitBadSettings;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  const log4cplus::Initializer logs;
+  acaciaferry::entry::ConfigureDecisionLog(settings.log_level);
+  acaciaferry::entry::entry_daemon daemon(
+      std::move(settings), path, acaciaferry::platform_adapter::MakeDialect());
+  if (const auto error = daemon.Listen()) {
+    std::cerr << "acaciaferryd: " << *error << '\n';
+    return kExitFailed;
+  }
+  daemon.Run();
+  return kExitStopped;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -80,13 +112,13 @@
     std::cerr << error.error() << '\n';
     return kExitBadSettings;
   }
-  std::vector<acaciaferry::setting_fault> faults;
-  auto settings =
-      acaciaferry::ParseDaemonSettings(ReadFile(config_path), faults);
-  for (const acaciaferry::setting_fault& fault : faults) {
-    std::cerr << config_path << ": " << ToString(fault) << '\n';
+  const std::string text = ReadFile(config_path);
+  if (acaciaferry::entry::AsksForEntry(text)) {
+    return RunEntry(config_path, text);
   }
-  if (!faults.empty()) {
+  std::vector<acaciaferry::setting_fault> faults;
+  auto settings = acaciaferry::ParseDaemonSettings(text, faults);
+  if (HasFaults(config_path, faults)) {
     return kExitBadSettings;
   }
   const log4cplus::Initializer logs;
--- /dev/null
+++ b/src/acaciaferry/entry/decision_log.cpp
@@ -0,0 +1,141 @@
+#include "acaciaferry/entry/decision_log.hpp"
+
+#include <fcntl.h>
+#include <log4cplus/appender.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+
+namespace acaciaferry::entry {
+namespace internal {
+
+constexpr std::uint32_t kLinesPerSecond = 60;
+constexpr std::uint32_t kServedLinesPerSecond = 30;
+constexpr std::size_t kMostLineBytes = 1'024;
+
+std::atomic<std::uint64_t>& NotWritten() {
+  static std::atomic<std::uint64_t> count{0};
+  return count;
+}
+
+// log4cplus' own appenders wait for the reader of a full pipe.
+class pipe_appender final : public log4cplus::Appender {
+ public:
+  pipe_appender() {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+      fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+    }
+  }
+  ~pipe_appender() override { destructorImpl(); }
+  pipe_appender(const pipe_appender&) = delete;
+  pipe_appender& operator=(const pipe_appender&) = delete;
+
+  void close() override { closed = true; }
+
+ private:
+  void append(const log4cplus::spi::InternalLoggingEvent& event) override {
+    std::string line = event.getMessage();
+    line.resize(std::min(line.size(), kMostLineBytes));
+    line += '\n';
+    const ssize_t written = ::write(STDOUT_FILENO, line.data(), line.size());
+    if (written != static_cast<ssize_t>(line.size())) {
+      ++NotWritten();
+    }
+  }
+};
+
+// Decisions about requests that were served give way to the others.
+std::uint32_t BudgetOf(forwarding::decision_kind kind) {
+  using forwarding::decision_kind;
+  return kind == decision_kind::kSent || kind == decision_kind::kAnswered ||
+                 kind == decision_kind::kAdmitted
+             ? kServedLinesPerSecond
+             : kLinesPerSecond;
+}
+
+void AppendField(std::string& line,
+                 std::string_view key,
+                 const std::string& value) {
+  line += ' ';
+  line += key;
+  line += '=';
+  if (value.find_first_of(" \"=") == std::string::npos) {
+    line += value;
+    return;
+  }
+  line += '"';
+  for (const char letter : value) {
+    line += letter == '"' || letter == '\n' ? '\'' : letter;
+  }
+  line += '"';
+}
+
+}  // namespace internal
+
+void ConfigureDecisionLog(std::string_view level) {
+  std::string upper(level);
+  std::transform(upper.begin(), upper.end(), upper.begin(), [](char letter) {
+    return static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+  });
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(log4cplus::SharedAppenderPtr(new internal::pipe_appender));
+  root.setLogLevel(log4cplus::getLogLevelManager().fromString(upper));
+}
+
+std::uint64_t LinesNotWritten() noexcept {
+  return internal::NotWritten();
+}
+
+decision_log::decision_log(std::string vm)
+    : vm_(std::move(vm)), logger_(log4cplus::Logger::getInstance("decision")) {}
+
+void decision_log::Write(const forwarding::record_decision& decision,
+                         time_point now) {
+  budget& left = budgets_[static_cast<std::size_t>(decision.kind)];
+  ++left.total;
+  if (now - left.second >= std::chrono::seconds(1)) {
+    left.second = now;
+    left.lines = 0;
+  }
+  if (left.lines >= internal::BudgetOf(decision.kind)) {
+    ++left.skipped;
+    ++left_out_;
+    return;
+  }
+  ++left.lines;
+  std::string line = "event=";
+  line += ToString(decision.kind);
+  internal::AppendField(line, "vm", vm_);
+  internal::AppendField(line, "id", decision.subject);
+  for (const auto& [key, value] : decision.inputs) {
+    internal::AppendField(line, key, value);
+  }
+  if (left.skipped > 0) {
+    internal::AppendField(line, "left_out", std::to_string(left.skipped));
+    left.skipped = 0;
+  }
+  LOG4CPLUS_INFO(logger_, line);
+}
+
+void decision_log::Note(std::string_view event, const log_fields& fields) {
+  std::string line = "event=";
+  line += event;
+  internal::AppendField(line, "vm", vm_);
+  for (const auto& [key, value] : fields) {
+    internal::AppendField(line, key, value);
+  }
+  LOG4CPLUS_INFO(logger_, line);
+}
+
+std::uint64_t decision_log::Count(forwarding::decision_kind kind) const {
+  return budgets_[static_cast<std::size_t>(kind)].total;
+}
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/entry/decision_log.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <log4cplus/logger.h>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/effect.hpp"
+
+namespace acaciaferry::entry {
+
+using log_fields = std::vector<std::pair<std::string_view, std::string>>;
+
+/**
+ * @brief Sends the process's log lines to standard output without ever waiting
+ * for a reader: what does not fit into the pipe is dropped and counted.
+ * @param level One of debug, info, warn, error and off.
+ */
+void ConfigureDecisionLog(std::string_view level);
+
+/** @return Lines dropped because nobody read standard output. */
+[[nodiscard]] std::uint64_t LinesNotWritten() noexcept;
+
+/**
+ * @brief Writes one line for each decision, `event=KIND id=ID key=value ...`.
+ * Each kind has a budget of lines a second; what is over it is counted and told
+ * with the next line of the kind.
+ */
+class decision_log {
+ public:
+  explicit decision_log(std::string vm);
+
+  void Write(const forwarding::record_decision& decision, time_point now);
+
+  /** @brief Writes a change of this process or of what it depends on. */
+  void Note(std::string_view event, const log_fields& fields);
+
+  /** @return How many decisions of a kind were made. */
+  [[nodiscard]] std::uint64_t Count(forwarding::decision_kind kind) const;
+  [[nodiscard]] std::uint64_t LeftOut() const noexcept { return left_out_; }
+
+ private:
+  struct budget {
+    time_point second{};
+    std::uint32_t lines{};
+    std::uint32_t skipped{};
+    std::uint64_t total{};
+  };
+
+  std::string vm_;
+  log4cplus::Logger logger_;
+  std::array<budget, forwarding::kDecisionKinds> budgets_{};
+  std::uint64_t left_out_{};
+};
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/entry/call_relay.hpp"
+#include "acaciaferry/entry/decision_log.hpp"
+#include "acaciaferry/entry/dialect.hpp"
+#include "acaciaferry/entry/entry_metrics.hpp"
+#include "acaciaferry/entry/entry_settings.hpp"
+#include "acaciaferry/entry/view_keeper.hpp"
+#include "acaciaferry/forwarding/state.hpp"
+#include "acaciaferry/mesh/roster.hpp"
+#include "acaciaferry/net/datagram.hpp"
+#include "acaciaferry/net/server.hpp"
+
+namespace acaciaferry::entry {
+
+/**
+ * @brief A daemon that forwards calls by published routes: one event loop that
+ * turns I/O into events of the forwarding reducer and carries its effects out.
+ */
+class entry_daemon {
+ public:
+  /**
+   * @param settings Checked settings.
+   * @param settings_path Read again when the file changes.
+   * @param words The dialect of the environment.
+   */
+  entry_daemon(entry_settings settings,
+               std::string settings_path,
+               std::unique_ptr<dialect> words);
+  ~entry_daemon();
+  entry_daemon(const entry_daemon&) = delete;
+  entry_daemon& operator=(const entry_daemon&) = delete;
+
+  /** @brief Listens. @return An error text, or nothing. */
+  [[nodiscard]] std::optional<std::string> Listen();
+
+  /** @brief Runs until the daemon has drained after SIGTERM or Stop. */
+  void Run();
+
+  /** @brief Begins to drain, as SIGTERM does. */
+  void Drain();
+
+ private:
+  using exchange = std::shared_ptr<net::server_exchange>;
+
+  void OnCall(const exchange& caller);
+  void OnReadiness(const exchange& asked);
+  void OnControl(const exchange& asked);
+  void OnDatagram(std::string_view bytes);
+  void OnViewChanged();
+  void OnSignal();
+  void Hello();
+  void Post(const forwarding::event& happened);
+  void CarryOut(const forwarding::effects& effects);
+  void Broadcast(const mesh::message& what);
+  void SetWake();
+  void CheckDrained();
+  void ReloadSettings();
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] bool ViewMayBeOld() const;
+
+  struct carrier;
+
+  steady_clock_source clock_;
+  entry_settings settings_;
+  std::string settings_path_;
+  std::string settings_text_;
+  std::unique_ptr<dialect> words_;
+  boost::asio::io_context loop_{1};
+  decision_log log_;
+  entry_metrics metrics_;
+  std::uint64_t incarnation_;
+  forwarding::state state_;
+  std::optional<forwarding::routing_table> table_;
+  net::http_server callers_;
+  net::http_server readiness_;
+  net::http_server control_;
+  net::datagram_socket datagrams_;
+  mesh::roster roster_;
+  view_keeper views_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer wake_;
+  boost::asio::steady_timer hello_;
+  boost::asio::steady_timer drain_;
+  std::unordered_map<forwarding::call_id, std::shared_ptr<call_relay>> relays_;
+  forwarding::call_id next_id_{1};
+  std::optional<time_point> draining_since_;
+  std::optional<time_point> peer_confirmed_;
+  time_point woken_at_{};
+  bool in_post_{};
+};
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -0,0 +1,147 @@
+#include "acaciaferry/entry/entry_metrics.hpp"
+
+#include <boost/histogram.hpp>
+#include <string_view>
+
+#include "acaciaferry/core/length_class.hpp"
+
+namespace acaciaferry::entry {
+namespace internal {
+
+namespace bh = boost::histogram;
+
+// Service calls, and prompts by length.
+constexpr int kSeries = 1 + static_cast<int>(kLengthClasses);
+constexpr double kShortestS = 0.001;
+constexpr double kLongestS = 32;
+constexpr unsigned kBuckets = 15;
+
+using time_axis = bh::axis::regular<double, bh::axis::transform::log>;
+using time_histogram =
+    decltype(bh::make_histogram(bh::axis::integer<>(0, kSeries),
+                                time_axis(kBuckets, kShortestS, kLongestS)));
+
+time_histogram Make() {
+  return bh::make_histogram(bh::axis::integer<>(0, kSeries),
+                            time_axis(kBuckets, kShortestS, kLongestS));
+}
+
+int SeriesOf(const forwarding::call& what) {
+  return what.prompt_tokens == 0
+             ? 0
+             : 1 + static_cast<int>(ClassifyLength(what.prompt_tokens));
+}
+
+std::string_view NameOf(int series) {
+  return series == 0 ? std::string_view("service_call")
+                     : ToString(static_cast<length_class>(series - 1));
+}
+
+void Append(std::string& text,
+            std::string_view name,
+            const time_histogram& values) {
+  text += "# TYPE " + std::string(name) + " histogram\n";
+  for (int series = 0; series < kSeries; ++series) {
+    double total = 0;
+    const std::string label =
+        "{kind=\"" + std::string(NameOf(series)) + "\",le=\"";
+    for (int bucket = -1; bucket < static_cast<int>(kBuckets); ++bucket) {
+      total += values.at(series, bucket);
+      const double upper =
+          values.axis(1).value(static_cast<double>(bucket + 1));
+      text += std::string(name) + "_bucket" + label + std::to_string(upper) +
+              "\"} " + std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+    }
+    total += values.at(series, static_cast<int>(kBuckets));
+    text += std::string(name) + "_bucket" + label + "+Inf\"} " +
+            std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+  }
+}
+
+void AppendValue(std::string& text,
+                 std::string_view type,
+                 std::string_view name,
+                 const std::string& value) {
+  text += "# TYPE " + std::string(name) + " " + std::string(type) + "\n" +
+          std::string(name) + " " + value + "\n";
+}
+
+}  // namespace internal
+
+class entry_metrics::histograms {
+ public:
+  internal::time_histogram first_event{internal::Make()};
+  internal::time_histogram longest_gap{internal::Make()};
+  internal::time_histogram whole{internal::Make()};
+};
+
+entry_metrics::entry_metrics() : histograms_(std::make_unique<histograms>()) {}
+entry_metrics::~entry_metrics() = default;
+
+void entry_metrics::CountRefusal(failure_code code) noexcept {
+  ++refusals_[static_cast<std::size_t>(code)];
+}
+
+void entry_metrics::CountReadRefusal(int /*status*/) noexcept {
+  ++read_refusals_;
+}
+
+void entry_metrics::Observe(const forwarding::call& what,
+                            duration first_event,
+                            duration longest_gap,
+                            duration whole) {
+  const int series = internal::SeriesOf(what);
+  histograms_->first_event(series, ToSeconds(first_event));
+  histograms_->whole(series, ToSeconds(whole));
+  if (longest_gap > duration{}) {
+    histograms_->longest_gap(series, ToSeconds(longest_gap));
+  }
+}
+
+std::string entry_metrics::ToPrometheusText(const decision_log& log,
+                                            const entry_gauges& gauges) const {
+  std::string text = "# TYPE acaciaferry_decisions_total counter\n";
+  for (std::size_t index = 0; index < forwarding::kDecisionKinds; ++index) {
+    const auto kind = static_cast<forwarding::decision_kind>(index);
+    text += "acaciaferry_decisions_total{kind=\"" +
+            std::string(forwarding::ToString(kind)) + "\"} " +
+            std::to_string(log.Count(kind)) + "\n";
+  }
+  text += "# TYPE acaciaferry_refusals_total counter\n";
+  for (std::size_t index = 0; index < kFailureCodes; ++index) {
+    if (refusals_[index] > 0) {
+      text += "acaciaferry_refusals_total{code=\"" +
+              std::string(Describe(static_cast<failure_code>(index)).code) +
+              "\"} " + std::to_string(refusals_[index]) + "\n";
+    }
+  }
+  const auto counter = [&](std::string_view name, std::uint64_t value) {
+    internal::AppendValue(text, "counter", name, std::to_string(value));
+  };
+  const auto gauge = [&](std::string_view name, const std::string& value) {
+    internal::AppendValue(text, "gauge", name, value);
+  };
+  counter("acaciaferry_read_refusals_total", read_refusals_);
+  counter("acaciaferry_malformed_datagrams_total", malformed_datagrams_);
+  counter("acaciaferry_document_faults_total", document_faults_);
+  counter("acaciaferry_log_lines_left_out_total", log.LeftOut());
+  counter("acaciaferry_log_lines_not_written_total", LinesNotWritten());
+  counter("acaciaferry_service_calls_total", gauges.service_calls);
+  gauge("acaciaferry_calls_in_flight", std::to_string(gauges.calls_in_flight));
+  gauge("acaciaferry_jobs", std::to_string(gauges.jobs));
+  gauge("acaciaferry_targets", std::to_string(gauges.targets));
+  gauge("acaciaferry_connections", std::to_string(gauges.connections));
+  gauge("acaciaferry_vms", std::to_string(gauges.vms));
+  gauge("acaciaferry_configuration_version",
+        std::to_string(gauges.configuration_version));
+  gauge("acaciaferry_view_age_seconds", std::to_string(gauges.view_age_s));
+  internal::Append(text, "acaciaferry_first_event_seconds",
+                   histograms_->first_event);
+  internal::Append(text, "acaciaferry_longest_gap_seconds",
+                   histograms_->longest_gap);
+  internal::Append(text, "acaciaferry_whole_answer_seconds",
+                   histograms_->whole);
+  return text;
+}
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/entry/decision_log.hpp"
+#include "acaciaferry/forwarding/effect.hpp"
+
+namespace acaciaferry::entry {
+
+/** @brief Values that are read when the metrics are asked for. */
+struct entry_gauges {
+  std::size_t calls_in_flight{};
+  std::size_t jobs{};
+  std::size_t targets{};
+  std::size_t connections{};
+  std::uint64_t vms{};
+  std::uint64_t configuration_version{};
+  /** Age of the last answer of the configuration service; negative before any.
+   */
+  double view_age_s{};
+  std::uint64_t service_calls{};
+};
+
+/**
+ * @brief Counters and histograms of forwarded calls.
+ */
+class entry_metrics {
+ public:
+  entry_metrics();
+  ~entry_metrics();
+  entry_metrics(const entry_metrics&) = delete;
+  entry_metrics& operator=(const entry_metrics&) = delete;
+
+  void CountRefusal(failure_code code) noexcept;
+  void CountReadRefusal(int status) noexcept;
+  void CountMalformedDatagram() noexcept { ++malformed_datagrams_; }
+  void CountDocumentFault() noexcept { ++document_faults_; }
+  /** @brief Takes the times of an answered call. */
+  void Observe(const forwarding::call& what,
+               duration first_event,
+               duration longest_gap,
+               duration whole);
+
+  /** @return All values in the Prometheus text format. */
+  [[nodiscard]] std::string ToPrometheusText(const decision_log& log,
+                                             const entry_gauges& gauges) const;
+
+ private:
+  // Keeps Boost.Histogram's headers out of this one.
+  class histograms;
+  std::unique_ptr<histograms> histograms_;
+  std::array<std::uint64_t, kFailureCodes> refusals_{};
+  std::uint64_t read_refusals_{};
+  std::uint64_t malformed_datagrams_{};
+  std::uint64_t document_faults_{};
+};
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/entry/entry_settings.cpp
@@ -0,0 +1,104 @@
+#include "acaciaferry/entry/entry_settings.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include "acaciaferry/ini/reader.hpp"
+
+namespace acaciaferry::entry {
+namespace internal {
+
+constexpr std::uint64_t kDefaultDrainGraceMs = 8'000;
+constexpr std::uint64_t kHourMs = 3'600'000;
+constexpr double kMostSlack = 1e6;
+constexpr double kMostWindowS = 3'600;
+constexpr std::array<std::string_view, 7> kSections{
+    "vm", "callers", "readiness", "peers", "configuration", "retries", "logs"};
+
+ini_section Section(const ini_document& document, std::string_view kind) {
+  for (const ini_section& section : document.sections) {
+    if (section.kind == kind && section.label.empty()) {
+      return section;
+    }
+  }
+  return {std::string(kind), "", {}};
+}
+
+std::vector<std::string> Split(std::string_view text) {
+  std::vector<std::string> parts;
+  while (!text.empty()) {
+    const std::size_t comma = std::min(text.find(','), text.size());
+    std::string_view part = text.substr(0, comma);
+    while (!part.empty() && part.front() == ' ') {
+      part.remove_prefix(1);
+    }
+    if (!part.empty()) {
+      parts.emplace_back(part);
+    }
+    text.remove_prefix(std::min(comma + 1, text.size()));
+  }
+  return parts;
+}
+
+}  // namespace internal
+
+bool AsksForEntry(std::string_view text) {
+  std::vector<setting_fault> ignored;
+  const ini_document document = ParseIni(text, ignored);
+  return std::any_of(
+      document.sections.begin(), document.sections.end(),
+      [](const ini_section& section) { return section.kind == "readiness"; });
+}
+
+entry_settings ParseEntrySettings(std::string_view text,
+                                  std::vector<setting_fault>& faults) {
+  const ini_document document = ParseIni(text, faults);
+  entry_settings settings;
+  const auto read = [&](std::string_view kind, auto function) {
+    const ini_section section = internal::Section(document, kind);
+    ini_reader reader(section, faults);
+    function(reader);
+    reader.RejectUnknownKeys();
+  };
+  read("vm", [&](ini_reader& reader) {
+    settings.vm.value = reader.Text("name");
+    settings.failure_domain.value = reader.Text("failure_domain");
+    settings.drain_grace = reader.MillisecondsOr(
+        "drain_grace_ms", internal::kDefaultDrainGraceMs, 0, internal::kHourMs);
+  });
+  read("callers", [&](ini_reader& reader) {
+    settings.callers = reader.Address("address");
+  });
+  read("readiness", [&](ini_reader& reader) {
+    settings.readiness = reader.Address("address");
+  });
+  read("peers", [&](ini_reader& reader) {
+    settings.control = reader.Address("control");
+    settings.datagrams = reader.Address("datagrams");
+    settings.seeds = internal::Split(reader.TextOr("seeds", ""));
+  });
+  read("configuration", [&](ini_reader& reader) {
+    settings.service = reader.Address("service");
+  });
+  read("retries", [&](ini_reader& reader) {
+    settings.retries.ratio = reader.DecimalOr("ratio", 0.2, 0, 1);
+    settings.retries.slack =
+        reader.DecimalOr("slack", 0, 0, internal::kMostSlack);
+    settings.retries.window = FromSeconds(
+        reader.DecimalOr("window_s", 10, 1, internal::kMostWindowS));
+  });
+  read("logs", [&](ini_reader& reader) {
+    settings.log_level = reader.TextOr("level", "info");
+  });
+  for (const ini_section& section : document.sections) {
+    if (std::find(internal::kSections.begin(), internal::kSections.end(),
+                  section.kind) == internal::kSections.end()) {
+      faults.push_back({section.kind, section.label, "",
+                        "the sections vm, callers, readiness, peers, "
+                        "configuration, retries and logs"});
+    }
+  }
+  return settings;
+}
+
+}  // namespace acaciaferry::entry
--- /dev/null
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -0,0 +1,504 @@
+#include "acaciaferry/forwarding/flights.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace acaciaferry::forwarding::internal {
+namespace {
+
+// Other helpers than these are refused by the engines.
+constexpr std::size_t kMostHelpers = 16;
+// Attempts that found no connection are not sends; this bounds them.
+constexpr std::uint32_t kMostUnsent = 6;
+// A stream is taken for silent after this many of its longest pauses.
+constexpr int kSilentGaps = 4;
+// Without a bound on pauses, after this.
+constexpr duration kSilentStream = std::chrono::milliseconds(1'000);
+// An idempotent call is sent again after this many of its latency objectives.
+constexpr double kSilentCall = 1.5;
+// Less time than this is no use to a target.
+constexpr duration kLeastTimeLeft = std::chrono::milliseconds(30);
+// The shortest and the spread of the time after which a refused caller is
+// asked to come back: callers refused together do not return together.
+constexpr duration kReturnAfter = std::chrono::milliseconds(250);
+constexpr std::uint64_t kReturnSpreadMs = 250;
+// A lease on memory. It is short, so that an engine has the memory back soon
+// after this process has ended without releasing it.
+constexpr duration kHold = std::chrono::milliseconds(3'000);
+constexpr duration kRenewAfter = std::chrono::milliseconds(1'200);
+// Share of an engine's free memory that a reservation may ask for.
+constexpr double kReservedShare = 0.8;
+// Share of the aim within which a span must be reserved.
+constexpr double kReserveShare = 0.5;
+constexpr duration kLateUrgency = std::chrono::milliseconds(1'000);
+constexpr std::uint32_t kMostUrgencyNumber = 9;
+
+duration RetryAfter(state& current) {
+  return kReturnAfter +
+         std::chrono::milliseconds(DrawBelow(current.random, kReturnSpreadMs));
+}
+
+std::uint32_t Urgency(const call& what) {
+  const std::uint32_t by_aim = what.target_latency > kLateUrgency ? 2 : 0;
+  return std::min(kMostUrgencyNumber, what.priority * 2 + by_aim);
+}
+
+const engine_properties* EngineOf(const state& current, const pool_id& pool) {
+  const auto at = current.pools.find(pool);
+  return at == current.pools.end() || !at->second ? nullptr : &*at->second;
+}
+
+// Distrusted targets are used when there are no others: a refusal would be
+// certain, a try may succeed.
+std::vector<const target*> Candidates(const state& current,
+                                      const flight& of,
+                                      time_point now) {
+  const pool_id& pool = of.what.pool;
+  auto usable = current.targets.Usable(pool, now);
+  if (usable.empty()) {
+    usable = current.targets.Staying(pool);
+  }
+  auto fresh = usable;
+  std::erase_if(fresh, [&](const target* each) {
+    return std::find(of.tried.begin(), of.tried.end(), each->id) !=
+           of.tried.end();
+  });
+  return fresh.empty() ? usable : fresh;
+}
+
+duration AimLeft(const flight& of, time_point now) {
+  return std::max(of.arrived + of.what.target_latency - now, duration{1});
+}
+
+std::optional<time_point> SilentAt(const flight& of,
+                                   duration predicted,
+                                   time_point now) {
+  switch (of.what.kind) {
+    case call_kind::kIdempotent:
+      return now + std::chrono::duration_cast<duration>(of.what.target_latency *
+                                                        kSilentCall);
+    case call_kind::kNonIdempotent:
+      return std::nullopt;
+    case call_kind::kStreaming:
+      break;
+  }
+  if (!of.what.resumable) {
+    return std::nullopt;
+  }
+  const duration pause =
+      std::max(kSilentStream, of.what.target_gap * kSilentGaps);
+  return now + predicted + pause;
+}
+
+void Announce(state& current,
+              std::vector<job> jobs,
+              time_point now,
+              effects& out) {
+  for (const job& each : jobs) {
+    current.ledger.Add(each, now);
+  }
+  out.emplace_back(tell_peers{std::move(jobs), {}, {}});
+}
+
+std::string Names(const std::vector<helper>& helpers) {
+  std::string names;
+  for (const helper& each : helpers) {
+    names += (names.empty() ? "" : "+") + each.target.value;
+  }
+  return names;
+}
+
+void Send(state& current, flight& of, time_point now, effects& out) {
+  attempt& running = *of.current;
+  const target* to = current.targets.Find(running.target);
+  running.silent_at = SilentAt(of, running.predicted_first_event, now);
+  out.emplace_back(send_attempt{
+      of.what.id, running.number, running.target, to ? to->address : "",
+      running.helpers, of.deadline - now, Urgency(of.what),
+      of.delivered ? of.last_event : of.what.resume_after});
+  Record(out, decision_kind::kSent, of.what.label,
+         {{"attempt", std::to_string(running.number)},
+          {"target", running.target.value},
+          {"helpers", Names(running.helpers)},
+          {"predicted_ms", Millis(running.predicted_first_event)},
+          {"waited_ms", Millis(now - of.arrived)},
+          {"left_ms", Millis(of.deadline - now)}});
+}
+
+time_point ExpectedEnd(const engine_properties& engine,
+                       const flight& of,
+                       duration first_event,
+                       time_point now) {
+  const double events =
+      static_cast<double>(of.what.answer_tokens) / std::max(engine.stride, 1U);
+  // A pass with some reading takes about one and a half times a pass without.
+  constexpr double kBusyPass = 1.5;
+  const duration pass = PassTime(engine, 1, of.what.prompt_tokens);
+  return now + first_event +
+         std::chrono::duration_cast<duration>(pass * kBusyPass * events);
+}
+
+std::vector<job> PromptJobs(const state& current,
+                            const engine_properties& engine,
+                            const flight& of,
+                            const placement& at,
+                            time_point now) {
+  const job_key key = KeyOf(current, of.what.id, of.current->number);
+  const time_point end = ExpectedEnd(engine, of, at.first_event, now);
+  const std::size_t parts = at.helpers.size() + 1;
+  std::vector<job> jobs{{key, at.first, at.part, true, of.what.target_gap,
+                         of.what.prompt_tokens + of.what.answer_tokens,
+                         of.what.prompt_tokens / parts, end}};
+  for (const target_id& id : at.helpers) {
+    jobs.push_back({key, id, at.part, false, {}, 0, 0, now + at.first_event});
+  }
+  return jobs;
+}
+
+attempt& NewAttempt(flight& of, const target_id& first, time_point now) {
+  of.current.emplace();
+  of.current->number = ++of.attempts;
+  of.current->target = first;
+  of.current->started = now;
+  return *of.current;
+}
+
+struct span_plan {
+  placement at;
+  std::vector<reservation> reservations;
+  std::uint64_t first_tokens{};
+};
+
+// Spreads a prompt that no engine can hold: the engines with the most free
+// memory hold a ticket each, the first one holds the rest, and all read.
+std::optional<span_plan> PlanSpan(const state& current,
+                                  const engine_properties& engine,
+                                  const std::vector<const target*>& candidates,
+                                  const flight& of,
+                                  time_point now) {
+  struct holder {
+    const target* which;
+    std::uint64_t room;
+    time_point reading_until;
+  };
+  std::vector<holder> holders;
+  for (const target* each : candidates) {
+    const auto load = current.ledger.Load(each->id, duration::max(), now);
+    const std::uint64_t free =
+        engine.memory_tokens -
+        std::min(engine.memory_tokens, load.memory_tokens);
+    holders.push_back(
+        {each,
+         static_cast<std::uint64_t>(static_cast<double>(free) * kReservedShare),
+         load.reading_until});
+  }
+  std::sort(holders.begin(), holders.end(),
+            [](const holder& a, const holder& b) { return a.room > b.room; });
+  const std::uint64_t needed = of.what.prompt_tokens + of.what.answer_tokens;
+  std::size_t count = 0;
+  std::uint64_t room = 0;
+  while (room < needed && count < holders.size() && count <= kMostHelpers) {
+    room += holders[count++].room;
+  }
+  if (room < needed) {
+    return std::nullopt;
+  }
+  const std::size_t parts = std::min(holders.size(), kMostHelpers + 1);
+  span_plan plan;
+  plan.at.first = holders.front().which->id;
+  plan.at.part = ReadingTime(engine, of.what.prompt_tokens) /
+                 static_cast<std::int64_t>(parts);
+  time_point last = now;
+  std::uint64_t reserved = 0;
+  for (std::size_t index = 0; index < parts; ++index) {
+    last = std::max(last, holders[index].reading_until);
+    if (index == 0) {
+      continue;
+    }
+    plan.at.helpers.push_back(holders[index].which->id);
+    if (index < count) {
+      // Each holds in proportion to its room.
+      const auto tokens = static_cast<std::uint64_t>(
+          static_cast<double>(needed) *
+          static_cast<double>(holders[index].room) / static_cast<double>(room));
+      reserved += tokens;
+      plan.reservations.push_back({holders[index].which->id,
+                                   holders[index].which->address, "", tokens,
+                                   false, false, now + kRenewAfter});
+    }
+  }
+  plan.first_tokens = needed - reserved;
+  plan.at.first_event =
+      (last - now) + plan.at.part + PassTime(engine, 2, of.what.prompt_tokens);
+  return plan;
+}
+
+void StartSpan(state& current,
+               flight& of,
+               const engine_properties& engine,
+               const std::vector<const target*>& candidates,
+               time_point now,
+               effects& out) {
+  auto plan = PlanSpan(current, engine, candidates, of, now);
+  if (!plan) {
+    Fail(current, of, failure_code::kSpanUnavailable, now, out);
+    return;
+  }
+  attempt& started = NewAttempt(of, plan->at.first, now);
+  started.predicted_first_event = plan->at.first_event;
+  const std::string prefix =
+      std::to_string(KeyOf(current, of.what.id, started.number));
+  for (std::size_t index = 0; index < plan->reservations.size(); ++index) {
+    plan->reservations[index].ticket = prefix + "-" + std::to_string(index);
+  }
+  started.reservations = std::move(plan->reservations);
+  std::vector<job> jobs = PromptJobs(current, engine, of, plan->at, now);
+  jobs.front().memory_tokens = plan->first_tokens;
+  for (const target_id& id : plan->at.helpers) {
+    const target* found = current.targets.Find(id);
+    helper one{id, found ? found->address : "", ""};
+    for (const reservation& each : started.reservations) {
+      if (each.target == id) {
+        one.ticket = each.ticket;
+        jobs.push_back({jobs.front().key,
+                        id,
+                        {},
+                        false,
+                        {},
+                        each.tokens,
+                        0,
+                        jobs.front().expected_end});
+      }
+    }
+    started.helpers.push_back(std::move(one));
+  }
+  // Tickets are filled in the order of the list.
+  std::stable_partition(
+      started.helpers.begin(), started.helpers.end(),
+      [](const helper& each) { return !each.ticket.empty(); });
+  Announce(current, std::move(jobs), now, out);
+  started.silent_at = now + std::chrono::duration_cast<duration>(
+                                AimLeft(of, now) * kReserveShare);
+  for (const reservation& each : started.reservations) {
+    out.emplace_back(reserve_memory{of.what.id, started.number, each.address,
+                                    each.target, each.ticket, each.tokens,
+                                    kHold, false});
+  }
+}
+
+void StartPrompt(state& current,
+                 flight& of,
+                 const engine_properties& engine,
+                 const std::vector<const target*>& candidates,
+                 time_point now,
+                 effects& out) {
+  if (of.what.prompt_tokens + of.what.answer_tokens > engine.memory_tokens) {
+    StartSpan(current, of, engine, candidates, now, out);
+    return;
+  }
+  const demand wanted{of.what.prompt_tokens, of.what.answer_tokens,
+                      AimLeft(of, now), of.what.target_gap,
+                      current.failure_domain};
+  const auto chosen = PlacePrompt(engine, candidates, current.ledger, wanted,
+                                  kMostHelpers, now);
+  if (!chosen) {
+    Fail(current, of, failure_code::kShed, now, out);
+    return;
+  }
+  attempt& started = NewAttempt(of, chosen->first, now);
+  started.predicted_first_event = chosen->first_event;
+  for (const target_id& id : chosen->helpers) {
+    const target* found = current.targets.Find(id);
+    started.helpers.push_back({id, found ? found->address : "", ""});
+  }
+  Announce(current, PromptJobs(current, engine, of, *chosen, now), now, out);
+  Send(current, of, now, out);
+}
+
+}  // namespace
+
+job_key KeyOf(const state& current, call_id id, std::uint32_t number) {
+  return current.job_salt ^ (id << 8U | (number & 0xFFU));
+}
+
+std::string Millis(duration value) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
+void Record(effects& out,
+            decision_kind kind,
+            const std::string& subject,
+            std::vector<std::pair<std::string_view, std::string>> inputs) {
+  out.emplace_back(record_decision{kind, subject, std::move(inputs)});
+}
+
+void StartAttempt(state& current, flight& of, time_point now, effects& out) {
+  const auto candidates = Candidates(current, of, now);
+  if (candidates.empty()) {
+    Fail(current, of, failure_code::kNoLiveTarget, now, out);
+    return;
+  }
+  const engine_properties* engine = EngineOf(current, of.what.pool);
+  if (engine != nullptr && of.what.prompt_tokens > 0) {
+    StartPrompt(current, of, *engine, candidates, now, out);
+    return;
+  }
+  const target* chosen = PlaceCall(candidates, current.ledger,
+                                   current.failure_domain, current.random, now);
+  NewAttempt(of, chosen->id, now);
+  Announce(current,
+           {{KeyOf(current, of.what.id, of.current->number),
+             chosen->id,
+             {},
+             true,
+             {},
+             0,
+             0,
+             now + of.what.target_latency}},
+           now, out);
+  Send(current, of, now, out);
+}
+
+void EndAttempt(state& current,
+                flight& of,
+                bool close,
+                time_point now,
+                effects& out) {
+  if (!of.current) {
+    return;
+  }
+  const job_key key = KeyOf(current, of.what.id, of.current->number);
+  current.ledger.End(key, now);
+  out.emplace_back(tell_peers{{}, {key}, {}});
+  if (close) {
+    out.emplace_back(cancel_attempt{of.what.id, of.current->number});
+  }
+  // An order without an answer may have been carried out, so every ticket is
+  // released.
+  for (const reservation& each : of.current->reservations) {
+    out.emplace_back(release_memory{each.address, each.target, each.ticket});
+  }
+  of.current.reset();
+}
+
+void Forget(state& current, call_id id) {
+  current.flights.erase(id);
+}
+
+void Fail(state& current,
+          flight& of,
+          failure_code code,
+          time_point now,
+          effects& out) {
+  const bool ran = of.may_have_run || (of.current && of.current->sent);
+  EndAttempt(current, of, true, now, out);
+  const failure_description& described = Describe(code);
+  failure why{code, ran ? outcome::kUnknown : outcome::kNotRun, {}};
+  if (!ran && described.retryable) {
+    why.retry_after = RetryAfter(current);
+  }
+  Record(out, of.delivered ? decision_kind::kFailed : decision_kind::kRefused,
+         of.what.label,
+         {{"code", std::string(described.code)},
+          {"outcome", std::string(ToString(why.result))},
+          {"attempts", std::to_string(of.attempts)},
+          {"route", of.what.route_name},
+          {"prompt_tokens", std::to_string(of.what.prompt_tokens)},
+          {"after_ms", Millis(now - of.arrived)}});
+  const call_id id = of.what.id;
+  if (of.delivered) {
+    out.emplace_back(abort_answer{id});
+  } else {
+    out.emplace_back(refuse_call{id, why});
+  }
+  Forget(current, id);
+}
+
+bool TryRepeat(state& current,
+               flight& of,
+               bool ran,
+               std::string_view reason,
+               time_point now,
+               effects& out) {
+  const bool repeatable =
+      !ran || of.what.kind == call_kind::kIdempotent ||
+      (of.what.kind == call_kind::kStreaming && of.what.resumable);
+  const bool allowed = of.reached < of.what.max_attempts &&
+                       of.attempts < of.what.max_attempts + kMostUnsent &&
+                       now + kLeastTimeLeft < of.deadline;
+  const bool reached = of.current && of.current->sent;
+  if (!repeatable || !allowed ||
+      (reached && !current.allowance.Take(of.what.pool, current.vms, now))) {
+    return false;
+  }
+  of.may_have_run = of.may_have_run || ran;
+  if (of.current) {
+    of.tried.push_back(of.current->target);
+  }
+  EndAttempt(current, of, true, now, out);
+  Record(out, of.delivered ? decision_kind::kResumed : decision_kind::kRepeated,
+         of.what.label,
+         {{"reason", std::string(reason)},
+          {"reached", std::to_string(of.reached)},
+          {"last_event", std::to_string(of.last_event)},
+          {"after_ms", Millis(now - of.arrived)}});
+  StartAttempt(current, of, now, out);
+  return true;
+}
+
+void RepeatOrFail(state& current,
+                  flight& of,
+                  bool ran,
+                  failure_code code,
+                  std::string_view reason,
+                  time_point now,
+                  effects& out) {
+  if (!TryRepeat(current, of, ran, reason, now, out)) {
+    of.may_have_run = of.may_have_run || ran;
+    EndAttempt(current, of, true, now, out);
+    Fail(current, of, code, now, out);
+  }
+}
+
+void SettleReservation(state& current,
+                       flight& of,
+                       const reservation_settled& settled,
+                       time_point now,
+                       effects& out) {
+  attempt& running = *of.current;
+  bool all_held = true;
+  for (reservation& each : running.reservations) {
+    if (each.ticket == settled.ticket) {
+      each.settled = true;
+      each.held = settled.held;
+    }
+    all_held = all_held && each.held;
+  }
+  Record(out, decision_kind::kReserved, of.what.label,
+         {{"ticket", settled.ticket}, {"held", settled.held ? "yes" : "no"}});
+  if (running.sent) {
+    return;
+  }
+  if (!settled.held) {
+    Fail(current, of, failure_code::kSpanUnavailable, now, out);
+  } else if (all_held && !running.sent) {
+    Send(current, of, now, out);
+  }
+}
+
+void RenewReservations(flight& of, time_point now, effects& out) {
+  if (!of.current) {
+    return;
+  }
+  for (reservation& each : of.current->reservations) {
+    if (each.held && each.renew_at <= now) {
+      each.renew_at = now + kRenewAfter;
+      out.emplace_back(reserve_memory{of.what.id, of.current->number,
+                                      each.address, each.target, each.ticket,
+                                      each.tokens, kHold, true});
+    }
+  }
+}
+
+}  // namespace acaciaferry::forwarding::internal
--- /dev/null
+++ b/src/acaciaferry/forwarding/fwd.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace acaciaferry::forwarding {
+
+class load_ledger;
+class retry_allowance;
+class routing_table;
+class target_table;
+struct call;
+struct engine_properties;
+struct flight;
+struct job;
+struct placement;
+struct pool;
+struct route;
+struct state;
+struct target;
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/routing_table.hpp"
+
+namespace acaciaferry::forwarding {
+
+/** Identifies a dispatch in the whole fleet. */
+using job_key = std::uint64_t;
+
+/**
+ * @brief What one dispatch does at one target: a read of a prompt or of a part
+ * of it, a writer, or a call of a plain service.
+ */
+struct job {
+  job_key key{};
+  target_id target;
+  /** Time that the target reads for it. */
+  duration reading{};
+  /** Whether the target writes the answer. */
+  bool writes{};
+  /** Longest pause between two events that is on time; 0 for no bound. */
+  duration target_gap{};
+  /** Prompt and expected answer that the target holds. */
+  std::uint64_t memory_tokens{};
+  /** Context, in tokens, that each step of the writer costs. */
+  std::uint64_t context_tokens{};
+  /** When the answer is expected to be complete. */
+  time_point expected_end{};
+
+  [[nodiscard]] bool operator==(const job&) const = default;
+};
+
+/**
+ * @brief The load of one target as dispatches of all VMs tell it.
+ */
+struct target_load {
+  std::uint32_t writers{};
+  std::uint32_t parts{};
+  std::uint64_t memory_tokens{};
+  std::uint64_t context_tokens{};
+  /** Shortest bound on pauses of the writers; 0 for none. */
+  duration strictest_gap{};
+  /** Writers whose bound on pauses is at most the one asked about. */
+  std::uint32_t strict_writers{};
+  /** When all reading that is known of is done. */
+  time_point reading_until{};
+};
+
+/**
+ * @brief The dispatches that are not known to have ended, of this VM and of its
+ * peers. A dispatch whose end is never told is dropped a while after its
+ * expected end.
+ */
+class load_ledger {
+ public:
+  /** @brief Adds a job; its reading follows what the target reads already. */
+  void Add(const job& added, time_point now);
+  /** @brief Ends all jobs of a dispatch. */
+  void End(job_key key, time_point now);
+  /** @brief Forgets everything about a target that has restarted or gone. */
+  void Forget(const target_id& id);
+  /** @brief Drops the jobs that are overdue. */
+  void Expire(time_point now);
+
+  /**
+   * @brief Describes a target's load.
+   * @param id The target.
+   * @param strict_gap Writers with a bound up to this count as strict.
+   * @param now The time.
+   */
+  [[nodiscard]] target_load Load(const target_id& id,
+                                 duration strict_gap,
+                                 time_point now) const;
+
+  [[nodiscard]] std::size_t Jobs() const noexcept { return jobs_; }
+
+ private:
+  struct entry {
+    job what;
+    time_point reading_begins{};
+    time_point reading_ends{};
+  };
+  struct queue {
+    std::vector<entry> entries;
+    time_point reading_until{};
+  };
+
+  std::unordered_map<target_id, queue> queues_;
+  /** Targets of each dispatch. */
+  std::unordered_map<job_key, std::vector<target_id>> targets_;
+  std::size_t jobs_{};
+};
+
+/**
+ * @brief Predicts how long one engine reads a whole prompt.
+ *
+ * Tokens at the engine's rate, and the pairs of a token with any earlier one:
+ * n / rate + pairs_per_m * n^2 / 2 / 10^6.
+ */
+[[nodiscard]] duration ReadingTime(const engine_properties& engine,
+                                   std::uint64_t prompt_tokens) noexcept;
+
+/**
+ * @brief Predicts the length of a pass of an engine with writers, without
+ * reading.
+ * @param writers Number of writers, the new one included.
+ * @param context_tokens Sum of the context of the writers.
+ */
+[[nodiscard]] duration PassTime(const engine_properties& engine,
+                                std::uint32_t writers,
+                                std::uint64_t context_tokens) noexcept;
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "acaciaferry/core/random.hpp"
+#include "acaciaferry/forwarding/load_ledger.hpp"
+#include "acaciaferry/forwarding/routing_table.hpp"
+#include "acaciaferry/forwarding/target_table.hpp"
+
+namespace acaciaferry::forwarding {
+
+/**
+ * @brief What placement knows of a request.
+ */
+struct demand {
+  std::uint64_t prompt_tokens{};
+  std::uint64_t answer_tokens{};
+  /** Time left until the first event is late. */
+  duration aim{};
+  /** Longest pause between two events that is on time; 0 for no bound. */
+  duration target_gap{};
+  failure_domain_id failure_domain;
+};
+
+/**
+ * @brief Where a prompt is read and its answer written.
+ */
+struct placement {
+  target_id first;
+  /** Targets that read a part each, beside the first. */
+  std::vector<target_id> helpers;
+  /** Reading time of each part. */
+  duration part{};
+  /** Predicted time until the first event. */
+  duration first_event{};
+};
+
+/**
+ * @brief Chooses targets for a prompt.
+ *
+ * For each number of parts it takes the engines that finish a part soonest,
+ * charged with the pauses that the part causes to the writers there, and keeps
+ * the number with the least total.
+ *
+ * @param engine Properties of the pool's engines.
+ * @param candidates Targets that can be given work.
+ * @param ledger Load of the targets.
+ * @param wanted The request.
+ * @param most_helpers Largest number of helpers, 0 for none.
+ * @param now The time.
+ * @return The choice, or nothing when no candidate has the memory or a place.
+ */
+[[nodiscard]] std::optional<placement> PlacePrompt(
+    const engine_properties& engine,
+    std::span<const target* const> candidates,
+    const load_ledger& ledger,
+    const demand& wanted,
+    std::size_t most_helpers,
+    time_point now);
+
+/**
+ * @brief Chooses a target for a call of a plain service: the one with the
+ * fewest calls for its slots, one in the caller's failure domain before
+ * others, and a random one among equals.
+ */
+[[nodiscard]] const target* PlaceCall(std::span<const target* const> candidates,
+                                      const load_ledger& ledger,
+                                      const failure_domain_id& nearby,
+                                      random_engine& random,
+                                      time_point now);
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -0,0 +1,108 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "acaciaferry/core/random.hpp"
+#include "acaciaferry/forwarding/effect.hpp"
+#include "acaciaferry/forwarding/event.hpp"
+#include "acaciaferry/forwarding/load_ledger.hpp"
+#include "acaciaferry/forwarding/placement.hpp"
+#include "acaciaferry/forwarding/retry_allowance.hpp"
+#include "acaciaferry/forwarding/target_table.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
+
+namespace acaciaferry::forwarding {
+
+/** A part of a prompt's memory that an engine sets aside. */
+struct reservation {
+  target_id target;
+  std::string address;
+  std::string ticket;
+  std::uint64_t tokens{};
+  bool held{};
+  /** The order has been answered. */
+  bool settled{};
+  time_point renew_at{};
+};
+
+/** An attempt that runs. */
+struct attempt {
+  std::uint32_t number{};
+  target_id target;
+  std::vector<helper> helpers;
+  std::vector<reservation> reservations;
+  time_point started{};
+  bool sent{};
+  bool began{};
+  /** When the next sign of progress is overdue; nothing when only the deadline
+   * bounds it. */
+  std::optional<time_point> silent_at;
+  duration predicted_first_event{};
+};
+
+/** A call that is not answered yet. */
+struct flight {
+  call what;
+  time_point arrived{};
+  time_point deadline{};
+  std::optional<attempt> current;
+  std::uint32_t attempts{};
+  /** Targets of earlier attempts. */
+  std::vector<target_id> tried;
+  /** Attempts whose request reached a target. */
+  std::uint32_t reached{};
+  /** Whether some attempt may have run. */
+  bool may_have_run{};
+  /** Whether a part of the answer was passed on. */
+  bool delivered{};
+  std::uint64_t last_event{};
+  std::optional<time_point> first_event_at;
+  time_point last_progress{};
+  duration longest_gap{};
+};
+
+/**
+ * @brief All that the decisions about forwarded calls rest on.
+ */
+struct state {
+  state(evidence_source self_, const retry_bound& bound, std::uint64_t seed);
+
+  evidence_source self;
+  failure_domain_id failure_domain;
+  /** Pools of the accepted routing table, by name. */
+  std::map<pool_id, std::optional<engine_properties>> pools;
+  target_table targets;
+  load_ledger ledger;
+  retry_allowance allowance;
+  quarantine_state quarantine;
+  std::map<call_id, flight> flights;
+  std::uint64_t vms{1};
+  std::uint64_t job_salt{};
+  random_engine random;
+  time_point next_sweep{};
+};
+
+/**
+ * @brief Takes the pools of a routing table.
+ */
+void AcceptPools(state& current, const routing_table& table);
+
+/**
+ * @brief Decides on one event.
+ * @param current The state, changed in place.
+ * @param happened The event.
+ * @param now The time of the event.
+ * @return What to do, in order.
+ */
+[[nodiscard]] effects Reduce(state& current,
+                             const event& happened,
+                             time_point now);
+
+/** @return When time_passed is due next. */
+[[nodiscard]] time_point NextWake(const state& current, time_point now);
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -0,0 +1,167 @@
+#include "acaciaferry/forwarding/target_table.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace acaciaferry::forwarding {
+namespace internal {
+
+// A crashed engine is back after a few seconds; asking it again about once a
+// second costs one refused connection.
+constexpr duration kFirstDistrust = std::chrono::milliseconds(700);
+constexpr duration kMaxDistrust = std::chrono::seconds(6);
+// Weight of one more result in the share of failed runs.
+constexpr double kFailureWeight = 0.25;
+// Above this share a target is distrusted although it answers.
+constexpr double kFailingShare = 0.4;
+
+}  // namespace internal
+
+std::string_view ToString(distrust_reason reason) noexcept {
+  switch (reason) {
+    case distrust_reason::kUnreachable:
+      return "unreachable";
+    case distrust_reason::kSilent:
+      return "silent";
+    case distrust_reason::kBroken:
+      return "broken";
+    case distrust_reason::kFailing:
+      return "failing";
+  }
+  return "unknown";
+}
+
+std::vector<target_table::change> target_table::Publish(
+    const std::vector<target>& targets,
+    time_point /*now*/) {
+  std::vector<change> changes;
+  std::set<target_id> published;
+  for (const target& each : targets) {
+    published.insert(each.id);
+    const auto [at, added] = entries_.try_emplace(each.id);
+    entry& known = at->second;
+    const bool restarted =
+        !added && known.published.incarnation != each.incarnation;
+    const bool was_leaving = known.leaving;
+    if (restarted) {
+      known = entry{};
+    }
+    known.published = each;
+    known.leaving = known.leaving || each.state == target_state::kLeaving;
+    if (added) {
+      changes.push_back({each.id, change::what::kFound});
+    } else if (restarted) {
+      changes.push_back({each.id, change::what::kRestarted});
+    }
+    if (known.leaving && !was_leaving) {
+      changes.push_back({each.id, change::what::kLeaving});
+    }
+  }
+  for (auto at = entries_.begin(); at != entries_.end();) {
+    if (published.contains(at->first)) {
+      ++at;
+    } else {
+      changes.push_back({at->first, change::what::kLost});
+      at = entries_.erase(at);
+    }
+  }
+  return changes;
+}
+
+bool target_table::MarkLeaving(const target_id& id) {
+  const auto at = entries_.find(id);
+  if (at == entries_.end() || at->second.leaving) {
+    return false;
+  }
+  at->second.leaving = true;
+  return true;
+}
+
+duration target_table::Distrust(const target_id& id,
+                                distrust_reason /*reason*/,
+                                time_point now) {
+  const auto at = entries_.find(id);
+  if (at == entries_.end()) {
+    return duration{};
+  }
+  entry& known = at->second;
+  if (now < known.distrusted_until) {
+    return known.distrusted_until - now;
+  }
+  const bool in_a_row = known.last_distrust > duration{} &&
+                        now - known.distrusted_until < internal::kMaxDistrust;
+  known.last_distrust =
+      in_a_row ? std::min(known.last_distrust * 2, internal::kMaxDistrust)
+               : internal::kFirstDistrust;
+  known.distrusted_at = now;
+  known.distrusted_until = now + known.last_distrust;
+  return known.last_distrust;
+}
+
+void target_table::DistrustUntil(const target_id& id, time_point until) {
+  const auto at = entries_.find(id);
+  if (at != entries_.end()) {
+    at->second.distrusted_until = std::max(at->second.distrusted_until, until);
+  }
+}
+
+void target_table::Completed(const target_id& id, time_point /*now*/) {
+  const auto at = entries_.find(id);
+  if (at != entries_.end()) {
+    at->second.failing *= 1 - internal::kFailureWeight;
+    at->second.last_distrust = duration{};
+  }
+}
+
+bool target_table::Failed(const target_id& id, time_point now) {
+  const auto at = entries_.find(id);
+  if (at == entries_.end()) {
+    return false;
+  }
+  entry& known = at->second;
+  known.failing =
+      known.failing * (1 - internal::kFailureWeight) + internal::kFailureWeight;
+  if (known.failing < internal::kFailingShare) {
+    return false;
+  }
+  static_cast<void>(Distrust(id, distrust_reason::kFailing, now));
+  return true;
+}
+
+const target* target_table::Find(const target_id& id) const {
+  const auto at = entries_.find(id);
+  return at == entries_.end() ? nullptr : &at->second.published;
+}
+
+const target* target_table::FindByAddress(std::string_view address) const {
+  for (const auto& [id, known] : entries_) {
+    if (known.published.address == address) {
+      return &known.published;
+    }
+  }
+  return nullptr;
+}
+
+std::vector<const target*> target_table::Usable(const pool_id& pool,
+                                                time_point now) const {
+  std::vector<const target*> usable;
+  for (const auto& [id, known] : entries_) {
+    if (known.published.pool == pool && !known.leaving &&
+        known.distrusted_until <= now) {
+      usable.push_back(&known.published);
+    }
+  }
+  return usable;
+}
+
+std::vector<const target*> target_table::Staying(const pool_id& pool) const {
+  std::vector<const target*> staying;
+  for (const auto& [id, known] : entries_) {
+    if (known.published.pool == pool && !known.leaving) {
+      staying.push_back(&known.published);
+    }
+  }
+  return staying;
+}
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/time.hpp"
+
+namespace acaciaferry::forwarding {
+
+enum class target_state { kReady, kLeaving };
+
+/**
+ * @brief A target as it is published.
+ */
+struct target {
+  target_id id;
+  pool_id pool;
+  /** IP:PORT. */
+  std::string address;
+  failure_domain_id failure_domain;
+  std::uint32_t slots{1};
+  target_state state{target_state::kReady};
+  /** Start of the target's process, in milliseconds since the Unix epoch; 0
+   * when unknown. A restart may keep the id. */
+  std::uint64_t incarnation{};
+
+  [[nodiscard]] bool operator==(const target&) const = default;
+};
+
+/** Why a target is not given work for a while. */
+enum class distrust_reason { kUnreachable, kSilent, kBroken, kFailing };
+
+/** @return A static name of the reason. */
+[[nodiscard]] std::string_view ToString(distrust_reason reason) noexcept;
+
+/**
+ * @brief The published targets, and what this process knows of their health.
+ */
+class target_table {
+ public:
+  /** A change of the set of targets that can be given work. */
+  struct change {
+    target_id id;
+    enum class what { kFound, kLost, kLeaving, kRestarted } kind{};
+  };
+
+  /**
+   * @brief Takes the published targets.
+   * @return What changed; a leaving state is kept for the target's
+   * incarnation.
+   */
+  [[nodiscard]] std::vector<change> Publish(const std::vector<target>& targets,
+                                            time_point now);
+
+  /** @brief Marks a target as leaving; kept until its incarnation changes. */
+  bool MarkLeaving(const target_id& id);
+
+  /**
+   * @brief Withholds work from a target for a while, longer each time in a
+   * row.
+   * @return How long.
+   */
+  duration Distrust(const target_id& id,
+                    distrust_reason reason,
+                    time_point now);
+
+  /** @brief Takes distrust that a peer has found. */
+  void DistrustUntil(const target_id& id, time_point until);
+
+  /** @brief Records that a target completed a request. */
+  void Completed(const target_id& id, time_point now);
+  /** @brief Records that a target failed a request that it ran.
+   * @return Whether the target is distrusted now. */
+  bool Failed(const target_id& id, time_point now);
+
+  [[nodiscard]] const target* Find(const target_id& id) const;
+  [[nodiscard]] const target* FindByAddress(std::string_view address) const;
+  /** @return The targets of a pool that can be given work. */
+  [[nodiscard]] std::vector<const target*> Usable(const pool_id& pool,
+                                                  time_point now) const;
+  /** @return The targets of a pool that are not leaving, trusted or not. */
+  [[nodiscard]] std::vector<const target*> Staying(const pool_id& pool) const;
+  [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
+
+ private:
+  struct entry {
+    target published;
+    time_point distrusted_until{};
+    time_point distrusted_at{};
+    duration last_distrust{};
+    /** Share of the last runs that failed, weighted by recency. */
+    double failing{};
+    bool leaving{};
+  };
+
+  std::map<target_id, entry> entries_;
+};
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/src/acaciaferry/mesh/message.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/event.hpp"
+#include "acaciaferry/quarantine/quarantine.hpp"
+
+namespace acaciaferry::mesh {
+
+/**
+ * @brief Who a VM is, what it has seen of the configuration service, and which
+ * other VMs it knows.
+ */
+struct hello {
+  vm_id vm;
+  /** Grows with each start of the process. */
+  std::uint64_t incarnation{};
+  /** IP:PORT of its datagrams. */
+  std::string datagrams;
+  /** IP:PORT where its view of published documents can be fetched. */
+  std::string views;
+  /** Revision of the newest published change that it knows. */
+  std::uint64_t changed_at{};
+  bool leaving{};
+  /** Datagram addresses of other VMs, at most kMostKnown. */
+  std::vector<std::string> known;
+
+  [[nodiscard]] bool operator==(const hello&) const = default;
+};
+
+inline constexpr std::size_t kMostKnown = 64;
+
+/** Dispatches, ended dispatches and distrust of one VM. */
+struct load_news {
+  std::vector<forwarding::job> jobs;
+  std::vector<forwarding::job_key> ended;
+  std::vector<forwarding::peer_distrust> distrusted;
+};
+
+using message = std::variant<hello, load_news, suspects_heard>;
+
+/** Largest datagram that is sent, in bytes; larger ones would be split by the
+ * network, and one lost part loses all. */
+inline constexpr std::size_t kMostDatagramBytes = 1'400;
+
+/**
+ * @brief Encodes a message; one that is too large is split into several.
+ * @param what The message.
+ * @param now The time of sending; times travel relative to it.
+ */
+[[nodiscard]] std::vector<std::string> Encode(const message& what,
+                                              time_point now);
+
+/**
+ * @brief Decodes a datagram.
+ * @param bytes Bytes from anywhere.
+ * @param now The time of arrival.
+ * @return The message, or nothing when the bytes are none.
+ */
+[[nodiscard]] std::optional<message> Decode(std::string_view bytes,
+                                            time_point now);
+
+}  // namespace acaciaferry::mesh
--- /dev/null
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -0,0 +1,108 @@
+#include "acaciaferry/mesh/roster.hpp"
+
+#include <algorithm>
+
+namespace acaciaferry::mesh {
+namespace internal {
+
+// A VM counts as live this long after its last hello: several intervals, since
+// datagrams are lost and a large fleet says hello in turns.
+constexpr duration kLiveFor = std::chrono::milliseconds(4'000);
+// Bounds the messages of one VM in a large fleet.
+constexpr std::size_t kMostHellos = 24;
+constexpr std::uint32_t kMostTries = 6;
+constexpr std::size_t kMostTold = 1'024;
+// Assumed number of VMs while no other was heard.
+constexpr std::uint64_t kAssumedSharers = 16;
+
+}  // namespace internal
+
+roster::roster(std::string datagrams,
+               std::vector<std::string> seeds,
+               std::uint64_t seed)
+    : self_(std::move(datagrams)), seeds_(std::move(seeds)), random_(seed) {}
+
+bool roster::Hear(const hello& heard, time_point now) {
+  if (heard.datagrams == self_ || heard.vm.empty()) {
+    return false;
+  }
+  told_.erase(heard.datagrams);
+  const auto [at, added] = members_.try_emplace(heard.vm);
+  member& known = at->second;
+  if (!added && heard.incarnation < known.last.incarnation) {
+    return false;
+  }
+  known = {heard, now};
+  most_live_ = std::max(most_live_, members_.size());
+  for (const std::string& address : heard.known) {
+    const bool live =
+        std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+          return each.second.last.datagrams == address;
+        });
+    if (!live && address != self_ && told_.size() < internal::kMostTold) {
+      told_.try_emplace(address, 0);
+    }
+  }
+  return added;
+}
+
+std::vector<vm_id> roster::Expire(time_point now) {
+  std::vector<vm_id> dropped;
+  for (auto at = members_.begin(); at != members_.end();) {
+    if (at->second.heard_at + internal::kLiveFor < now) {
+      dropped.push_back(at->first);
+      at = members_.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  return dropped;
+}
+
+std::vector<std::string> roster::Live() const {
+  std::vector<std::string> addresses;
+  addresses.reserve(members_.size());
+  for (const auto& [vm, each] : members_) {
+    addresses.push_back(each.last.datagrams);
+  }
+  return addresses;
+}
+
+std::vector<std::string> roster::HelloTargets() {
+  std::vector<std::string> targets = Live();
+  for (std::size_t index = targets.size(); index > 1; --index) {
+    std::swap(targets[index - 1], targets[DrawBelow(random_, index)]);
+  }
+  targets.resize(std::min(targets.size(), internal::kMostHellos));
+  const auto add = [&](const std::string& address) {
+    if (address != self_ &&
+        std::find(targets.begin(), targets.end(), address) == targets.end()) {
+      targets.push_back(address);
+    }
+  };
+  for (const std::string& seed : seeds_) {
+    add(seed);
+  }
+  for (auto at = told_.begin(); at != told_.end();) {
+    add(at->first);
+    at = ++at->second >= internal::kMostTries ? told_.erase(at) : std::next(at);
+  }
+  return targets;
+}
+
+std::uint64_t roster::Sharers() const noexcept {
+  return most_live_ == 0 ? internal::kAssumedSharers : most_live_ + 1;
+}
+
+const member* roster::Newer(std::uint64_t changed_at) const {
+  const member* newest = nullptr;
+  for (const auto& [vm, each] : members_) {
+    if (each.last.changed_at > changed_at &&
+        (newest == nullptr || each.last.changed_at > newest->last.changed_at)) {
+      newest = &each;
+    }
+  }
+  return newest;
+}
+
+}  // namespace acaciaferry::mesh
--- /dev/null
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "acaciaferry/core/random.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/mesh/message.hpp"
+
+namespace acaciaferry::mesh {
+
+/** A VM that was heard. */
+struct member {
+  hello last;
+  time_point heard_at{};
+};
+
+/** How often each VM says hello. */
+inline constexpr duration kHelloInterval = std::chrono::milliseconds(500);
+
+/**
+ * @brief The VMs that are live, found through the seeds and through each
+ * other.
+ */
+class roster {
+ public:
+  /**
+   * @param datagrams This VM's datagram address.
+   * @param seeds Datagram addresses to begin with; they may be stale.
+   * @param seed Of the choice among many VMs.
+   */
+  roster(std::string datagrams,
+         std::vector<std::string> seeds,
+         std::uint64_t seed);
+
+  void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
+
+  /**
+   * @brief Takes a hello. One of an older incarnation is ignored.
+   * @return Whether the VM was not known as live.
+   */
+  bool Hear(const hello& heard, time_point now);
+
+  /** @brief Drops VMs that were not heard for a while.
+   * @return Those that were dropped. */
+  std::vector<vm_id> Expire(time_point now);
+
+  /** @return Addresses to say hello to now: live VMs, addresses that others
+   * know, and seeds. In a large fleet a changing part of them. */
+  [[nodiscard]] std::vector<std::string> HelloTargets();
+
+  /** @return Datagram addresses of the live VMs. */
+  [[nodiscard]] std::vector<std::string> Live() const;
+
+  /**
+   * @brief How many VMs share what is shared.
+   *
+   * The largest number of VMs that were ever live at once: a VM that is cut off
+   * must not spend the parts of the others.
+   */
+  [[nodiscard]] std::uint64_t Sharers() const noexcept;
+
+  /** @return The live VM that knows the newest published change, when that is
+   * newer than the given one. */
+  [[nodiscard]] const member* Newer(std::uint64_t changed_at) const;
+
+ private:
+  std::string self_;
+  std::vector<std::string> seeds_;
+  random_engine random_;
+  std::map<vm_id, member> members_;
+  /** Addresses that others told, not heard yet, and how often they were
+   * tried. */
+  std::map<std::string, std::uint32_t> told_;
+  std::size_t most_live_{};
+};
+
+}  // namespace acaciaferry::mesh
--- /dev/null
+++ b/src/acaciaferry/net/client.cpp
@@ -0,0 +1,247 @@
+#include "acaciaferry/net/client.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "acaciaferry/net/server.hpp"
+
+namespace acaciaferry::net {
+namespace internal {
+
+constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
+constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+
+// Ends a connection whose peer does not acknowledge what was sent, for example
+// behind a partition.
+constexpr int kUserTimeoutMs = 3'000;
+// Probes on a connection that is silent find a peer that lost its power.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveCount = 2;
+
+void SetLiveness(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS,
+             sizeof kKeepAliveIdleS);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalS,
+             sizeof kKeepAliveIntervalS);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveCount,
+             sizeof kKeepAliveCount);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
+             sizeof kUserTimeoutMs);
+}
+
+}  // namespace internal
+
+std::string_view ToString(exchange_failure failure) noexcept {
+  switch (failure) {
+    case exchange_failure::kNotConnected:
+      return "not_connected";
+    case exchange_failure::kNoResponse:
+      return "no_response";
+    case exchange_failure::kBroken:
+      return "broken";
+    case exchange_failure::kMalformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+client_exchange::client_exchange(boost::asio::io_context& loop,
+                                 exchange_handlers handlers)
+    : socket_(loop), timer_(loop), handlers_(std::move(handlers)) {}
+
+void client_exchange::Start(const std::string& address,
+                            std::string request,
+                            duration connect_timeout) {
+  request_ = std::move(request);
+  NewParser();
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      self->Fail(exchange_failure::kNotConnected);
+    });
+    return;
+  }
+  timer_.expires_after(connect_timeout);
+  timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->connected_) {
+          self->Fail(exchange_failure::kNotConnected);
+        }
+      });
+  socket_.async_connect(*endpoint, [self = shared_from_this()](
+                                       const boost::system::error_code& error) {
+    self->OnConnect(error);
+  });
+}
+
+void client_exchange::OnConnect(const boost::system::error_code& error) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Fail(exchange_failure::kNotConnected);
+    return;
+  }
+  connected_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  internal::SetLiveness(socket_.native_handle());
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(request_),
+      [self = shared_from_this()](const boost::system::error_code& failed,
+                                  std::size_t /*bytes*/) {
+        // A write that failed shows in the read as well, after any early
+        // response has been taken.
+        if (!failed) {
+          std::string().swap(self->request_);
+        }
+      });
+  if (handlers_.on_sent) {
+    handlers_.on_sent();
+  }
+  Read();
+}
+
+void client_exchange::Read() {
+  if (closed_ || reading_ || paused_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t bytes) {
+        self->reading_ = false;
+        self->OnRead(error, bytes);
+      });
+}
+
+void client_exchange::Resume() {
+  if (paused_) {
+    paused_ = false;
+    Read();
+  }
+}
+
+void client_exchange::OnRead(const boost::system::error_code& error,
+                             std::size_t bytes) {
+  if (closed_) {
+    return;
+  }
+  if (!error) {
+    any_bytes_ = true;
+    buffer_.append(chunk_.data(), bytes);
+    if (Parse()) {
+      Read();
+    }
+    return;
+  }
+  // A body without a length is complete only if the connection was closed in
+  // order, not reset.
+  if (error == boost::asio::error::eof && parser_->is_header_done()) {
+    boost::beast::error_code failed;
+    parser_->put_eof(failed);
+    if (!failed && parser_->is_done() && !skipping_) {
+      End();
+      return;
+    }
+  }
+  Fail(head_seen_ ? exchange_failure::kBroken : exchange_failure::kNoResponse);
+}
+
+void client_exchange::NewParser() {
+  skipping_ = false;
+  parser_ =
+      std::make_unique<message_parser<false>>([this](std::string_view part) {
+        if (!skipping_ && !closed_ && handlers_.on_body) {
+          handlers_.on_body(part);
+        }
+      });
+  parser_->header_limit(internal::kMaxHeadBytes);
+  parser_->body_limit(internal::kMaxBodyBytes);
+  // Parts of a body are handed out only after the handler has seen the head.
+  parser_->eager(false);
+}
+
+bool client_exchange::Parse() {
+  while (!closed_ && !buffer_.empty()) {
+    const bool had_head = parser_->is_header_done();
+    boost::beast::error_code error;
+    const std::size_t used = parser_->put(
+        boost::asio::buffer(buffer_.data(), buffer_.size()), error);
+    if (closed_) {
+      return false;
+    }
+    buffer_.erase(0, used);
+    if (error && error != boost::beast::http::error::need_more) {
+      Fail(head_seen_ ? exchange_failure::kBroken
+                      : exchange_failure::kMalformed);
+      return false;
+    }
+    if (!had_head && parser_->is_header_done()) {
+      const int status = parser_->response.status;
+      const bool interim = status < internal::kFirstFinalStatus &&
+                           status != internal::kSwitchingProtocols;
+      skipping_ = interim;
+      if (!interim) {
+        skipping_ = handlers_.on_head && !handlers_.on_head(parser_->response);
+        head_seen_ = head_seen_ || !skipping_;
+      }
+      if (closed_) {
+        return false;
+      }
+    }
+    if (parser_->is_done()) {
+      if (!skipping_) {
+        End();
+        return false;
+      }
+      NewParser();
+    } else if (error || (used == 0 && had_head)) {
+      return true;
+    }
+  }
+  return !closed_;
+}
+
+void client_exchange::Cancel() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  // The handlers may hold this exchange, and one of them may be running.
+  boost::asio::post(socket_.get_executor(),
+                    [self = shared_from_this()] { self->handlers_ = {}; });
+}
+
+void client_exchange::Fail(exchange_failure failure) {
+  if (closed_) {
+    return;
+  }
+  Cancel();
+  if (handlers_.on_failure) {
+    handlers_.on_failure(failure);
+  }
+}
+
+void client_exchange::End() {
+  Cancel();
+  if (handlers_.on_end) {
+    handlers_.on_end();
+  }
+}
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/connection.cpp
@@ -0,0 +1,261 @@
+#include "acaciaferry/net/connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace acaciaferry::net {
+namespace internal {
+
+// A client that sends more than this before its reply is complete is not read
+// on until then.
+constexpr std::size_t kMaxReadAhead = 64 * 1024;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeadTooLarge = 431;
+
+int StatusOf(const boost::beast::error_code& error) {
+  namespace http = boost::beast::http;
+  if (error == http::error::header_limit) {
+    return kHeadTooLarge;
+  }
+  if (error == http::error::body_limit) {
+    return kContentTooLarge;
+  }
+  return kBadRequest;
+}
+
+}  // namespace internal
+
+connection::connection(http_server& server, boost::asio::ip::tcp::socket socket)
+    : server_(&server),
+      socket_(std::move(socket)),
+      timer_(socket_.get_executor()) {}
+
+void connection::Start() {
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  BeginRequest();
+  Read();
+}
+
+bool connection::WillClose() const noexcept {
+  return !keep_alive_ || server_ == nullptr || server_->closing_;
+}
+
+void connection::BeginRequest() {
+  body_.clear();
+  head_started_ = false;
+  parser_ = std::make_unique<message_parser<true>>(
+      [this](std::string_view part) { body_ += part; });
+  const server_limits& limits = server_->limits_;
+  parser_->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
+  parser_->body_limit(limits.body_bytes);
+  SetTimer(limits.idle_timeout);
+}
+
+void connection::Read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      boost::asio::buffer(chunk_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t bytes) {
+        self->reading_ = false;
+        self->OnRead(error, bytes);
+      });
+}
+
+void connection::OnRead(const boost::system::error_code& error,
+                        std::size_t bytes) {
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    ClientGone();
+    return;
+  }
+  buffer_.append(chunk_.data(), bytes);
+  if (!current_) {
+    Parse();
+  }
+  if (!closed_ && (!current_ || buffer_.size() < internal::kMaxReadAhead)) {
+    Read();
+  }
+}
+
+void connection::Parse() {
+  while (!closed_ && !current_ && !close_after_write_ && !buffer_.empty()) {
+    if (!head_started_) {
+      head_started_ = true;
+      SetTimer(server_->limits_.head_timeout);
+    }
+    const bool had_head = parser_->is_header_done();
+    boost::beast::error_code error;
+    const std::size_t used = parser_->put(
+        boost::asio::buffer(buffer_.data(), buffer_.size()), error);
+    buffer_.erase(0, used);
+    if (error && error != boost::beast::http::error::need_more) {
+      Refuse(internal::StatusOf(error));
+      return;
+    }
+    if (!had_head && parser_->is_header_done()) {
+      SetTimer(server_->limits_.head_timeout);
+    }
+    if (parser_->is_done()) {
+      Dispatch();
+    } else if (error || used == 0) {
+      return;
+    }
+  }
+}
+
+void connection::Dispatch() {
+  timer_.cancel();
+  keep_alive_ = parser_->keep_alive();
+  current_ = std::make_shared<server_exchange>(weak_from_this());
+  current_->head = std::move(parser_->request);
+  current_->body = std::move(body_);
+  const auto exchange = current_;
+  server_->on_request_(exchange);
+}
+
+void connection::Refuse(int status) {
+  keep_alive_ = false;
+  if (server_->on_refusal_) {
+    server_->on_refusal_(status);
+  }
+  current_ = std::make_shared<server_exchange>(weak_from_this());
+  const auto exchange = current_;
+  exchange->Reply(status, {}, "");
+}
+
+void connection::Write(std::string bytes) {
+  if (closed_) {
+    return;
+  }
+  pending_ += bytes.size();
+  waiting_.push_back(std::move(bytes));
+  Flush();
+}
+
+void connection::Flush() {
+  if (!writing_.empty() || waiting_.empty() || closed_) {
+    return;
+  }
+  writing_ = std::move(waiting_.front());
+  waiting_.pop_front();
+  while (!waiting_.empty() && writing_.size() < kWriteHighWater) {
+    writing_ += waiting_.front();
+    waiting_.pop_front();
+  }
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(writing_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t /*bytes*/) {
+        const std::size_t written = self->writing_.size();
+        self->writing_.clear();
+        if (self->closed_) {
+          return;
+        }
+        if (error) {
+          self->ClientGone();
+          return;
+        }
+        const bool was_high = self->pending_ > kWriteHighWater;
+        self->pending_ -= written;
+        self->Flush();
+        if (self->close_after_write_ && self->pending_ == 0) {
+          self->Close();
+        } else if (was_high && self->pending_ <= kWriteHighWater &&
+                   self->current_ && self->current_->on_writable) {
+          self->current_->on_writable();
+        }
+      });
+}
+
+void connection::ReplyComplete(bool keep) {
+  if (closed_) {
+    return;
+  }
+  const bool close = !keep || WillClose();
+  if (!keep) {
+    Close();
+    return;
+  }
+  current_.reset();
+  if (close) {
+    close_after_write_ = true;
+    timer_.cancel();
+    SetTimer(server_ == nullptr ? duration(std::chrono::seconds(1))
+                                : server_->limits_.idle_timeout);
+    if (pending_ == 0) {
+      Close();
+    }
+    return;
+  }
+  BeginRequest();
+  // The reply may be complete while the handler of the request still runs:
+  // a next request is parsed in a turn of its own.
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (!self->closed_ && !self->current_) {
+      self->Parse();
+      self->Read();
+    }
+  });
+}
+
+void connection::ClientGone() {
+  const auto exchange = current_;
+  Close();
+  if (exchange && !exchange->complete_) {
+    exchange->complete_ = true;
+    if (exchange->on_client_gone) {
+      exchange->on_client_gone();
+    }
+  }
+}
+
+void connection::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  timer_.cancel();
+  current_.reset();
+  boost::system::error_code ignored;
+  socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  if (server_ != nullptr) {
+    const auto keep = shared_from_this();
+    server_->Forget(this);
+  }
+}
+
+void connection::SetTimer(duration delay) {
+  timer_.expires_after(delay);
+  timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->OnTimer();
+        }
+      });
+}
+
+void connection::OnTimer() {
+  // A timer that was set again meanwhile may have a completion in flight.
+  if (closed_ || current_ ||
+      timer_.expiry() > std::chrono::steady_clock::now()) {
+    return;
+  }
+  if (head_started_ && !close_after_write_) {
+    Refuse(internal::kRequestTimeout);
+  } else {
+    Close();
+  }
+}
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/connection.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <array>
+#include <deque>
+#include <memory>
+
+#include "acaciaferry/net/server.hpp"
+
+namespace acaciaferry::net {
+
+/**
+ * @brief One accepted connection: reads requests one at a time and writes their
+ * replies in order. Bytes of a next request wait until the reply is complete.
+ */
+class connection final : public std::enable_shared_from_this<connection> {
+ public:
+  connection(http_server& server, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  void Write(std::string bytes);
+  void ReplyComplete(bool keep);
+  void Close();
+  [[nodiscard]] bool IsIdle() const noexcept {
+    return !current_ && buffer_.empty() && writing_.empty();
+  }
+  [[nodiscard]] std::size_t Pending() const noexcept { return pending_; }
+  [[nodiscard]] bool WillClose() const noexcept;
+
+  /** @brief Detaches from a server that ends before the connection. */
+  void Orphan() { server_ = nullptr; }
+
+  /** Position in the server's list of connections. */
+  std::list<std::shared_ptr<connection>>::iterator self;
+
+ private:
+  void BeginRequest();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  void Parse();
+  void Dispatch();
+  void Refuse(int status);
+  void Flush();
+  void ClientGone();
+  void SetTimer(duration delay);
+  void OnTimer();
+
+  http_server* server_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::array<char, 16 * 1024> chunk_{};
+  std::string buffer_;
+  std::unique_ptr<message_parser<true>> parser_;
+  std::shared_ptr<server_exchange> current_;
+  std::string body_;
+  std::deque<std::string> waiting_;
+  std::string writing_;
+  std::size_t pending_{};
+  bool reading_{};
+  bool keep_alive_{};
+  bool close_after_write_{};
+  bool closed_{};
+  bool head_started_{};
+};
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/datagram.cpp
@@ -0,0 +1,83 @@
+#include "acaciaferry/net/datagram.hpp"
+
+#include <boost/asio/buffer.hpp>
+
+#include "acaciaferry/net/server.hpp"
+
+namespace acaciaferry::net {
+namespace internal {
+
+// Addresses come from peers; the table of parsed ones is bounded.
+constexpr std::size_t kMostEndpoints = 4'096;
+
+}  // namespace internal
+
+datagram_socket::datagram_socket(boost::asio::io_context& loop,
+                                 handler on_datagram)
+    : socket_(loop), on_datagram_(std::move(on_datagram)) {}
+
+std::optional<std::string> datagram_socket::Bind(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return "not an address of the form IP:PORT: " + address;
+  }
+  boost::system::error_code error;
+  const boost::asio::ip::udp::endpoint local(endpoint->address(),
+                                             endpoint->port());
+  socket_.open(local.protocol(), error);
+  if (!error) {
+    socket_.bind(local, error);
+  }
+  if (!error) {
+    socket_.non_blocking(true, error);
+  }
+  if (error) {
+    return "cannot receive datagrams at " + address + ": " + error.message();
+  }
+  Receive();
+  return std::nullopt;
+}
+
+bool datagram_socket::Send(const std::string& address, std::string_view bytes) {
+  auto at = endpoints_.find(address);
+  if (at == endpoints_.end()) {
+    const auto parsed = ParseEndpoint(address);
+    if (!parsed) {
+      return false;
+    }
+    if (endpoints_.size() >= internal::kMostEndpoints) {
+      endpoints_.clear();
+    }
+    at = endpoints_
+             .emplace(address, boost::asio::ip::udp::endpoint(parsed->address(),
+                                                              parsed->port()))
+             .first;
+  }
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), at->second,
+                  0, error);
+  return !error;
+}
+
+void datagram_socket::Receive() {
+  socket_.async_receive_from(
+      boost::asio::buffer(buffer_), sender_,
+      [this](const boost::system::error_code& error, std::size_t bytes) {
+        if (error == boost::asio::error::operation_aborted) {
+          return;
+        }
+        if (!error) {
+          on_datagram_({buffer_.data(), bytes});
+        }
+        if (socket_.is_open()) {
+          Receive();
+        }
+      });
+}
+
+void datagram_socket::Close() {
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/fwd.hpp
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace acaciaferry::net {
+
+class client_exchange;
+class connection;
+class datagram_socket;
+class http_server;
+class server_exchange;
+struct header_field;
+struct request_head;
+struct response_head;
+struct server_limits;
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/message.cpp
@@ -0,0 +1,83 @@
+#include "acaciaferry/net/message.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace acaciaferry::net {
+namespace internal {
+
+constexpr std::array<std::string_view, 9> kHopByHop{
+    "connection",          "keep-alive", "proxy-authenticate",
+    "proxy-authorization", "te",         "trailer",
+    "transfer-encoding",   "upgrade",    "content-length"};
+
+}  // namespace internal
+
+bool EqualNames(std::string_view a, std::string_view b) noexcept {
+  return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
+    return std::tolower(static_cast<unsigned char>(x)) ==
+           std::tolower(static_cast<unsigned char>(y));
+  });
+}
+
+std::string_view Find(const header_fields& fields,
+                      std::string_view name) noexcept {
+  for (const header_field& field : fields) {
+    if (EqualNames(field.name, name)) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+bool IsHopByHop(std::string_view name) noexcept {
+  return std::any_of(
+      internal::kHopByHop.begin(), internal::kHopByHop.end(),
+      [name](std::string_view other) { return EqualNames(name, other); });
+}
+
+std::string Serialize(const request_head& head, std::size_t body_bytes) {
+  std::string text = head.method + " " + head.target + " HTTP/1.1\r\n";
+  for (const header_field& field : head.fields) {
+    if (!IsHopByHop(field.name)) {
+      text += field.name + ": " + field.value + "\r\n";
+    }
+  }
+  if (body_bytes > 0 || (head.method != "GET" && head.method != "HEAD")) {
+    text += "Content-Length: " + std::to_string(body_bytes) + "\r\n";
+  }
+  text += "\r\n";
+  return text;
+}
+
+std::string_view Reason(int status) noexcept {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/parser.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <utility>
+// Boost 1.74 needs <utility> before its own headers with g++ 12.
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "acaciaferry/net/message.hpp"
+
+namespace acaciaferry::net {
+
+/**
+ * @brief Incremental HTTP/1.1 parser over Beast's, which passes parts of the
+ * body on without storing them.
+ * @tparam IsRequest Whether it parses requests or responses.
+ */
+template <bool IsRequest>
+class message_parser final
+    : public boost::beast::http::basic_parser<IsRequest> {
+ public:
+  using body_handler = std::function<void(std::string_view)>;
+
+  explicit message_parser(body_handler on_body) : on_body_(std::move(on_body)) {
+    this->eager(true);
+  }
+
+  request_head request;
+  response_head response;
+
+ private:
+  using error_code = boost::beast::error_code;
+  using text = boost::beast::string_view;
+
+  static std::string Copy(text value) { return {value.data(), value.size()}; }
+
+  void on_request_impl(boost::beast::http::verb /*method*/,
+                       text method,
+                       text target,
+                       int /*version*/,
+                       error_code& /*error*/) override {
+    request.method = Copy(method);
+    request.target = Copy(target);
+  }
+
+  void on_response_impl(int code,
+                        text /*reason*/,
+                        int /*version*/,
+                        error_code& /*error*/) override {
+    response.status = code;
+  }
+
+  void on_field_impl(boost::beast::http::field /*field*/,
+                     text name,
+                     text value,
+                     error_code& /*error*/) override {
+    auto& fields = IsRequest ? request.fields : response.fields;
+    fields.push_back({Copy(name), Copy(value)});
+  }
+
+  void on_header_impl(error_code& /*error*/) override {}
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                         error_code& /*error*/) override {}
+
+  std::size_t on_body_impl(text body, error_code& /*error*/) override {
+    on_body_({body.data(), body.size()});
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*size*/,
+                            text /*extensions*/,
+                            error_code& /*error*/) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/,
+                                 text body,
+                                 error_code& /*error*/) override {
+    on_body_({body.data(), body.size()});
+    return body.size();
+  }
+
+  void on_finish_impl(error_code& /*error*/) override {}
+
+  body_handler on_body_;
+};
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/server.cpp
@@ -0,0 +1,198 @@
+#include "acaciaferry/net/server.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+#include "acaciaferry/net/connection.hpp"
+
+namespace acaciaferry::net {
+namespace internal {
+
+// When no descriptor is left, accepting again at once would spin.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+constexpr std::size_t kMaxChunkHead = 32;
+
+std::string Head(int status, const header_fields& fields, bool close) {
+  std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
+                     std::string(Reason(status)) + "\r\n";
+  for (const header_field& field : fields) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  if (close) {
+    text += "Connection: close\r\n";
+  }
+  return text;
+}
+
+}  // namespace internal
+
+std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    const std::string& address) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  boost::system::error_code error;
+  const auto ip =
+      boost::asio::ip::make_address(address.substr(0, colon), error);
+  std::uint16_t port = 0;
+  const char* end = address.data() + address.size();
+  const auto parsed = std::from_chars(address.data() + colon + 1, end, port);
+  if (error || parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return boost::asio::ip::tcp::endpoint(ip, port);
+}
+
+void server_exchange::Reply(int status,
+                            const header_fields& fields,
+                            std::string_view reply_body) {
+  const auto owner = owner_.lock();
+  if (!owner || begun_) {
+    return;
+  }
+  begun_ = true;
+  complete_ = true;
+  std::string text = internal::Head(status, fields, owner->WillClose());
+  text += "Content-Length: " + std::to_string(reply_body.size()) + "\r\n\r\n";
+  if (head.method != "HEAD") {
+    text += reply_body;
+  }
+  owner->Write(std::move(text));
+  owner->ReplyComplete(true);
+}
+
+void server_exchange::BeginChunked(int status, const header_fields& fields) {
+  const auto owner = owner_.lock();
+  if (!owner || begun_) {
+    return;
+  }
+  begun_ = true;
+  std::string text = internal::Head(status, fields, owner->WillClose());
+  text += "Transfer-Encoding: chunked\r\n\r\n";
+  owner->Write(std::move(text));
+}
+
+void server_exchange::WriteChunk(std::string_view bytes) {
+  const auto owner = owner_.lock();
+  if (!owner || complete_ || bytes.empty()) {
+    return;
+  }
+  std::array<char, internal::kMaxChunkHead> size{};
+  const auto end =
+      std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16);
+  std::string text(size.data(), end.ptr);
+  text += "\r\n";
+  text += bytes;
+  text += "\r\n";
+  owner->Write(std::move(text));
+}
+
+void server_exchange::EndChunked() {
+  const auto owner = owner_.lock();
+  if (!owner || complete_) {
+    return;
+  }
+  complete_ = true;
+  owner->Write("0\r\n\r\n");
+  owner->ReplyComplete(true);
+}
+
+void server_exchange::Abort() {
+  complete_ = true;
+  if (const auto owner = owner_.lock()) {
+    owner->ReplyComplete(false);
+  }
+}
+
+std::size_t server_exchange::Pending() const {
+  const auto owner = owner_.lock();
+  return owner ? owner->Pending() : 0;
+}
+
+http_server::http_server(boost::asio::io_context& loop, handler on_request)
+    : loop_(loop),
+      acceptor_(loop),
+      accept_pause_(loop),
+      on_request_(std::move(on_request)) {}
+
+http_server::~http_server() {
+  StopListening();
+  while (!connections_.empty()) {
+    const auto last = connections_.front();
+    last->Close();
+    last->Orphan();
+  }
+}
+
+std::optional<std::string> http_server::Listen(const std::string& address) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return "not an address of the form IP:PORT: " + address;
+  }
+  boost::system::error_code error;
+  acceptor_.open(endpoint->protocol(), error);
+  if (!error) {
+    acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    acceptor_.bind(*endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return "cannot listen at " + address + ": " + error.message();
+  }
+  Accept();
+  return std::nullopt;
+}
+
+std::uint16_t http_server::Port() const {
+  boost::system::error_code error;
+  return acceptor_.local_endpoint(error).port();
+}
+
+void http_server::Accept() {
+  acceptor_.async_accept([this](const boost::system::error_code& error,
+                                boost::asio::ip::tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      accept_pause_.expires_after(internal::kAcceptPause);
+      accept_pause_.async_wait([this](const boost::system::error_code& stop) {
+        if (!stop && acceptor_.is_open()) {
+          Accept();
+        }
+      });
+      return;
+    }
+    if (connections_.size() < limits_.connections) {
+      const auto accepted =
+          std::make_shared<connection>(*this, std::move(socket));
+      accepted->self = connections_.insert(connections_.end(), accepted);
+      accepted->Start();
+    }
+    Accept();
+  });
+}
+
+void http_server::Forget(connection* which) {
+  connections_.erase(which->self);
+}
+
+void http_server::CloseIdle() {
+  const auto open = connections_;
+  for (const auto& each : open) {
+    if (each->IsIdle()) {
+      each->Close();
+    }
+  }
+}
+
+void http_server::StopListening() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  accept_pause_.cancel();
+}
+
+}  // namespace acaciaferry::net
--- /dev/null
+++ b/src/acaciaferry/net/server.hpp
@@ -0,0 +1,144 @@
+#pragma once
+
+#include <utility>
+// Boost 1.74 needs <utility> before its own headers with g++ 12.
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/net/message.hpp"
+#include "acaciaferry/net/parser.hpp"
+
+namespace acaciaferry::net {
+
+/**
+ * @brief What a client may send and how long it may take.
+ */
+struct server_limits {
+  std::uint64_t head_bytes{16'384};
+  std::uint64_t body_bytes{4'194'304};
+  /** From the first byte of a head to its last, and the same for a body. */
+  duration head_timeout{std::chrono::seconds(3)};
+  /** Between two requests of one connection. */
+  duration idle_timeout{std::chrono::seconds(15)};
+  std::size_t connections{2'048};
+};
+
+class connection;
+
+/**
+ * @brief One request on a server's connection, and the reply to it. All calls
+ * are made on the event loop's thread.
+ */
+class server_exchange {
+ public:
+  explicit server_exchange(std::weak_ptr<connection> owner)
+      : owner_(std::move(owner)) {}
+
+  request_head head;
+  std::string body;
+
+  /** @brief Called once if the client closes before the reply is complete. */
+  std::function<void()> on_client_gone;
+  /** @brief Called when the bytes that wait to be written have gone below the
+   * limit again, after Pending() was above it. */
+  std::function<void()> on_writable;
+
+  /** @brief Sends a whole reply. */
+  void Reply(int status, const header_fields& fields, std::string_view body);
+
+  /**
+   * @brief Sends a head; the body follows in chunks.
+   */
+  void BeginChunked(int status, const header_fields& fields);
+  void WriteChunk(std::string_view bytes);
+  void EndChunked();
+
+  /** @brief Closes the connection without the end of the reply. */
+  void Abort();
+
+  /** @return Whether a head was sent. */
+  [[nodiscard]] bool HasBegun() const noexcept { return begun_; }
+  [[nodiscard]] bool IsComplete() const noexcept { return complete_; }
+
+  /** @return Bytes that wait to be written to the client. */
+  [[nodiscard]] std::size_t Pending() const;
+
+ private:
+  friend class connection;
+
+  std::weak_ptr<connection> owner_;
+  bool begun_{};
+  bool complete_{};
+};
+
+/** Above this many unwritten bytes the sender of an answer is paused. */
+inline constexpr std::size_t kWriteHighWater = 64 * 1024;
+
+/**
+ * @brief Accepts connections and parses requests on an event loop.
+ */
+class http_server {
+ public:
+  using handler = std::function<void(std::shared_ptr<server_exchange>)>;
+  /** Called with the status of a request that was refused while it was read. */
+  using refusal_handler = std::function<void(int status)>;
+
+  http_server(boost::asio::io_context& loop, handler on_request);
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+  ~http_server();
+
+  /**
+   * @brief Listens at an address.
+   * @param address IP:PORT; port 0 takes any free one.
+   * @return An error text, or nothing when it listens.
+   */
+  [[nodiscard]] std::optional<std::string> Listen(const std::string& address);
+  [[nodiscard]] std::uint16_t Port() const;
+
+  void SetLimits(const server_limits& limits) { limits_ = limits; }
+  void OnRefusal(refusal_handler handler) { on_refusal_ = std::move(handler); }
+
+  /** @brief Adds `Connection: close` to every further reply. */
+  void CloseAfterReplies() noexcept { closing_ = true; }
+  /** @brief Closes the connections that wait for a request. */
+  void CloseIdle();
+  /** @brief Stops listening; open connections stay. */
+  void StopListening();
+
+  [[nodiscard]] std::size_t Connections() const noexcept {
+    return connections_.size();
+  }
+
+ private:
+  friend class connection;
+
+  void Accept();
+  void Forget(connection* which);
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer accept_pause_;
+  handler on_request_;
+  refusal_handler on_refusal_;
+  server_limits limits_;
+  bool closing_{};
+  std::list<std::shared_ptr<connection>> connections_;
+};
+
+/**
+ * @brief Parses an address of the form IP:PORT.
+ */
+[[nodiscard]] std::optional<boost::asio::ip::tcp::endpoint> ParseEndpoint(
+    const std::string& address);
+
+}  // namespace acaciaferry::net
