--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -202,7 +202,7 @@
                      const engine_properties& engine,
                      const target_id& id,
                      time_point now) {
-  const auto load = current.ledger.Load(id, duration::max(), now);
+  const auto load = current.ledger.Load(id, now);
   const std::uint64_t free =
       engine.memory_tokens - std::min(engine.memory_tokens, load.memory_tokens);
   return static_cast<std::uint64_t>(static_cast<double>(free) * kReservedShare);
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -105,9 +105,7 @@
   }
 }
 
-target_load load_ledger::Load(const target_id& id,
-                              duration strict_gap,
-                              time_point now) const {
+target_load load_ledger::Load(const target_id& id, time_point now) const {
   target_load load;
   const auto at = queues_.find(id);
   if (at == queues_.end()) {
@@ -129,12 +127,8 @@
     }
     ++load.writers;
     load.context_tokens += each.context_tokens;
-    const duration gap = each.target_gap;
-    if (gap > duration{}) {
-      load.strictest_gap = load.strictest_gap > duration{}
-                               ? std::min(load.strictest_gap, gap)
-                               : gap;
-      load.strict_writers += gap <= strict_gap ? 1 : 0;
+    if (each.target_gap > duration{}) {
+      load.paced.push_back({each.target_gap, each.worth});
     }
   }
   return load;
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -55,6 +55,12 @@
   time_point done{};
 };
 
+/** A writer whose events have to follow each other within a bound. */
+struct paced_writer {
+  duration target_gap{};
+  double worth{};
+};
+
 /**
  * @brief The load of one target as dispatches of all VMs tell it.
  */
@@ -63,10 +69,8 @@
   std::uint32_t parts{};
   std::uint64_t memory_tokens{};
   std::uint64_t context_tokens{};
-  /** Shortest bound on pauses of the writers; 0 for none. */
-  duration strictest_gap{};
-  /** Writers whose bound on pauses is at most the one asked about. */
-  std::uint32_t strict_writers{};
+  /** Writers that have a bound on pauses. */
+  std::vector<paced_writer> paced;
   /** Reads in the order in which the target works on them. */
   std::vector<unfinished_read> reads;
 
@@ -94,12 +98,9 @@
   /**
    * @brief Describes a target's load.
    * @param id The target.
-   * @param strict_gap Writers with a bound up to this count as strict.
    * @param now The time.
    */
-  [[nodiscard]] target_load Load(const target_id& id,
-                                 duration strict_gap,
-                                 time_point now) const;
+  [[nodiscard]] target_load Load(const target_id& id, time_point now) const;
 
   [[nodiscard]] std::size_t Jobs() const noexcept { return jobs_; }
 
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -74,16 +74,14 @@
 // Cost of a read to the writers of an engine: all that the engine has not read
 // yet is read in its next pass, within the pause between two events.
 double HarmToWriters(const option& on, duration reading) {
-  if (on.load.writers == 0 || on.load.strictest_gap <= duration{}) {
-    return 0;
+  const duration before = on.pass + on.backlog;
+  double harm = 0;
+  for (const paced_writer& each : on.load.paced) {
+    harm +=
+        each.worth * (Lateness(before + reading, each.target_gap, kGapShare) -
+                      Lateness(before, each.target_gap, kGapShare));
   }
-  const duration backlog = on.backlog;
-  const duration pause = on.pass + backlog + reading;
-  const double before =
-      Lateness(on.pass + backlog, on.load.strictest_gap, kGapShare);
-  const double after = Lateness(pause, on.load.strictest_gap, kGapShare);
-  return std::max(0.0, after - before) *
-         static_cast<double>(on.load.strict_writers);
+  return harm;
 }
 
 double Harm(const option& on, duration reading, bool is_part, time_point now) {
@@ -136,8 +134,7 @@
   std::vector<option> options;
   options.reserve(candidates.size());
   for (const target* each : candidates) {
-    option one{each, ledger.Load(each->id, duration::max(), now), {}, {}, 0,
-               {}};
+    option one{each, ledger.Load(each->id, now), {}, {}, 0, {}};
     one.backlog = one.load.Backlog();
     one.pass = PassTime(engine, one.load.writers + 1,
                         one.load.context_tokens + wanted.prompt_tokens);
@@ -293,7 +290,7 @@
   double least = 0;
   std::uint64_t equals = 0;
   for (const target* each : candidates) {
-    const auto load = ledger.Load(each->id, duration::max(), now);
+    const auto load = ledger.Load(each->id, now);
     const double cost =
         (load.writers + (each->failure_domain == nearby ? 0 : kAwayCost)) /
         std::max(each->slots, 1U);
