Wait for a place within the aim; tell busy targets from silent ones

Change: progress is taken before what is overdue; a target that answers others or has prompts to read gets as long again; a prompt that has no place, or would harm others, is placed again every 20 ms while its first event can be in time.

--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -33,6 +33,13 @@
 constexpr double kReservedShare = 0.8;
 // Share of the aim within which a span must be reserved.
 constexpr double kReserveShare = 0.5;
+// Harm to others, in late short requests, above which a call waits.
+constexpr double kWaitHarm = 0.3;
+// Share of the time until its first event is late that a call's placement may
+// take and still wait.
+constexpr double kWaitShare = 0.4;
+// How often a waiting call is placed again: a fraction of a pass.
+constexpr duration kPlaceAgain = std::chrono::milliseconds(20);
 constexpr duration kLateUrgency = std::chrono::milliseconds(1'000);
 constexpr std::uint32_t kMostUrgencyNumber = 9;
 
@@ -251,6 +258,19 @@
   return std::nullopt;
 }
 
+// A call waits for a better moment as long as its first event can still be in
+// time after it; then it takes what there is, or is refused.
+bool MayWait(const flight& of, duration first_event, time_point now) {
+  const duration left = AimLeft(of, now);
+  return first_event <
+             std::chrono::duration_cast<duration>(left * kWaitShare) &&
+         now + kLeastTimeLeft < of.deadline;
+}
+
+void Wait(flight& of, time_point now) {
+  of.place_at = now + kPlaceAgain;
+}
+
 void StartSpan(state& current,
                flight& of,
                const engine_properties& engine,
@@ -259,6 +279,11 @@
                effects& out) {
   auto plan =
       PlanSpan(current, engine, candidates, Demand(current, of, now), now);
+  const bool wait = !plan || plan->at.harm > kWaitHarm;
+  if (wait && MayWait(of, plan ? plan->at.first_event : kPlaceAgain, now)) {
+    Wait(of, now);
+    return;
+  }
   if (!plan) {
     Fail(current, of, failure_code::kSpanUnavailable, now, out);
     return;
@@ -316,6 +341,11 @@
   }
   const auto chosen = PlacePrompt(engine, candidates, current.ledger,
                                   Demand(current, of, now), kMostHelpers, now);
+  const bool wait = !chosen || chosen->harm > kWaitHarm;
+  if (wait && MayWait(of, chosen ? chosen->first_event : kPlaceAgain, now)) {
+    Wait(of, now);
+    return;
+  }
   if (!chosen) {
     Fail(current, of, failure_code::kShed, now, out);
     return;
@@ -349,6 +379,7 @@
 }
 
 void StartAttempt(state& current, flight& of, time_point now, effects& out) {
+  of.place_at.reset();
   const auto candidates = Candidates(current, of, now);
   if (candidates.empty()) {
     Fail(current, of, failure_code::kNoLiveTarget, now, out);
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -145,6 +145,7 @@
 
 struct trial {
   double cost{};
+  double harm{};
   std::size_t parts{};
   std::size_t first{};
   duration part{};
@@ -210,13 +211,15 @@
       helpers.end(),
       [](const option* a, const option* b) { return a->cost < b->cost; });
   duration last = options[first].done;
-  result.cost = Harm(options[first], result.part, is_part, now);
+  result.harm = Harm(options[first], result.part, is_part, now);
   for (std::size_t index = 0; index + 1 < parts; ++index) {
     last = std::max(last, helpers[index]->done);
-    result.cost += Harm(*helpers[index], result.part, is_part, now) + kPartCost;
+    result.harm += Harm(*helpers[index], result.part, is_part, now);
+    result.cost += kPartCost;
   }
   result.first_event = last + options[first].pass / 2;
-  result.cost += worth * Lateness(result.first_event, wanted.aim, kAimShare);
+  result.cost +=
+      result.harm + worth * Lateness(result.first_event, wanted.aim, kAimShare);
   return result;
 }
 
@@ -262,8 +265,11 @@
   // Orders the helpers of the best trial again.
   static_cast<void>(internal::Evaluate(options, best->first, best->parts, whole,
                                        wanted, now));
-  placement chosen{
-      options[best->first].which->id, {}, best->part, best->first_event};
+  placement chosen{options[best->first].which->id,
+                   {},
+                   best->part,
+                   best->first_event,
+                   best->harm};
   std::swap(options[best->first], options.back());
   options.pop_back();
   std::partial_sort(
--- a/src/acaciaferry/forwarding/placement.hpp
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -41,6 +41,8 @@
   duration part{};
   /** Predicted time until the first event. */
   duration first_event{};
+  /** Cost to other requests, in late short ones. */
+  double harm{};
 };
 
 /**
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -100,6 +100,7 @@
       return;
     }
     of->current->began = true;
+    current.targets.ShowedLife(of->current->target, now);
     switch (happened.verdict) {
       case answer_verdict::kServed:
         of->may_have_run = true;
@@ -134,6 +135,8 @@
       of->longest_gap = std::max(of->longest_gap, now - of->last_progress);
     }
     of->last_progress = now;
+    of->current->prolonged = false;
+    current.targets.ShowedLife(of->current->target, now);
     of->delivered = true;
     of->may_have_run = true;
     of->last_event = happened.last_event;
@@ -248,8 +251,9 @@
   void PassTime() {
     std::vector<call_id> due;
     for (const auto& [id, of] : current.flights) {
-      if (of.deadline <= now || (of.current && of.current->silent_at &&
-                                 *of.current->silent_at <= now)) {
+      if (of.deadline <= now || (of.place_at && *of.place_at <= now) ||
+          (of.current && of.current->silent_at &&
+           *of.current->silent_at <= now)) {
         due.push_back(id);
       }
     }
@@ -261,6 +265,8 @@
                  ? failure_code::kDeadlineExceeded
                  : failure_code::kDeadlineTooShort,
              now, out);
+      } else if (of.place_at) {
+        StartAttempt(current, of, now, out);
       } else {
         GiveUpSilent(of);
       }
@@ -276,20 +282,31 @@
   }
 
  private:
+  // A target that answers others, or that has other prompts to read, is busy:
+  // it gets as long again, once. One that shows no life is left.
   void GiveUpSilent(flight& of) {
-    if (!of.current->reservations.empty() && !of.current->sent) {
+    attempt& running = *of.current;
+    if (!running.reservations.empty() && !running.sent) {
       Fail(current, of, failure_code::kSpanUnavailable, now, out);
       return;
     }
-    const bool can_repeat = of.reached < of.what.max_attempts;
-    Distrust(current, of.current->target, distrust_reason::kSilent, now, out);
-    if (!can_repeat) {
-      // The target may still answer; the deadline bounds it.
-      of.current->silent_at.reset();
+    const time_point since = std::max(running.started, of.last_progress);
+    const duration waited = now - since;
+    const duration backlog = current.ledger.Load(running.target, now).Backlog();
+    const bool busy = current.targets.AliveSince(running.target, since) ||
+                      backlog > duration{};
+    if (busy && !running.prolonged) {
+      running.prolonged = true;
+      running.silent_at = now + std::max(waited, backlog);
       return;
     }
-    RepeatOrFail(current, of, of.current->sent, failure_code::kTargetLost,
-                 "silent", now, out);
+    if (!busy) {
+      Distrust(current, running.target, distrust_reason::kSilent, now, out);
+    }
+    if (!TryRepeat(current, of, running.sent, "silent", now, out)) {
+      // The target may still answer; the deadline bounds it.
+      running.silent_at.reset();
+    }
   }
 
   void RecordFailure(const target_id& id) {
@@ -351,9 +368,16 @@
 effects Reduce(state& current, const event& happened, time_point now) {
   internal::reducer step{current, now, {}};
   // What is overdue is handled first, so that a process that was paused
-  // decides nothing from a stale clock.
+  // decides nothing from a stale clock. Progress comes before that: a stream
+  // must not be resumed behind what was passed on already.
+  const bool progress = std::holds_alternative<answer_progressed>(happened);
+  if (progress) {
+    std::visit(step, happened);
+  }
   step.PassTime();
-  std::visit(step, happened);
+  if (!progress) {
+    std::visit(step, happened);
+  }
   return std::move(step.out);
 }
 
@@ -361,6 +385,9 @@
   time_point next = now + internal::kIdleWake;
   for (const auto& [id, of] : current.flights) {
     next = std::min(next, of.deadline);
+    if (of.place_at) {
+      next = std::min(next, *of.place_at);
+    }
     if (of.current && of.current->silent_at) {
       next = std::min(next, *of.current->silent_at);
     }
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -41,6 +41,8 @@
   /** When the next sign of progress is overdue; nothing when only the deadline
    * bounds it. */
   std::optional<time_point> silent_at;
+  /** Whether a busy target was given more time. */
+  bool prolonged{};
   duration predicted_first_event{};
 };
 
@@ -50,6 +52,8 @@
   time_point arrived{};
   time_point deadline{};
   std::optional<attempt> current;
+  /** When a call that waits for a place is placed again. */
+  std::optional<time_point> place_at;
   std::uint32_t attempts{};
   /** Targets of earlier attempts. */
   std::vector<target_id> tried;
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -105,6 +105,18 @@
   }
 }
 
+void target_table::ShowedLife(const target_id& id, time_point now) {
+  const auto at = entries_.find(id);
+  if (at != entries_.end()) {
+    at->second.last_life = std::max(at->second.last_life, now);
+  }
+}
+
+bool target_table::AliveSince(const target_id& id, time_point since) const {
+  const auto at = entries_.find(id);
+  return at != entries_.end() && at->second.last_life > since;
+}
+
 void target_table::Completed(const target_id& id, time_point /*now*/) {
   const auto at = entries_.find(id);
   if (at != entries_.end()) {
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -72,6 +72,11 @@
   /** @brief Takes distrust that a peer has found. */
   void DistrustUntil(const target_id& id, time_point until);
 
+  /** @brief Records that a target answered something. */
+  void ShowedLife(const target_id& id, time_point now);
+  /** @return Whether a target has answered anything since. */
+  [[nodiscard]] bool AliveSince(const target_id& id, time_point since) const;
+
   /** @brief Records that a target completed a request. */
   void Completed(const target_id& id, time_point now);
   /** @brief Records that a target failed a request that it ran.
@@ -95,6 +100,7 @@
     duration last_distrust{};
     /** Share of the last runs that failed, weighted by recency. */
     double failing{};
+    time_point last_life{};
     bool leaving{};
   };
 
