--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -93,7 +93,7 @@
   }
   const auto self = shared_from_this();
   report_(forwarding::answer_began{call_.what.id, attempt, judged.verdict,
-                                   head.status, judged.at_fault});
+                                   head.status, judged.at_fault, judged.load});
   return true;
 }
 
--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -36,6 +36,7 @@
   forwarding::answer_verdict verdict{};
   /** Address of another target at fault; may be empty. */
   std::string at_fault;
+  std::optional<forwarding::told_load> load;
   /** Whether the answer belongs to the request; one that does not is skipped.
    */
   bool is_ours{true};
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -352,6 +352,8 @@
           [](bool) {});
   }
   void operator()(const forwarding::tell_peers& what) const {
+    auto& again = self.ended_recently_;
+    again.insert(again.end(), what.ended.begin(), what.ended.end());
     self.Broadcast(mesh::load_news{what.jobs, what.ended, what.distrusted});
   }
   void operator()(const forwarding::record_decision& what) const {
@@ -440,8 +442,9 @@
 
 void entry_daemon::Hello() {
   const time_point now = clock_.Now();
-  for (const vm_id& gone : roster_.Expire(now)) {
-    log_.Note("peer_lost", {{"peer", gone.value}});
+  for (const mesh::hello& gone : roster_.Expire(now)) {
+    log_.Note("peer_lost", {{"peer", gone.vm.value}});
+    Post(forwarding::peer_ended{gone.incarnation});
   }
   const mesh::hello hello{settings_.vm,
                           incarnation_,
@@ -456,6 +459,10 @@
       datagrams_.Send(address, datagram);
     }
   }
+  // An end that is lost would leave a load that is not there.
+  if (!ended_recently_.empty()) {
+    Broadcast(mesh::load_news{{}, std::exchange(ended_recently_, {}), {}});
+  }
   const auto suspects =
       SuspectsToTell(state_.quarantine, internal::kSuspectsTold, now);
   if (!suspects.empty()) {
@@ -482,9 +489,14 @@
     return;
   }
   if (auto* hello = std::get_if<mesh::hello>(&*message)) {
-    if (roster_.Hear(*hello, now)) {
+    const auto news = roster_.Hear(*hello, now);
+    if (news.is_found) {
       log_.Note("peer_found", {{"peer", hello->vm.value}});
     }
+    if (news.replaced) {
+      log_.Note("peer_replaced", {{"peer", hello->vm.value}});
+      Post(forwarding::peer_ended{*news.replaced});
+    }
     if (hello->changed_at <= views_.View().changed_at) {
       peer_confirmed_ = now;
     }
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -93,6 +93,8 @@
   boost::asio::steady_timer hello_;
   boost::asio::steady_timer drain_;
   std::unordered_map<forwarding::call_id, std::shared_ptr<call_relay>> relays_;
+  /** Told to peers again with the next hello. */
+  std::vector<forwarding::job_key> ended_recently_;
   forwarding::call_id next_id_{1};
   std::optional<time_point> draining_since_;
   std::optional<time_point> peer_confirmed_;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -75,6 +75,13 @@
   kUnusable,
 };
 
+/** The load that a target tells with an answer. */
+struct told_load {
+  std::uint32_t running{};
+  std::uint32_t waiting{};
+  std::uint32_t slots{};
+};
+
 struct answer_began {
   call_id id{};
   std::uint32_t attempt{};
@@ -82,6 +89,7 @@
   int status{};
   /** Address of the target at fault when it is another one; else empty. */
   std::string at_fault;
+  std::optional<told_load> load;
 };
 
 /** Whole events of a stream were passed on to the caller. */
@@ -137,6 +145,11 @@
   std::vector<peer_distrust> distrusted;
 };
 
+/** A peer's process ended, was replaced by a newer one, or is out of reach. */
+struct peer_ended {
+  std::uint64_t incarnation{};
+};
+
 /** How many VMs are live, this one included. */
 struct peers_counted {
   std::uint64_t vms{1};
@@ -155,6 +168,7 @@
                            reservation_settled,
                            targets_published,
                            peer_load,
+                           peer_ended,
                            peers_counted,
                            suspects_heard,
                            time_passed>;
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -131,30 +131,17 @@
           {"target", running.target.value},
           {"helpers", Names(running.helpers)},
           {"predicted_ms", Millis(running.predicted_first_event)},
+          {"writers", std::to_string(current.ledger.Load(running.target, now).writers)},
+          {"memory", std::to_string(current.ledger.Load(running.target, now).memory_tokens)},
           {"waited_ms", Millis(now - of.arrived)},
           {"left_ms", Millis(of.deadline - now)}});
 }
 
-time_point ExpectedEnd(const engine_properties& engine,
-                       const flight& of,
-                       duration first_event,
-                       time_point now) {
-  const double events =
-      static_cast<double>(of.what.answer_tokens) / std::max(engine.stride, 1U);
-  // A pass with some reading takes about one and a half times a pass without.
-  constexpr double kBusyPass = 1.5;
-  const duration pass = PassTime(engine, 1, of.what.prompt_tokens);
-  return now + first_event +
-         std::chrono::duration_cast<duration>(pass * kBusyPass * events);
-}
-
 std::vector<job> PromptJobs(const state& current,
                             const engine_properties& engine,
                             const flight& of,
-                            const placement& at,
-                            time_point now) {
+                            const placement& at) {
   const job_key key = KeyOf(current, of.what.id, of.current->number);
-  const time_point end = ExpectedEnd(engine, of, at.first_event, now);
   const std::size_t parts = at.helpers.size() + 1;
   job first;
   first.key = key;
@@ -162,12 +149,12 @@
   first.reading = at.part;
   first.is_part = parts > 1;
   first.due = of.arrived + of.what.target_latency;
-  first.worth = Worth(ReadingTime(engine, of.what.prompt_tokens));
+  first.worth = Worth(engine, of.what.prompt_tokens);
   first.writes = true;
   first.target_gap = of.what.target_gap;
   first.memory_tokens = of.what.prompt_tokens + of.what.answer_tokens;
   first.context_tokens = of.what.prompt_tokens / parts;
-  first.expected_end = end;
+  first.latest_end = of.deadline;
   std::vector<job> jobs{first};
   for (const target_id& id : at.helpers) {
     job part = first;
@@ -175,7 +162,7 @@
     part.writes = false;
     part.memory_tokens = 0;
     part.context_tokens = 0;
-    part.expected_end = now + at.first_event;
+    
     jobs.push_back(part);
   }
   return jobs;
@@ -296,7 +283,7 @@
     plan->reservations[index].ticket = prefix + "-" + std::to_string(index);
   }
   started.reservations = std::move(plan->reservations);
-  std::vector<job> jobs = PromptJobs(current, engine, of, plan->at, now);
+  std::vector<job> jobs = PromptJobs(current, engine, of, plan->at);
   jobs.front().memory_tokens = plan->first_tokens;
   for (const target_id& id : plan->at.helpers) {
     const target* found = current.targets.Find(id);
@@ -341,13 +328,13 @@
   }
   const auto chosen = PlacePrompt(engine, candidates, current.ledger,
                                   Demand(current, of, now), kMostHelpers, now);
-  const bool wait = !chosen || chosen->harm > kWaitHarm;
-  if (wait && MayWait(of, chosen ? chosen->first_event : kPlaceAgain, now)) {
-    Wait(of, now);
+  if (!chosen) {
+    // No engine has the memory left by itself.
+    StartSpan(current, of, engine, candidates, now, out);
     return;
   }
-  if (!chosen) {
-    Fail(current, of, failure_code::kShed, now, out);
+  if (chosen->harm > kWaitHarm && MayWait(of, chosen->first_event, now)) {
+    Wait(of, now);
     return;
   }
   attempt& started = NewAttempt(of, chosen->first, now);
@@ -356,14 +343,18 @@
     const target* found = current.targets.Find(id);
     started.helpers.push_back({id, found ? found->address : "", ""});
   }
-  Announce(current, PromptJobs(current, engine, of, *chosen, now), now, out);
+  Announce(current, PromptJobs(current, engine, of, *chosen), now, out);
   Send(current, of, now, out);
 }
 
 }  // namespace
 
 job_key KeyOf(const state& current, call_id id, std::uint32_t number) {
-  return current.job_salt ^ (id << 8U | (number & 0xFFU));
+  constexpr unsigned kSequenceBits = 32;
+  constexpr unsigned kAttemptBits = 8;
+  const std::uint64_t sequence =
+      (id << kAttemptBits | (number & 0xFFU)) & 0xFFFF'FFFFU;
+  return current.job_salt << kSequenceBits | sequence;
 }
 
 std::string Millis(duration value) {
@@ -397,7 +388,7 @@
   taken.key = KeyOf(current, of.what.id, of.current->number);
   taken.target = chosen->id;
   taken.writes = true;
-  taken.expected_end = now + of.what.target_latency;
+  taken.latest_end = of.deadline;
   Announce(current, {taken}, now, out);
   Send(current, of, now, out);
 }
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -1,5 +1,7 @@
 #include "acaciaferry/forwarding/load_ledger.hpp"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace acaciaferry::forwarding {
@@ -17,6 +19,11 @@
 
 }  // namespace internal
 
+std::uint64_t SaltOfProcess(std::uint64_t incarnation) noexcept {
+  constexpr std::uint64_t kLowHalf = 0xFFFF'FFFF;
+  return XXH3_64bits(&incarnation, sizeof incarnation) & kLowHalf;
+}
+
 duration target_load::Backlog() const noexcept {
   duration total{};
   for (const unfinished_read& each : reads) {
@@ -41,6 +48,24 @@
   reads.erase(reads.begin(), at);
 }
 
+// All that a target has not read is read in its next pass, between two events
+// of its writers. A request that is still read has no events yet.
+void load_ledger::MarkPaused(queue& target_queue) {
+  duration backlog{};
+  for (const unfinished_read& each : target_queue.reads) {
+    backlog += each.remaining;
+  }
+  for (job& each : target_queue.jobs) {
+    const bool is_read = std::any_of(
+        target_queue.reads.begin(), target_queue.reads.end(),
+        [&](const unfinished_read& read) { return read.key == each.key; });
+    each.paused =
+        each.paused || (each.writes && !is_read &&
+                        each.target_gap > duration{} &&
+                        backlog > each.target_gap);
+  }
+}
+
 void load_ledger::Add(const job& added, time_point now) {
   const auto [at, fresh] = queues_.try_emplace(added.target);
   queue& target_queue = at->second;
@@ -55,6 +80,7 @@
     target_queue.reads.insert(
         added.is_part ? target_queue.reads.begin() : target_queue.reads.end(),
         read);
+    MarkPaused(target_queue);
   }
   targets_[added.key].push_back(added.target);
   ++jobs_;
@@ -83,6 +109,18 @@
   targets_.erase(found);
 }
 
+void load_ledger::EndAllOf(std::uint64_t salt, time_point now) {
+  std::vector<job_key> keys;
+  for (const auto& [key, targets] : targets_) {
+    if (SaltOf(key) == salt) {
+      keys.push_back(key);
+    }
+  }
+  for (const job_key key : keys) {
+    End(key, now);
+  }
+}
+
 void load_ledger::Forget(const target_id& id) {
   const auto at = queues_.find(id);
   if (at != queues_.end()) {
@@ -95,7 +133,7 @@
   std::vector<job_key> overdue;
   for (const auto& [id, target_queue] : queues_) {
     for (const job& each : target_queue.jobs) {
-      if (each.expected_end + internal::kOverdue < now) {
+      if (each.latest_end + internal::kOverdue < now) {
         overdue.push_back(each.key);
       }
     }
@@ -127,7 +165,7 @@
     }
     ++load.writers;
     load.context_tokens += each.context_tokens;
-    if (each.target_gap > duration{}) {
+    if (each.target_gap > duration{} && !each.paused) {
       load.paced.push_back({each.target_gap, each.worth});
     }
   }
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -11,9 +11,19 @@
 
 namespace acaciaferry::forwarding {
 
-/** Identifies a dispatch in the whole fleet. */
+/** Identifies a dispatch in the whole fleet: the upper half is the salt of the
+ * process that made it. */
 using job_key = std::uint64_t;
 
+/** @return The salt of a process's dispatches. */
+[[nodiscard]] std::uint64_t SaltOfProcess(std::uint64_t incarnation) noexcept;
+
+/** @return The part of a key that all dispatches of one process share. */
+[[nodiscard]] constexpr std::uint64_t SaltOf(job_key key) noexcept {
+  constexpr unsigned kSequenceBits = 32;
+  return key >> kSequenceBits;
+}
+
 /**
  * @brief What one dispatch does at one target: a read of a prompt or of a part
  * of it, a writer, or a call of a plain service.
@@ -34,12 +44,15 @@
   bool writes{};
   /** Longest pause between two events that is on time; 0 for no bound. */
   duration target_gap{};
+  /** Whether a pause over the bound is expected already, so that a further one
+   * does no harm. */
+  bool paused{};
   /** Prompt and expected answer that the target holds. */
   std::uint64_t memory_tokens{};
   /** Context, in tokens, that each step of the writer costs. */
   std::uint64_t context_tokens{};
-  /** When the answer is expected to be complete. */
-  time_point expected_end{};
+  /** When the request ends at the latest. */
+  time_point latest_end{};
 
   [[nodiscard]] bool operator==(const job&) const = default;
 };
@@ -81,7 +94,7 @@
 /**
  * @brief The dispatches that are not known to have ended, of this VM and of its
  * peers. A dispatch whose end is never told is dropped a while after its
- * expected end.
+ * latest end, or with the VM that made it.
  */
 class load_ledger {
  public:
@@ -90,6 +103,9 @@
   void Add(const job& added, time_point now);
   /** @brief Ends all jobs of a dispatch. */
   void End(job_key key, time_point now);
+  /** @brief Ends all jobs of a VM's process.
+   * @param salt As in the keys of its jobs; see SaltOf. */
+  void EndAllOf(std::uint64_t salt, time_point now);
   /** @brief Forgets everything about a target that has restarted or gone. */
   void Forget(const target_id& id);
   /** @brief Drops the jobs that are overdue. */
@@ -113,6 +129,7 @@
     time_point advanced_to{};
   };
 
+  static void MarkPaused(queue& target_queue);
   static void Advance(queue& target_queue, time_point now);
 
   std::unordered_map<target_id, queue> queues_;
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -187,13 +187,13 @@
                std::size_t first,
                std::size_t parts,
                duration whole,
+               double worth,
                const demand& wanted,
                time_point now) {
   trial result;
   result.parts = parts;
   result.first = first;
   result.part = whole / static_cast<std::int64_t>(parts);
-  const double worth = Worth(whole);
   const bool is_part = parts > 1;
   for (option& each : options) {
     each.done = PartDone(each, result.part, is_part);
@@ -225,9 +225,14 @@
 
 }  // namespace internal
 
-double Worth(duration whole_reading) noexcept {
-  constexpr double kWorthPerReadingSecond = 8.0;
-  return 1 + kWorthPerReadingSecond * ToSeconds(whole_reading);
+double Worth(const engine_properties& engine,
+             std::uint64_t prompt_tokens) noexcept {
+  // Used while the configuration names no usual length.
+  constexpr double kUsualPromptTokens = 10'000;
+  const double usual = engine.usual_prompt_tokens > 0
+                           ? engine.usual_prompt_tokens
+                           : kUsualPromptTokens;
+  return 1 + static_cast<double>(prompt_tokens) / usual;
 }
 
 std::optional<placement> PlacePrompt(const engine_properties& engine,
@@ -238,6 +243,7 @@
                                      time_point now) {
   auto options = internal::Options(engine, candidates, ledger, wanted, now);
   const duration whole = ReadingTime(engine, wanted.prompt_tokens);
+  const double worth = Worth(engine, wanted.prompt_tokens);
   std::optional<internal::trial> best;
   for (const std::size_t parts : internal::kParts) {
     const duration part = whole / static_cast<std::int64_t>(parts);
@@ -254,7 +260,8 @@
       return std::nullopt;
     }
     const auto trial =
-        internal::Evaluate(options, *first, parts, whole, wanted, now);
+        internal::Evaluate(options, *first, parts, whole, worth,
+                                 wanted, now);
     if (!best || trial.cost < best->cost) {
       best = trial;
     }
@@ -263,8 +270,8 @@
     return std::nullopt;
   }
   // Orders the helpers of the best trial again.
-  static_cast<void>(internal::Evaluate(options, best->first, best->parts, whole,
-                                       wanted, now));
+  static_cast<void>(internal::Evaluate(options, best->first, best->parts, whole, worth,
+                                 wanted, now));
   placement chosen{options[best->first].which->id,
                    {},
                    best->part,
--- a/src/acaciaferry/forwarding/placement.hpp
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -46,11 +46,12 @@
 };
 
 /**
- * @brief Values a request by the time that its prompt is read: callers value a
- * generation by its size.
- * @return The worth in units of a short request.
+ * @brief Values a request by its prompt: callers value a generation in
+ * proportion to its size.
+ * @return The worth in units of a very short request.
  */
-[[nodiscard]] double Worth(duration whole_reading) noexcept;
+[[nodiscard]] double Worth(const engine_properties& engine,
+                           std::uint64_t prompt_tokens) noexcept;
 
 /**
  * @brief Chooses targets for a prompt.
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -14,6 +14,14 @@
 constexpr duration kSweepInterval = std::chrono::seconds(1);
 constexpr duration kIdleWake = std::chrono::seconds(1);
 
+// Running, waiting and slots, as the target told them.
+std::string LoadText(const std::optional<told_load>& load) {
+  return load ? std::to_string(load->running) + "/" +
+                    std::to_string(load->waiting) + "/" +
+                    std::to_string(load->slots)
+              : "";
+}
+
 void RecordTarget(effects& out,
                   decision_kind kind,
                   const target_id& id,
@@ -100,6 +108,7 @@
       return;
     }
     of->current->began = true;
+    of->current->load = happened.load;
     current.targets.ShowedLife(of->current->target, now);
     switch (happened.verdict) {
       case answer_verdict::kServed:
@@ -237,6 +246,10 @@
     }
   }
 
+  void operator()(const peer_ended& happened) {
+    current.ledger.EndAllOf(SaltOfProcess(happened.incarnation), now);
+  }
+
   void operator()(const peers_counted& happened) {
     current.vms = std::max<std::uint64_t>(happened.vms, 1);
   }
@@ -342,6 +355,7 @@
             {"first_ms", Millis(first)},
             {"aim_ms", Millis(of.what.target_latency)},
             {"predicted_ms", Millis(of.current->predicted_first_event)},
+            {"load", LoadText(of.current->load)},
             {"gap_ms", Millis(of.longest_gap)},
             {"gap_aim_ms", Millis(of.what.target_gap)},
             {"whole_ms", Millis(now - of.arrived)}});
@@ -355,7 +369,7 @@
              const retry_bound& bound,
              std::uint64_t seed)
     : self(std::move(self_)), allowance(bound), random(seed) {
-  job_salt = random() << 32U;
+  job_salt = SaltOfProcess(self.second);
 }
 
 void AcceptPools(state& current, const routing_table& table) {
--- a/src/acaciaferry/forwarding/routing_table.hpp
+++ b/src/acaciaferry/forwarding/routing_table.hpp
@@ -37,7 +37,8 @@
   /** Per million pairs of a token and an earlier one. */
   double read_ms_per_m_pairs{};
   std::uint64_t read_tokens_per_step{};
-  double usual_answer_tokens{};
+  /** Mean number of tokens of a prompt. */
+  double usual_prompt_tokens{};
 };
 
 /**
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -41,6 +41,8 @@
   /** When the next sign of progress is overdue; nothing when only the deadline
    * bounds it. */
   std::optional<time_point> silent_at;
+  /** As the target told it with the head of its answer. */
+  std::optional<told_load> load;
   /** Whether a busy target was given more time. */
   bool prolonged{};
   duration predicted_first_event{};
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -120,22 +120,24 @@
           ToMillis(from.target_gap),
           from.memory_tokens,
           from.context_tokens,
-          ToMillis(from.expected_end - now)};
+          ToMillis(from.latest_end - now)};
 }
 
 forwarding::job FromWire(const job_wire& from, time_point now) {
-  return {from.key,
-          {from.target},
-          duration(std::clamp<std::int64_t>(from.reading_us, 0,
-                                            kMostMilliseconds * 1'000)),
-          from.is_part,
-          now + FromMillis(from.due_in_ms),
-          from.worth,
-          from.writes,
-          FromMillis(from.gap_ms),
-          from.memory_tokens,
-          from.context_tokens,
-          now + FromMillis(from.end_in_ms)};
+  forwarding::job job;
+  job.key = from.key;
+  job.target.value = from.target;
+  job.reading = duration(std::clamp<std::int64_t>(from.reading_us, 0,
+                                                  kMostMilliseconds * 1'000));
+  job.is_part = from.is_part;
+  job.due = now + FromMillis(from.due_in_ms);
+  job.worth = from.worth;
+  job.writes = from.writes;
+  job.target_gap = FromMillis(from.gap_ms);
+  job.memory_tokens = from.memory_tokens;
+  job.context_tokens = from.context_tokens;
+  job.latest_end = now + FromMillis(from.end_in_ms);
+  return job;
 }
 
 std::vector<std::string> Encode(const hello& from, time_point /*now*/) {
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -22,15 +22,19 @@
                std::uint64_t seed)
     : self_(std::move(datagrams)), seeds_(std::move(seeds)), random_(seed) {}
 
-bool roster::Hear(const hello& heard, time_point now) {
+roster::news roster::Hear(const hello& heard, time_point now) {
   if (heard.datagrams == self_ || heard.vm.empty()) {
-    return false;
+    return {};
   }
   told_.erase(heard.datagrams);
   const auto [at, added] = members_.try_emplace(heard.vm);
   member& known = at->second;
   if (!added && heard.incarnation < known.last.incarnation) {
-    return false;
+    return {};
+  }
+  news changed{added, {}};
+  if (!added && heard.incarnation > known.last.incarnation) {
+    changed.replaced = known.last.incarnation;
   }
   known = {heard, now};
   most_live_ = std::max(most_live_, members_.size());
@@ -43,14 +47,14 @@
       told_.try_emplace(address, 0);
     }
   }
-  return added;
+  return changed;
 }
 
-std::vector<vm_id> roster::Expire(time_point now) {
-  std::vector<vm_id> dropped;
+std::vector<hello> roster::Expire(time_point now) {
+  std::vector<hello> dropped;
   for (auto at = members_.begin(); at != members_.end();) {
     if (at->second.heard_at + internal::kLiveFor < now) {
-      dropped.push_back(at->first);
+      dropped.push_back(at->second.last);
       at = members_.erase(at);
     } else {
       ++at;
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -38,15 +38,22 @@
 
   void SetSeeds(std::vector<std::string> seeds) { seeds_ = std::move(seeds); }
 
+  /** What a hello has changed. */
+  struct news {
+    /** The VM was not known as live. */
+    bool is_found{};
+    /** Incarnation of the process that the VM ran before. */
+    std::optional<std::uint64_t> replaced;
+  };
+
   /**
    * @brief Takes a hello. One of an older incarnation is ignored.
-   * @return Whether the VM was not known as live.
    */
-  bool Hear(const hello& heard, time_point now);
+  news Hear(const hello& heard, time_point now);
 
   /** @brief Drops VMs that were not heard for a while.
    * @return Those that were dropped. */
-  std::vector<vm_id> Expire(time_point now);
+  std::vector<hello> Expire(time_point now);
 
   /** @return Addresses to say hello to now: live VMs, addresses that others
    * know, and seeds. In a large fleet a changing part of them. */
