--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -33,6 +33,11 @@
 constexpr double kReservedShare = 0.8;
 // Share of the aim within which a span must be reserved.
 constexpr double kReserveShare = 0.5;
+// Worth, in very short requests, of a second of an engine that has no second
+// left. Short prompts bring many times that, the longest less.
+constexpr double kFullPrice = 6;
+// Share of the engines' time up to which it has no price.
+constexpr double kFreeShare = 0.6;
 // Harm to others, in late short requests, above which a call waits.
 constexpr double kWaitHarm = 0.3;
 // Share of the time until its first event is late that a call's placement may
@@ -316,12 +321,32 @@
   }
 }
 
+// Whether the time that engines would spend on a prompt is worth more to the
+// prompts that come after it. Time has a price only when it is short.
+bool IsPricedOut(const state& current,
+                 const flight& of,
+                 const engine_properties& engine,
+                 std::size_t engines,
+                 time_point now) {
+  const double busy = current.ledger.Utilization(engines, now);
+  const double price =
+      kFullPrice * std::max(0.0, busy - kFreeShare) / (1 - kFreeShare);
+  const double reading =
+      ToSeconds(ReadingTime(engine, of.what.prompt_tokens));
+  return price * reading > Worth(engine, of.what.prompt_tokens);
+}
+
 void StartPrompt(state& current,
                  flight& of,
                  const engine_properties& engine,
                  const std::vector<const target*>& candidates,
                  time_point now,
                  effects& out) {
+  if (!of.delivered &&
+      IsPricedOut(current, of, engine, candidates.size(), now)) {
+    Fail(current, of, failure_code::kShed, now, out);
+    return;
+  }
   if (of.what.prompt_tokens + of.what.answer_tokens > engine.memory_tokens) {
     StartSpan(current, of, engine, candidates, now, out);
     return;
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -9,6 +9,7 @@
 
 // The end of a peer's dispatch is told in a datagram, which may be lost.
 constexpr duration kOverdue = std::chrono::seconds(2);
+constexpr duration kUtilizationWindow = std::chrono::seconds(2);
 constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
 
@@ -48,21 +49,39 @@
   reads.erase(reads.begin(), at);
 }
 
-// All that a target has not read is read in its next pass, between two events
-// of its writers. A request that is still read has no events yet.
+bool load_ledger::IsRead(const queue& target_queue, job_key key) {
+  return std::any_of(
+      target_queue.reads.begin(), target_queue.reads.end(),
+      [key](const unfinished_read& read) { return read.key == key; });
+}
+
+bool load_ledger::HasWriters(const queue& target_queue) {
+  return std::any_of(target_queue.jobs.begin(), target_queue.jobs.end(),
+                     [&](const job& each) {
+                       return each.writes && !IsRead(target_queue, each.key);
+                     });
+}
+
+// A pass with writers reads everything that was there when it began, and what
+// comes meanwhile waits for its end. Without writers a pass is a single step,
+// so that a new part goes ahead of all reads.
+std::vector<unfinished_read>::iterator load_ledger::PlaceOf(queue& target_queue,
+                                                            bool is_part) {
+  return is_part && !HasWriters(target_queue) ? target_queue.reads.begin()
+                                              : target_queue.reads.end();
+}
+
+// All that a target has not read is read between two events of its writers. A
+// request that is still read has no events yet.
 void load_ledger::MarkPaused(queue& target_queue) {
   duration backlog{};
   for (const unfinished_read& each : target_queue.reads) {
     backlog += each.remaining;
   }
   for (job& each : target_queue.jobs) {
-    const bool is_read = std::any_of(
-        target_queue.reads.begin(), target_queue.reads.end(),
-        [&](const unfinished_read& read) { return read.key == each.key; });
-    each.paused =
-        each.paused || (each.writes && !is_read &&
-                        each.target_gap > duration{} &&
-                        backlog > each.target_gap);
+    each.paused = each.paused || (each.writes && !IsRead(target_queue, each.key) &&
+                                  each.target_gap > duration{} &&
+                                  backlog > each.target_gap);
   }
 }
 
@@ -75,11 +94,15 @@
   Advance(target_queue, now);
   target_queue.jobs.push_back(added);
   if (added.reading > duration{}) {
+    recent_.emplace_back(now, added.reading);
+    recent_total_ += added.reading;
+    while (recent_.front().first + internal::kUtilizationWindow < now) {
+      recent_total_ -= recent_.front().second;
+      recent_.pop_front();
+    }
     const unfinished_read read{added.key, added.reading, added.is_part,
                                added.due, added.worth,   {}};
-    target_queue.reads.insert(
-        added.is_part ? target_queue.reads.begin() : target_queue.reads.end(),
-        read);
+    target_queue.reads.insert(PlaceOf(target_queue, added.is_part), read);
     MarkPaused(target_queue);
   }
   targets_[added.key].push_back(added.target);
@@ -121,6 +144,20 @@
   }
 }
 
+double load_ledger::Utilization(std::size_t targets, time_point now) const {
+  duration total = recent_total_;
+  for (const auto& [at, reading] : recent_) {
+    if (at + internal::kUtilizationWindow >= now) {
+      break;
+    }
+    total -= reading;
+  }
+  return targets == 0 ? 0
+                      : ToSeconds(total) /
+                            (ToSeconds(internal::kUtilizationWindow) *
+                             static_cast<double>(targets));
+}
+
 void load_ledger::Forget(const target_id& id) {
   const auto at = queues_.find(id);
   if (at != queues_.end()) {
@@ -156,6 +193,7 @@
     done += each.remaining;
     each.done = done;
   }
+  load.has_writers = HasWriters(current);
   load.reads = std::move(current.reads);
   for (const job& each : at->second.jobs) {
     load.memory_tokens += each.memory_tokens;
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "acaciaferry/core/name.hpp"
@@ -84,6 +86,8 @@
   std::uint64_t context_tokens{};
   /** Writers that have a bound on pauses. */
   std::vector<paced_writer> paced;
+  /** Whether some writer has begun, so that passes are long. */
+  bool has_writers{};
   /** Reads in the order in which the target works on them. */
   std::vector<unfinished_read> reads;
 
@@ -118,6 +122,14 @@
    */
   [[nodiscard]] target_load Load(const target_id& id, time_point now) const;
 
+  /**
+   * @brief Tells how busy targets are with reading.
+   * @param targets How many targets there are.
+   * @return Reading that was dispatched in the last two seconds, as a share of
+   * what the targets can read in that time.
+   */
+  [[nodiscard]] double Utilization(std::size_t targets, time_point now) const;
+
   [[nodiscard]] std::size_t Jobs() const noexcept { return jobs_; }
 
  private:
@@ -129,6 +141,10 @@
     time_point advanced_to{};
   };
 
+  [[nodiscard]] static bool IsRead(const queue& target_queue, job_key key);
+  [[nodiscard]] static bool HasWriters(const queue& target_queue);
+  [[nodiscard]] static std::vector<unfinished_read>::iterator PlaceOf(
+      queue& target_queue, bool is_part);
   static void MarkPaused(queue& target_queue);
   static void Advance(queue& target_queue, time_point now);
 
@@ -136,6 +152,9 @@
   /** Targets of each dispatch. */
   std::unordered_map<job_key, std::vector<target_id>> targets_;
   std::size_t jobs_{};
+  /** Time and length of the last reads. */
+  std::deque<std::pair<time_point, duration>> recent_;
+  duration recent_total_{};
 };
 
 /**
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -53,15 +53,15 @@
   return 0.01 * share + std::min(over, 1.0) + 0.05 * std::max(over - 1, 0.0);
 }
 
-// Cost of a read to the reads that it delays: a part delays all that the engine
-// has not finished, a whole prompt none.
+// Cost of a read to the reads that it delays: on an engine without writers a
+// part delays all that is not finished, else nothing is delayed.
 double HarmToReads(const option& on,
                    duration reading,
                    bool is_part,
                    time_point now) {
   double harm = 0;
   for (const unfinished_read& each : on.load.reads) {
-    if (!is_part || each.due <= now) {
+    if (!is_part || on.load.has_writers || each.due <= now) {
       continue;
     }
     const duration left = each.due - now;
@@ -88,11 +88,13 @@
   return HarmToWriters(on, reading) + HarmToReads(on, reading, is_part, now);
 }
 
-// A part waits, beside writers, for the pass to end that runs now; a whole
-// prompt also for everything that is read already.
+// Beside writers a read waits for the end of the pass that runs now, which
+// reads all that was there before; else a part goes ahead of all reads.
 duration PartDone(const option& on, duration reading, bool is_part) {
-  const duration residual = on.load.writers > 0 ? on.pass / 2 : duration{};
-  return (is_part ? duration{} : on.backlog) + residual + reading;
+  if (on.load.has_writers) {
+    return on.backlog + on.pass / 2 + reading;
+  }
+  return (is_part ? duration{} : on.backlog) + reading;
 }
 
 bool HasMemory(const engine_properties& engine,
