--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -20,7 +20,9 @@
 constexpr double kPackedShare = 0.8;
 // Cost, in late requests, of the first strict writer on an engine: it closes
 // the engine to long reads.
-constexpr double kOpeningCost = 0.25;
+constexpr double kOpeningCost = 0.5;
+// With this many writers an engine is closed to long reads anyway.
+constexpr double kOpenWriters = 8;
 // Cost of each further part, so that equal choices take the fewest engines.
 constexpr double kPartCost = 0.01;
 constexpr std::array<std::size_t, 12> kParts{1, 2,  3,  4,  5,  6,
@@ -114,7 +116,7 @@
                    const demand& wanted) {
   const double slots = std::max(on.which->slots, 1U);
   const double taken = (on.load.writers + 1) / slots;
-  double cost = 0.05 * taken;
+  double cost = 0.02 * taken;
   if (taken > kPackedShare) {
     cost += (taken - kPackedShare) * 5;
   }
@@ -174,8 +176,8 @@
     double cost = Harm(each, part, is_part, now) +
                   WritingCost(engine, each, wanted) +
                   Lateness(done, wanted.aim, kAimShare);
-    if (strict && each.load.writers == 0) {
-      cost += kOpeningCost;
+    if (strict) {
+      cost += kOpeningCost * std::max(0.0, 1 - each.load.writers / kOpenWriters);
     }
     if (!best || cost < least) {
       best = index;
