Withhold work from targets whose entries vanish around an outage

The VM had been cut off from the service; entries that vanish within 3 s of an outage were kept as usable for 2.2 s. Change: such targets are given work only when the pool has no other. After a failure the first watch is short, so that the contact is known soon. Ruled out: a late watch (the removal was taken 0.2 s after the service was back).

--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/entry/view_keeper.hpp"
 
 #include <msgpack.hpp>
+#include <tuple>
 #include <variant>
 
 namespace acaciaferry::entry {
@@ -14,14 +15,17 @@
 constexpr int kOk = 200;
 constexpr std::size_t kMostBodyBytes = 16U << 20U;
 
-using wire_items = std::map<std::string, std::pair<std::string, std::uint64_t>>;
+/** Value, revision, and whether it is missing. */
+using wire_item = std::tuple<std::string, std::uint64_t, bool>;
+using wire_items = std::map<std::string, wire_item>;
 
 }  // namespace internal
 
 std::string EncodeView(const publication::view& view) {
   internal::wire_items items;
   for (const auto& [key, item] : view.items) {
-    items.emplace(key, std::pair(item.value, item.revision));
+    items.emplace(key,
+                  internal::wire_item(item.value, item.revision, item.missing));
   }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, view.revision);
@@ -40,7 +44,8 @@
     view.revision = next().get().as<std::uint64_t>();
     view.changed_at = next().get().as<std::uint64_t>();
     for (auto& [key, item] : next().get().as<internal::wire_items>()) {
-      view.items[key] = {std::move(item.first), item.second};
+      auto& [value, revision, missing] = item;
+      view.items[key] = {std::move(value), revision, missing};
     }
     return view;
   } catch (const std::exception&) {
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -131,15 +131,18 @@
       of.what.id, running.number, running.target, to ? to->address : "",
       running.helpers, of.deadline - now, Urgency(of.what),
       of.delivered ? of.last_event : of.what.resume_after});
-  Record(out, decision_kind::kSent, of.what.label,
-         {{"attempt", std::to_string(running.number)},
-          {"target", running.target.value},
-          {"helpers", Names(running.helpers)},
-          {"predicted_ms", Millis(running.predicted_first_event)},
-          {"writers", std::to_string(current.ledger.Load(running.target, now).writers)},
-          {"memory", std::to_string(current.ledger.Load(running.target, now).memory_tokens)},
-          {"waited_ms", Millis(now - of.arrived)},
-          {"left_ms", Millis(of.deadline - now)}});
+  Record(
+      out, decision_kind::kSent, of.what.label,
+      {{"attempt", std::to_string(running.number)},
+       {"target", running.target.value},
+       {"helpers", Names(running.helpers)},
+       {"predicted_ms", Millis(running.predicted_first_event)},
+       {"writers",
+        std::to_string(current.ledger.Load(running.target, now).writers)},
+       {"memory",
+        std::to_string(current.ledger.Load(running.target, now).memory_tokens)},
+       {"waited_ms", Millis(now - of.arrived)},
+       {"left_ms", Millis(of.deadline - now)}});
 }
 
 std::vector<job> PromptJobs(const state& current,
@@ -167,7 +170,7 @@
     part.writes = false;
     part.memory_tokens = 0;
     part.context_tokens = 0;
-    
+
     jobs.push_back(part);
   }
   return jobs;
@@ -331,8 +334,7 @@
   const double busy = current.ledger.Utilization(engines, now);
   const double price =
       kFullPrice * std::max(0.0, busy - kFreeShare) / (1 - kFreeShare);
-  const double reading =
-      ToSeconds(ReadingTime(engine, of.what.prompt_tokens));
+  const double reading = ToSeconds(ReadingTime(engine, of.what.prompt_tokens));
   return price * reading > Worth(engine, of.what.prompt_tokens);
 }
 
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -79,9 +79,9 @@
     backlog += each.remaining;
   }
   for (job& each : target_queue.jobs) {
-    each.paused = each.paused || (each.writes && !IsRead(target_queue, each.key) &&
-                                  each.target_gap > duration{} &&
-                                  backlog > each.target_gap);
+    each.paused = each.paused ||
+                  (each.writes && !IsRead(target_queue, each.key) &&
+                   each.target_gap > duration{} && backlog > each.target_gap);
   }
 }
 
@@ -152,10 +152,10 @@
     }
     total -= reading;
   }
-  return targets == 0 ? 0
-                      : ToSeconds(total) /
-                            (ToSeconds(internal::kUtilizationWindow) *
-                             static_cast<double>(targets));
+  return targets == 0
+             ? 0
+             : ToSeconds(total) / (ToSeconds(internal::kUtilizationWindow) *
+                                   static_cast<double>(targets));
 }
 
 void load_ledger::Forget(const target_id& id) {
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -144,7 +144,8 @@
   [[nodiscard]] static bool IsRead(const queue& target_queue, job_key key);
   [[nodiscard]] static bool HasWriters(const queue& target_queue);
   [[nodiscard]] static std::vector<unfinished_read>::iterator PlaceOf(
-      queue& target_queue, bool is_part);
+      queue& target_queue,
+      bool is_part);
   static void MarkPaused(queue& target_queue);
   static void Advance(queue& target_queue, time_point now);
 
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -20,7 +20,7 @@
 constexpr double kPackedShare = 0.8;
 // Cost, in late requests, of the first strict writer on an engine: it closes
 // the engine to long reads.
-constexpr double kOpeningCost = 0.5;
+constexpr double kOpeningCost = 1.0;
 // With this many writers an engine is closed to long reads anyway.
 constexpr double kOpenWriters = 8;
 // Cost of each further part, so that equal choices take the fewest engines.
@@ -177,7 +177,8 @@
                   WritingCost(engine, each, wanted) +
                   Lateness(done, wanted.aim, kAimShare);
     if (strict) {
-      cost += kOpeningCost * std::max(0.0, 1 - each.load.writers / kOpenWriters);
+      cost +=
+          kOpeningCost * std::max(0.0, 1 - each.load.writers / kOpenWriters);
     }
     if (!best || cost < least) {
       best = index;
@@ -264,8 +265,7 @@
       return std::nullopt;
     }
     const auto trial =
-        internal::Evaluate(options, *first, parts, whole, worth,
-                                 wanted, now);
+        internal::Evaluate(options, *first, parts, whole, worth, wanted, now);
     if (!best || trial.cost < best->cost) {
       best = trial;
     }
@@ -274,8 +274,8 @@
     return std::nullopt;
   }
   // Orders the helpers of the best trial again.
-  static_cast<void>(internal::Evaluate(options, best->first, best->parts, whole, worth,
-                                 wanted, now));
+  static_cast<void>(internal::Evaluate(options, best->first, best->parts, whole,
+                                       worth, wanted, now));
   placement chosen{options[best->first].which->id,
                    {},
                    best->part,
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -159,7 +159,7 @@
   std::vector<const target*> usable;
   for (const auto& [id, known] : entries_) {
     if (known.published.pool == pool && !known.leaving &&
-        known.distrusted_until <= now) {
+        !known.published.missing && known.distrusted_until <= now) {
       usable.push_back(&known.published);
     }
   }
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -28,6 +28,9 @@
   /** Start of the target's process, in milliseconds since the Unix epoch; 0
    * when unknown. A restart may keep the id. */
   std::uint64_t incarnation{};
+  /** Whether its entry vanished around an outage of the service. It is given
+   * work only when the pool has no other target. */
+  bool missing{};
 
   [[nodiscard]] bool operator==(const target&) const = default;
 };
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -127,8 +127,8 @@
   forwarding::job job;
   job.key = from.key;
   job.target.value = from.target;
-  job.reading = duration(std::clamp<std::int64_t>(from.reading_us, 0,
-                                                  kMostMilliseconds * 1'000));
+  job.reading = duration(
+      std::clamp<std::int64_t>(from.reading_us, 0, kMostMilliseconds * 1'000));
   job.is_part = from.is_part;
   job.due = now + FromMillis(from.due_in_ms);
   job.worth = from.worth;
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -10,6 +10,7 @@
 // targets.
 constexpr duration kWatchSpacing = std::chrono::milliseconds(200);
 constexpr duration kWatchWait = std::chrono::milliseconds(10'000);
+constexpr duration kProbeWait = std::chrono::milliseconds(100);
 constexpr duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr duration kMaxBackoff = std::chrono::milliseconds(1'200);
 // Items whose lease ran out while the service was away are back within about
@@ -41,7 +42,9 @@
   if (listing_) {
     return list_call{prefixes_[prefix_], after_, stale_will_do_};
   }
-  return watch_call{view_.revision, internal::kWatchWait};
+  // After a failure a short watch shows soon whether the service is back.
+  return watch_call{view_.revision, failures_ > 0 ? internal::kProbeWait
+                                                  : internal::kWatchWait};
 }
 
 void reader::Answered(time_point now) {
@@ -96,7 +99,7 @@
   for (auto& [key, value] : collected_.items) {
     missing_.erase(key);
     item& known = view_.items[key];
-    if (known.revision < value.revision) {
+    if (known.revision < value.revision || known.missing) {
       known = std::move(value);
       changed = true;
     }
@@ -135,7 +138,7 @@
     missing_.erase(each.key);
     item& known = view_.items[each.key];
     if (known.revision <= each.revision) {
-      known = {*each.value, each.revision};
+      known = {*each.value, each.revision, false};
       changed = true;
     }
   }
@@ -145,8 +148,10 @@
 
 bool reader::Remove(const std::string& key, time_point now) {
   if (OutageIsRecent(now)) {
-    missing_.try_emplace(key, now + internal::kMissingGrace);
-    return false;
+    const bool added =
+        missing_.try_emplace(key, now + internal::kMissingGrace).second;
+    view_.items[key].missing = true;
+    return added;
   }
   missing_.erase(key);
   return view_.items.erase(key) > 0;
@@ -180,7 +185,7 @@
   }
 }
 
-bool reader::Adopt(const view& peers, time_point /*now*/) {
+bool reader::Adopt(const view& peers, time_point now) {
   if (peers.changed_at <= view_.changed_at) {
     return false;
   }
@@ -190,6 +195,11 @@
     view_.revision = peers.revision;
   }
   missing_.clear();
+  for (const auto& [key, value] : view_.items) {
+    if (value.missing) {
+      missing_.emplace(key, now + internal::kMissingGrace);
+    }
+  }
   return true;
 }
 
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -17,6 +17,8 @@
   std::string value;
   /** Revision of its last change. */
   std::uint64_t revision{};
+  /** Whether it vanished around an outage of the service and may come back. */
+  bool missing{};
 
   [[nodiscard]] bool operator==(const item&) const = default;
 };
