--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -106,7 +106,7 @@
 
 void view_keeper::Step() {
   const auto next = reader_.Next(clock_.Now());
-  if (const auto* wait = std::get_if<publication::pause>(&next)) {
+  if (const auto* wait = std::get_if<publication::wait_until>(&next)) {
     WakeAt(wait->until);
   } else if (const auto* list = std::get_if<publication::list_call>(&next)) {
     Call(words_.List(*list), internal::kListPatience,
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -37,7 +37,7 @@
 
 next_call reader::Next(time_point now) {
   if (now < not_before_) {
-    return pause{not_before_};
+    return wait_until{not_before_};
   }
   if (listing_) {
     return list_call{prefixes_[prefix_], after_, stale_will_do_};
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -50,11 +50,11 @@
 };
 
 /** Make no call before this time. */
-struct pause {
+struct wait_until {
   time_point until{};
 };
 
-using next_call = std::variant<list_call, watch_call, pause>;
+using next_call = std::variant<list_call, watch_call, wait_until>;
 
 /** A page of a listing. */
 struct page {
--- /dev/null
+++ b/test/acaciaferry/forwarding/load_ledger_test.cpp
@@ -0,0 +1,128 @@
+#include "acaciaferry/forwarding/load_ledger.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::forwarding;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const target_id kTarget{"t"};
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+job Read(job_key key, int reading_ms, bool is_part) {
+  job made;
+  made.key = key;
+  made.target = kTarget;
+  made.reading = milliseconds(reading_ms);
+  made.is_part = is_part;
+  made.latest_end = At(10'000);
+  return made;
+}
+
+job Writer(job_key key, int gap_ms) {
+  job made = Read(key, 0, false);
+  made.writes = true;
+  made.target_gap = milliseconds(gap_ms);
+  made.memory_tokens = 1'000;
+  made.worth = 1;
+  return made;
+}
+
+}  // namespace
+
+TEST_GROUP(LoadLedger){};
+
+// Guards against predictions that let an older part finish before a newer one:
+// engines without writers read the newest part first.
+TEST(LoadLedger, NewestPartFirstWithoutWriters) {
+  load_ledger ledger;
+  ledger.Add(Read(1, 100, true), At(0));
+  ledger.Add(Read(2, 50, true), At(20));
+  const auto reads = ledger.Load(kTarget, At(20)).reads;
+  LONGS_EQUAL(2, reads.size());
+  LONGS_EQUAL(2, reads[0].key);
+  CHECK_TRUE(reads[0].done == At(70));
+  CHECK_TRUE(reads[1].done == At(150));
+}
+
+// Guards against a part that is expected ahead of the pass that runs: an engine
+// with writers reads what was there when the pass began.
+TEST(LoadLedger, LaterPartsWaitBehindAPassWithWriters) {
+  load_ledger ledger;
+  ledger.Add(Writer(9, 250), At(0));
+  ledger.Add(Read(1, 100, true), At(0));
+  ledger.Add(Read(2, 50, true), At(20));
+  const auto load = ledger.Load(kTarget, At(20));
+  CHECK_TRUE(load.has_writers);
+  LONGS_EQUAL(1, load.reads[0].key);
+  CHECK_TRUE(load.reads[1].done == At(150));
+}
+
+// Guards against load that is worked off but still counted, and the other way
+// round.
+TEST(LoadLedger, WorksReadsOffAndDropsEndedOnes) {
+  load_ledger ledger;
+  ledger.Add(Read(1, 100, false), At(0));
+  ledger.Add(Read(2, 100, false), At(0));
+  CHECK_TRUE(ledger.Load(kTarget, At(50)).Backlog() == milliseconds(150));
+  ledger.End(2, At(60));
+  CHECK_TRUE(ledger.Load(kTarget, At(60)).Backlog() == milliseconds(40));
+  CHECK_TRUE(ledger.Load(kTarget, At(200)).Backlog() == milliseconds(0));
+}
+
+// Guards against charging a writer again for a pause that it suffers anyway.
+TEST(LoadLedger, PausedWritersAreNotListedAgain) {
+  load_ledger ledger;
+  ledger.Add(Writer(1, 250), At(0));
+  ledger.Add(Writer(2, 1'000), At(0));
+  ledger.Add(Read(3, 400, true), At(10));
+  const auto load = ledger.Load(kTarget, At(10));
+  LONGS_EQUAL(2, load.writers);
+  LONGS_EQUAL(1, load.paced.size());
+  CHECK_TRUE(load.paced.front().target_gap == milliseconds(1'000));
+}
+
+// Guards against the load of a peer that died, or whose end was lost, staying
+// for ever.
+TEST(LoadLedger, EndsJobsOfAProcessAndOverdueOnes) {
+  load_ledger ledger;
+  const std::uint64_t salt = SaltOfProcess(42);
+  ledger.Add(Writer(salt << 32U | 1U, 250), At(0));
+  ledger.Add(Writer(7, 250), At(0));
+  ledger.EndAllOf(salt, At(10));
+  LONGS_EQUAL(1, ledger.Jobs());
+  ledger.Expire(At(11'000));
+  LONGS_EQUAL(1, ledger.Jobs());
+  ledger.Expire(At(13'000));
+  LONGS_EQUAL(0, ledger.Jobs());
+}
+
+// Guards against a utilization that never falls again.
+TEST(LoadLedger, UtilizationCoversTheLastTwoSeconds) {
+  load_ledger ledger;
+  ledger.Add(Read(1, 1'000, true), At(0));
+  ledger.Add(Read(2, 1'000, true), At(1'500));
+  DOUBLES_EQUAL(0.5, ledger.Utilization(2, At(1'500)), 1e-9);
+  DOUBLES_EQUAL(0.25, ledger.Utilization(2, At(2'500)), 1e-9);
+  DOUBLES_EQUAL(0.0, ledger.Utilization(2, At(5'000)), 1e-9);
+}
+
+// Guards against wrong reading times, on which all placement rests: 45,000
+// tokens at 206 a millisecond and 0.138 ms per million pairs take 358 ms.
+TEST(LoadLedger, PredictsReadingTimes) {
+  engine_properties engine;
+  engine.read_tokens_per_ms = 206;
+  engine.read_ms_per_m_pairs = 0.138;
+  DOUBLES_EQUAL(358.2, ToMilliseconds(ReadingTime(engine, 45'000)), 0.1);
+  engine.stride = 43;
+  engine.step_ms = 1.02;
+  engine.step_ms_per_writer = 0.00226;
+  engine.step_ms_per_k_context = 0.00431;
+  DOUBLES_EQUAL(44.98, ToMilliseconds(PassTime(engine, 2, 5'000)), 0.01);
+}
--- /dev/null
+++ b/test/acaciaferry/forwarding/placement_test.cpp
@@ -0,0 +1,167 @@
+#include "acaciaferry/forwarding/placement.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+engine_properties Engine() {
+  engine_properties engine;
+  engine.slots = 16;
+  engine.memory_tokens = 232'000;
+  engine.stride = 43;
+  engine.step_ms = 1.02;
+  engine.step_ms_per_writer = 0.00226;
+  engine.step_ms_per_k_context = 0.00431;
+  engine.read_tokens_per_ms = 206;
+  engine.read_ms_per_m_pairs = 0.138;
+  engine.usual_prompt_tokens = 12'000;
+  return engine;
+}
+
+struct fleet {
+  explicit fleet(int count) {
+    for (int i = 0; i < count; ++i) {
+      target one;
+      one.id.value = "e" + std::to_string(i);
+      one.slots = 16;
+      targets.push_back(one);
+    }
+    for (const target& each : targets) {
+      candidates.push_back(&each);
+    }
+  }
+
+  job Writer(const target_id& at, job_key key) const {
+    job made;
+    made.key = key;
+    made.target = at;
+    made.writes = true;
+    made.target_gap = milliseconds(250);
+    made.worth = 1.4;
+    made.memory_tokens = 6'000;
+    made.latest_end = At(10'000);
+    return made;
+  }
+
+  std::vector<target> targets;
+  std::vector<const target*> candidates;
+  load_ledger ledger;
+};
+
+demand Short() {
+  return {5'000, 1'300, 6'300, 1, milliseconds(300), milliseconds(250), {}};
+}
+
+demand Long() {
+  return {133'000, 700, 133'700, 1, milliseconds(3'000), milliseconds(1'000),
+          {}};
+}
+
+bool Uses(const placement& chosen, const target_id& id) {
+  return chosen.first == id ||
+         std::find(chosen.helpers.begin(), chosen.helpers.end(), id) !=
+             chosen.helpers.end();
+}
+
+}  // namespace
+
+TEST_GROUP(Placement){};
+
+// Guards against short prompts that are spread over the fleet, so that no
+// engine is left where a long prompt pauses nobody.
+TEST(Placement, ShortPromptsArePackedWhileTheyAreInTime) {
+  fleet engines(4);
+  engines.ledger.Add(engines.Writer({"e2"}, 1), At(0));
+  const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
+                                  Short(), 16, At(0));
+  STRCMP_EQUAL("e2", chosen->first.value.c_str());
+}
+
+// Guards against an engine that is packed beyond its slots while others are
+// free: the load of a burst of short prompts.
+TEST(Placement, ShortPromptsLeaveAFullEngine) {
+  fleet engines(2);
+  for (job_key key = 1; key <= 16; ++key) {
+    engines.ledger.Add(engines.Writer({"e0"}, key), At(0));
+  }
+  const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
+                                  Short(), 16, At(0));
+  STRCMP_EQUAL("e1", chosen->first.value.c_str());
+}
+
+// Guards against pauses of short streams: the mixed load in which a long prompt
+// can be read in time by engines without short writers.
+TEST(Placement, LongPromptsSparePacedWriters) {
+  fleet engines(6);
+  for (job_key key = 1; key <= 8; ++key) {
+    engines.ledger.Add(engines.Writer({"e0"}, key), At(0));
+  }
+  const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
+                                  Long(), 16, At(0));
+  CHECK_FALSE(Uses(*chosen, {"e0"}));
+  CHECK_TRUE(chosen->first_event < milliseconds(3'000));
+}
+
+// Guards against a long prompt that one engine cannot read in time.
+TEST(Placement, SplitsWhatOneEngineCannotReadInTime) {
+  fleet engines(8);
+  demand wanted = Long();
+  wanted.prompt_tokens = 220'000;
+  wanted.memory_tokens = 220'700;
+  const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
+                                  wanted, 16, At(0));
+  CHECK_TRUE(chosen->helpers.size() >= 1);
+  CHECK_TRUE(chosen->first_event < milliseconds(3'000));
+}
+
+// Guards against a target that preempts for want of memory.
+TEST(Placement, RefusesWithoutMemory) {
+  fleet engines(1);
+  job held = engines.Writer({"e0"}, 1);
+  held.memory_tokens = 150'000;
+  engines.ledger.Add(held, At(0));
+  CHECK_FALSE(PlacePrompt(Engine(), engines.candidates, engines.ledger, Long(),
+                          16, At(0))
+                  .has_value());
+}
+
+// Guards against more helpers than asked for.
+TEST(Placement, KeepsToTheNumberOfHelpers) {
+  fleet engines(20);
+  demand wanted = Long();
+  wanted.aim = milliseconds(50);
+  const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
+                                  wanted, 2, At(0));
+  CHECK_TRUE(chosen->helpers.size() <= 2);
+}
+
+// Guards against calls that pile up on one target, and against crossing failure
+// domains without need.
+TEST(Placement, CallsGoToTheLeastLoadedNearbyTarget) {
+  fleet services(3);
+  services.targets[0].failure_domain.value = "a";
+  services.targets[1].failure_domain.value = "b";
+  services.targets[2].failure_domain.value = "b";
+  random_engine random(7);
+  const auto place = [&] {
+    return PlaceCall(services.candidates, services.ledger, {"a"}, random, At(0))
+        ->id.value;
+  };
+  STRCMP_EQUAL("e0", place().c_str());
+  services.ledger.Add(services.Writer({"e0"}, 1), At(0));
+  CHECK_TRUE(place() != "e0");
+}
+
+// Guards against a worth that makes very long prompts outweigh everything.
+TEST(Placement, WorthGrowsInProportionToTheLength) {
+  DOUBLES_EQUAL(2.0, Worth(Engine(), 12'000), 1e-9);
+  DOUBLES_EQUAL(51.0, Worth(Engine(), 600'000), 1e-9);
+}
--- /dev/null
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -0,0 +1,401 @@
+#include "acaciaferry/forwarding/state.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+const pool_id kService{"service"};
+const pool_id kModel{"model"};
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+engine_properties Engine() {
+  engine_properties engine;
+  engine.slots = 16;
+  engine.memory_tokens = 200'000;
+  engine.stride = 43;
+  engine.step_ms = 1.02;
+  engine.read_tokens_per_ms = 206;
+  engine.read_ms_per_m_pairs = 0.138;
+  engine.usual_prompt_tokens = 12'000;
+  return engine;
+}
+
+target Target(const std::string& id, const pool_id& pool) {
+  target made;
+  made.id.value = id;
+  made.pool = pool;
+  made.address = id + ":1";
+  made.slots = 16;
+  return made;
+}
+
+// A reducer with three targets of a plain service and six engines.
+struct fixture {
+  fixture()
+      : now(At(0)),
+        current({{"vm"}, 1}, {0.2, std::chrono::seconds(10), 50}, 7) {
+    routing_table table;
+    table.pools = {{kService, {}}, {kModel, Engine()}};
+    AcceptPools(current, table);
+    std::vector<target> targets;
+    for (int i = 0; i < 3; ++i) {
+      targets.push_back(Target("s" + std::to_string(i), kService));
+    }
+    for (int i = 0; i < 6; ++i) {
+      targets.push_back(Target("e" + std::to_string(i), kModel));
+    }
+    Post(targets_published{targets});
+  }
+
+  effects Post(const event& happened) {
+    last = Reduce(current, happened, now);
+    return last;
+  }
+
+  effects PostAt(int ms, const event& happened) {
+    now = At(ms);
+    return Post(happened);
+  }
+
+  template <typename Effect>
+  std::vector<Effect> All() const {
+    std::vector<Effect> found;
+    for (const effect& each : last) {
+      if (const auto* one = std::get_if<Effect>(&each)) {
+        found.push_back(*one);
+      }
+    }
+    return found;
+  }
+
+  // Sends a call and returns the attempt.
+  send_attempt Start(call_kind kind,
+                     const pool_id& pool,
+                     std::uint64_t tokens = 0,
+                     bool resumable = true) {
+    call what;
+    what.id = ++id;
+    what.label = "c" + std::to_string(id);
+    what.pool = pool;
+    what.kind = kind;
+    what.resumable = resumable;
+    what.max_attempts = 2;
+    what.time_limit = milliseconds(10'000);
+    what.target_latency = milliseconds(300);
+    what.target_gap = milliseconds(pool == kModel ? 250 : 0);
+    what.prompt_tokens = tokens;
+    what.answer_tokens = tokens == 0 ? 0 : 1'000;
+    what.fingerprint = id;
+    Post(call_arrived{what});
+    const auto sent = All<send_attempt>();
+    return sent.empty() ? send_attempt{} : sent.front();
+  }
+
+  void Sent(const send_attempt& attempt) {
+    Post(attempt_sent{attempt.id, attempt.attempt});
+  }
+
+  failure Refusal() const { return All<refuse_call>().front().why; }
+
+  time_point now;
+  state current;
+  effects last;
+  call_id id{};
+};
+
+}  // namespace
+
+TEST_GROUP(ForwardingReduce){};
+
+// Guards against a non-idempotent call that runs twice: an answer that was lost
+// may have been a run.
+TEST(ForwardingReduce, NonIdempotentCallsAreSentOnce) {
+  fixture fleet;
+  const auto sent = fleet.Start(call_kind::kNonIdempotent, kService);
+  fleet.Sent(sent);
+  fleet.Post(attempt_lost{sent.id, 1, attempt_loss::kNoAnswer});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
+  LONGS_EQUAL(502, Describe(fleet.Refusal().code).http_status);
+}
+
+// Guards against a promise of "not run" for a call that a target has got, when
+// its time is over.
+TEST(ForwardingReduce, ExpiredCallsThatWereSentAreUnknown) {
+  fixture fleet;
+  const auto sent = fleet.Start(call_kind::kNonIdempotent, kService);
+  fleet.Sent(sent);
+  fleet.PostAt(10'000, time_passed{});
+  LONGS_EQUAL(504, Describe(fleet.Refusal().code).http_status);
+  CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
+  CHECK_FALSE(fleet.Refusal().retry_after.has_value());
+  LONGS_EQUAL(1, fleet.All<cancel_attempt>().size());
+}
+
+// Guards against giving up a call that no target has got, and against asking
+// the same target again.
+TEST(ForwardingReduce, UnreachableTargetsAreReplacedForAnyCall) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kNonIdempotent, kService);
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kNotConnected});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  CHECK_TRUE(again[0].target != first.target);
+  // A peer is told, so that it does not try the target as well.
+  bool told = false;
+  for (const tell_peers& each : fleet.All<tell_peers>()) {
+    told = told || !each.distrusted.empty();
+  }
+  CHECK_TRUE(told);
+}
+
+// Guards against a call that is refused although the target said that it did
+// not run it and others are free.
+TEST(ForwardingReduce, RejectedCallsAreSentElsewhere) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kNonIdempotent, kService);
+  fleet.Sent(first);
+  fleet.Post(answer_began{first.id, 1, answer_verdict::kNotRun, 503, "", {}});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  fleet.Sent(again[0]);
+  fleet.Post(answer_began{first.id, 2, answer_verdict::kNotRun, 503, "", {}});
+  CHECK_TRUE(fleet.Refusal().result == outcome::kNotRun);
+  CHECK_TRUE(fleet.Refusal().retry_after.has_value());
+}
+
+// Guards against more attempts than the route allows.
+TEST(ForwardingReduce, IdempotentCallsAreRepeatedUpToTheBound) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.Sent(first);
+  fleet.Post(answer_began{first.id, 1, answer_verdict::kFailed, 500, "", {}});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  fleet.Sent(again[0]);
+  fleet.Post(answer_began{first.id, 2, answer_verdict::kFailed, 500, "", {}});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  // The target's own failure is passed on.
+  fleet.Post(answer_ended{first.id, 2});
+  LONGS_EQUAL(1, fleet.All<deliver_answer>().size());
+}
+
+// Guards against a stream that is joined wrongly: it goes on behind the last
+// event that was passed on.
+TEST(ForwardingReduce, BrokenStreamsResumeBehindTheLastEvent) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(answer_began{first.id, 1, answer_verdict::kServed, 200, "", {}});
+  fleet.Post(answer_progressed{first.id, 1, 4});
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kBroken});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  LONGS_EQUAL(4, again[0].resume_after);
+}
+
+// Guards against pieces of two runs: a stream that may not be resumed ends.
+TEST(ForwardingReduce, OtherStreamsAreBrokenOff) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000, false);
+  fleet.Sent(first);
+  fleet.Post(answer_began{first.id, 1, answer_verdict::kServed, 200, "", {}});
+  fleet.Post(answer_progressed{first.id, 1, 4});
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kBroken});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  LONGS_EQUAL(1, fleet.All<abort_answer>().size());
+}
+
+// Guards against events that come twice: progress that arrives after its pause
+// is over belongs to the running attempt, not behind a resumed one.
+TEST(ForwardingReduce, ProgressComesBeforeWhatIsOverdue) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(answer_began{first.id, 1, answer_verdict::kServed, 200, "", {}});
+  fleet.Post(answer_progressed{first.id, 1, 1});
+  fleet.PostAt(5'000, answer_progressed{first.id, 1, 9});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  fleet.PostAt(9'000, time_passed{});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  LONGS_EQUAL(9, again[0].resume_after);
+}
+
+// Guards against events of an attempt that was given up.
+TEST(ForwardingReduce, SupersededAttemptsChangeNothing) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.Sent(first);
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kNoAnswer});
+  fleet.Post(answer_ended{first.id, 1});
+  LONGS_EQUAL(0, fleet.last.size());
+}
+
+// Guards against a target that is distrusted although it reads other prompts.
+TEST(ForwardingReduce, BusyTargetsAreNotSilent) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  job other;
+  other.key = 99;
+  other.target = first.target;
+  other.reading = milliseconds(8'000);
+  other.latest_end = At(20'000);
+  fleet.Post(peer_load{{other}, {}, {}});
+  fleet.PostAt(1'500, time_passed{});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+}
+
+// Guards against a stream that waits for a target that went dark until its
+// caller leaves.
+TEST(ForwardingReduce, SilentTargetsAreLeft) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.PostAt(1'500, time_passed{});
+  const auto again = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  CHECK_TRUE(again[0].target != first.target);
+}
+
+// Guards against work that goes on for a caller that has left.
+TEST(ForwardingReduce, CallersThatLeaveEndTheirAttempt) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(caller_gone{first.id});
+  LONGS_EQUAL(1, fleet.All<cancel_attempt>().size());
+  LONGS_EQUAL(0, fleet.current.ledger.Jobs());
+  LONGS_EQUAL(0, fleet.current.flights.size());
+}
+
+// Guards against memory that stays set aside: every ticket is released at every
+// end, also one whose order was not answered.
+TEST(ForwardingReduce, TicketsAreReleasedAtEveryEnd) {
+  for (int end = 0; end < 4; ++end) {
+    fixture fleet;
+    fleet.Start(call_kind::kStreaming, kModel, 400'000);
+    const auto orders = fleet.All<reserve_memory>();
+    CHECK_TRUE(orders.size() >= 2);
+    std::uint64_t held = 0;
+    for (const reserve_memory& each : orders) {
+      held += each.tokens;
+      if (end > 0) {
+        fleet.Post(
+            reservation_settled{each.id, each.attempt, each.ticket, true});
+      }
+    }
+    CHECK_TRUE(held + Engine().memory_tokens >= 401'000);
+    if (end > 0) {
+      LONGS_EQUAL(1, fleet.All<send_attempt>().size());
+    }
+    switch (end) {
+      case 0:
+        fleet.Post(reservation_settled{orders[0].id, orders[0].attempt,
+                                       orders[0].ticket, false});
+        CHECK_TRUE(fleet.Refusal().result == outcome::kNotRun);
+        break;
+      case 1:
+        fleet.Post(answer_ended{orders[0].id, 1});
+        break;
+      case 2:
+        fleet.Post(caller_gone{orders[0].id});
+        break;
+      default:
+        fleet.PostAt(10'000, time_passed{});
+        break;
+    }
+    LONGS_EQUAL(orders.size(), fleet.All<release_memory>().size());
+  }
+}
+
+// Guards against a lease that runs out while its request runs.
+TEST(ForwardingReduce, TicketsInUseAreRenewed) {
+  fixture fleet;
+  fleet.Start(call_kind::kStreaming, kModel, 400'000);
+  const auto orders = fleet.All<reserve_memory>();
+  for (const reserve_memory& each : orders) {
+    fleet.Post(reservation_settled{each.id, each.attempt, each.ticket, true});
+  }
+  fleet.Sent(fleet.All<send_attempt>().front());
+  CHECK_TRUE(NextWake(fleet.current, fleet.now) <= At(1'200));
+  fleet.PostAt(1'200, time_passed{});
+  const auto renewed = fleet.All<reserve_memory>();
+  LONGS_EQUAL(orders.size(), renewed.size());
+  CHECK_TRUE(renewed[0].renewal);
+  CHECK_TRUE(renewed[0].hold > milliseconds(1'200));
+}
+
+// Guards against a request that takes down one target after the other.
+TEST(ForwardingReduce, CrashingRequestsAreRefused) {
+  fixture fleet;
+  int sent = 0;
+  for (int round = 0; round < 4; ++round) {
+    auto attempt = fleet.Start(call_kind::kIdempotent, kService);
+    fleet.current.flights.at(attempt.id).what.fingerprint = 1'000;
+    call again = fleet.current.flights.at(attempt.id).what;
+    fleet.Post(caller_gone{attempt.id});
+    again.id = ++fleet.id;
+    again.fingerprint = 1'000;
+    fleet.Post(call_arrived{again});
+    for (auto sends = fleet.All<send_attempt>(); !sends.empty();
+         sends = fleet.All<send_attempt>()) {
+      ++sent;
+      fleet.Sent(sends[0]);
+      fleet.Post(
+          attempt_lost{sends[0].id, sends[0].attempt, attempt_loss::kNoAnswer});
+    }
+  }
+  CHECK_TRUE(sent >= 2);
+  CHECK_TRUE(sent <= 4);
+  CHECK_TRUE(fleet.Refusal().code == failure_code::kQuarantined);
+}
+
+// Guards against repeats beyond what all VMs share.
+TEST(ForwardingReduce, RepeatsStopAtTheAllowance) {
+  fixture fleet;
+  fleet.Post(peers_counted{1'000});
+  const auto first = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.Sent(first);
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kNoAnswer});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
+}
+
+// Guards against engines that are worked on by prompts worth less than those
+// that they keep out: the overload of very long prompts.
+TEST(ForwardingReduce, VeryLongPromptsArePricedOutUnderOverload) {
+  fixture fleet;
+  std::vector<job> jobs;
+  for (int i = 0; i < 6; ++i) {
+    job busy;
+    busy.key = 1'000 + static_cast<job_key>(i);
+    busy.target.value = "e" + std::to_string(i);
+    busy.reading = milliseconds(1'900);
+    busy.latest_end = At(20'000);
+    jobs.push_back(busy);
+  }
+  fleet.Post(peer_load{jobs, {}, {}});
+  fleet.Start(call_kind::kStreaming, kModel, 400'000);
+  CHECK_TRUE(fleet.Refusal().code == failure_code::kShed);
+  CHECK_TRUE(fleet.Refusal().retry_after.has_value());
+  fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  LONGS_EQUAL(0, fleet.All<refuse_call>().size());
+}
+
+// Guards against calls that hang while no target is known.
+TEST(ForwardingReduce, CallsWithoutTargetsAreRefusedAtOnce) {
+  fixture fleet;
+  fleet.Post(targets_published{{}});
+  fleet.Start(call_kind::kNonIdempotent, kService);
+  CHECK_TRUE(fleet.Refusal().code == failure_code::kNoLiveTarget);
+  CHECK_TRUE(fleet.Refusal().result == outcome::kNotRun);
+}
--- /dev/null
+++ b/test/acaciaferry/forwarding/target_table_test.cpp
@@ -0,0 +1,88 @@
+#include "acaciaferry/forwarding/target_table.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+const pool_id kPool{"p"};
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+target Published(const char* id, std::uint64_t incarnation = 1) {
+  target made;
+  made.id.value = id;
+  made.pool = kPool;
+  made.address = std::string(id) + ":1";
+  made.incarnation = incarnation;
+  return made;
+}
+
+std::size_t Usable(const target_table& table, int ms) {
+  return table.Usable(kPool, At(ms)).size();
+}
+
+}  // namespace
+
+TEST_GROUP(TargetTable){};
+
+// Guards against work for a target that said that it leaves, also when a later
+// entry claims that it is ready.
+TEST(TargetTable, LeavingIsKeptForTheIncarnation) {
+  target_table table;
+  target leaving = Published("a");
+  leaving.state = target_state::kLeaving;
+  static_cast<void>(table.Publish({leaving}, At(0)));
+  LONGS_EQUAL(0, Usable(table, 0));
+  static_cast<void>(table.Publish({Published("a")}, At(1)));
+  LONGS_EQUAL(0, Usable(table, 1));
+  const auto changes = table.Publish({Published("a", 2)}, At(2));
+  LONGS_EQUAL(1, changes.size());
+  CHECK_TRUE(changes[0].kind == target_table::change::what::kRestarted);
+  LONGS_EQUAL(1, Usable(table, 2));
+}
+
+// Guards against a target that is asked again and again while it is down, and
+// against one that is never asked again.
+TEST(TargetTable, DistrustGrowsAndEnds) {
+  target_table table;
+  static_cast<void>(table.Publish({Published("a")}, At(0)));
+  const auto first =
+      table.Distrust({"a"}, distrust_reason::kUnreachable, At(0));
+  LONGS_EQUAL(0, Usable(table, 1));
+  LONGS_EQUAL(1, Usable(table, 700));
+  const auto second =
+      table.Distrust({"a"}, distrust_reason::kUnreachable, At(701));
+  CHECK_TRUE(second > first);
+  table.Completed({"a"}, At(3'000));
+  CHECK_TRUE(table.Distrust({"a"}, distrust_reason::kUnreachable, At(9'000)) ==
+             first);
+}
+
+// Guards against a target that fails part of its requests and keeps getting
+// work, and against distrust after a single failure.
+TEST(TargetTable, DistrustsWhatFailsOften) {
+  target_table table;
+  static_cast<void>(table.Publish({Published("a")}, At(0)));
+  CHECK_FALSE(table.Failed({"a"}, At(0)));
+  CHECK_TRUE(table.Failed({"a"}, At(1)));
+  LONGS_EQUAL(0, Usable(table, 2));
+}
+
+// Guards against work for a target whose entry has vanished while others are
+// there, and against no work at all when all entries have vanished.
+TEST(TargetTable, VanishedTargetsAreTheLastResort) {
+  target_table table;
+  target missing = Published("a");
+  missing.missing = true;
+  static_cast<void>(table.Publish({missing, Published("b")}, At(0)));
+  const auto usable = table.Usable(kPool, At(0));
+  LONGS_EQUAL(1, usable.size());
+  STRCMP_EQUAL("b", usable[0]->id.value.c_str());
+  LONGS_EQUAL(2, table.Staying(kPool).size());
+}
--- /dev/null
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -0,0 +1,84 @@
+#include "acaciaferry/mesh/message.hpp"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::mesh;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+forwarding::job Job(std::uint64_t key) {
+  forwarding::job made;
+  made.key = key;
+  made.target.value = "i-12345678";
+  made.reading = milliseconds(26);
+  made.is_part = true;
+  made.due = At(1'300);
+  made.worth = 2.5;
+  made.writes = true;
+  made.target_gap = milliseconds(250);
+  made.memory_tokens = 6'300;
+  made.context_tokens = 5'000;
+  made.latest_end = At(11'000);
+  return made;
+}
+
+}  // namespace
+
+TEST_GROUP(MeshMessage){};
+
+// Guards against fields that change places or units on the way.
+TEST(MeshMessage, LoadSurvivesTheWay) {
+  const load_news sent{{Job(1), Job(2)}, {7, 8}, {{{"t"}, milliseconds(700)}}};
+  const auto datagrams = Encode(sent, At(1'000));
+  LONGS_EQUAL(1, datagrams.size());
+  const auto got = std::get<load_news>(*Decode(datagrams[0], At(1'000)));
+  CHECK_TRUE(got.jobs == sent.jobs);
+  CHECK_TRUE(got.ended == sent.ended);
+  CHECK_TRUE(got.distrusted[0].remaining == milliseconds(700));
+}
+
+// Guards against datagrams that the network would split.
+TEST(MeshMessage, DatagramsStaySmall) {
+  load_news sent;
+  for (std::uint64_t key = 0; key < 100; ++key) {
+    sent.jobs.push_back(Job(~key));
+    sent.ended.push_back(~key);
+  }
+  std::size_t jobs = 0;
+  for (const std::string& each : Encode(sent, At(0))) {
+    CHECK_TRUE(each.size() <= kMostDatagramBytes);
+    jobs += std::get<load_news>(*Decode(each, At(0))).jobs.size();
+  }
+  LONGS_EQUAL(100, jobs);
+}
+
+// Guards against a hello that is not understood by its receiver.
+TEST(MeshMessage, HelloSurvivesTheWay) {
+  const hello sent{{"vm"}, 5, "10.0.0.1:1", "10.0.0.1:2", 9, true, {"a", "b"}};
+  CHECK_TRUE(std::get<hello>(*Decode(Encode(sent, At(0))[0], At(0))) == sent);
+}
+
+// Guards against a process that ends because of bytes from the network.
+TEST(MeshMessage, AnyBytesAreDecodedOrRefused) {
+  CHECK_FALSE(Decode("", At(0)).has_value());
+  CHECK_FALSE(Decode("\x02rest", At(0)).has_value());
+  const auto held = rc::check([](std::string bytes, bool is_ours) {
+    if (is_ours) {
+      bytes.insert(bytes.begin(), '\x01');
+    }
+    static_cast<void>(Decode(bytes, At(0)));
+  });
+  CHECK_TRUE(held);
+  const std::string whole = Encode(load_news{{Job(1)}, {}, {}}, At(0))[0];
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    CHECK_FALSE(Decode(whole.substr(0, size), At(0)).has_value());
+  }
+}
--- /dev/null
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -0,0 +1,89 @@
+#include "acaciaferry/mesh/roster.hpp"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::mesh;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+hello From(const char* vm,
+           std::uint64_t incarnation = 1,
+           std::uint64_t changed_at = 0) {
+  return {{vm},
+          incarnation,
+          std::string(vm) + ":1",
+          std::string(vm) + ":2",
+          changed_at,
+          false,
+          {}};
+}
+
+bool Contains(const std::vector<std::string>& addresses, const char* wanted) {
+  return std::find(addresses.begin(), addresses.end(), wanted) !=
+         addresses.end();
+}
+
+}  // namespace
+
+TEST_GROUP(Roster){};
+
+// Guards against VMs that never find each other: seeds first, then whoever they
+// know.
+TEST(Roster, FindsVmsThroughSeeds) {
+  roster made("self:1", {"seed:1", "self:1"}, 7);
+  LONGS_EQUAL(1, made.HelloTargets().size());
+  hello seed = From("seed");
+  seed.known = {"other:1", "self:1"};
+  CHECK_TRUE(made.Hear(seed, At(0)).is_found);
+  const auto targets = made.HelloTargets();
+  CHECK_TRUE(Contains(targets, "other:1"));
+  CHECK_FALSE(Contains(targets, "self:1"));
+}
+
+// Guards against a delayed hello of an earlier process that replaces the newer
+// one, and against jobs of the earlier one that are never dropped.
+TEST(Roster, NewerIncarnationsReplaceOlderOnes) {
+  roster made("self:1", {}, 7);
+  made.Hear(From("a", 5), At(0));
+  CHECK_FALSE(made.Hear(From("a", 4), At(1)).replaced.has_value());
+  LONGS_EQUAL(5, *made.Hear(From("a", 6), At(2)).replaced);
+}
+
+// Guards against a bound that grows for each VM when they cannot hear each
+// other.
+TEST(Roster, CutOffVmsKeepTheirPart) {
+  roster made("self:1", {}, 7);
+  CHECK_TRUE(made.Sharers() > 1);
+  made.Hear(From("a"), At(0));
+  made.Hear(From("b"), At(0));
+  LONGS_EQUAL(3, made.Sharers());
+  LONGS_EQUAL(2, made.Expire(At(5'000)).size());
+  LONGS_EQUAL(3, made.Sharers());
+  LONGS_EQUAL(0, made.Live().size());
+}
+
+// Guards against a fetch from a peer that knows nothing newer.
+TEST(Roster, NamesThePeerWithTheNewestView) {
+  roster made("self:1", {}, 7);
+  made.Hear(From("a", 1, 5), At(0));
+  made.Hear(From("b", 1, 9), At(0));
+  CHECK_TRUE(made.Newer(9) == nullptr);
+  STRCMP_EQUAL("b", made.Newer(4)->last.vm.value.c_str());
+}
+
+// Guards against messages that grow with the square of a large fleet.
+TEST(Roster, BoundsTheHellosOfALargeFleet) {
+  roster made("self:1", {}, 7);
+  for (int i = 0; i < 200; ++i) {
+    made.Hear(From(("vm" + std::to_string(i)).c_str()), At(0));
+  }
+  LONGS_EQUAL(24, made.HelloTargets().size());
+}
--- /dev/null
+++ b/test/acaciaferry/net/event_stream_test.cpp
@@ -0,0 +1,48 @@
+#include "acaciaferry/net/event_stream.hpp"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry::net;
+
+namespace {
+
+std::string Event(int id) {
+  return "id: " + std::to_string(id) + "\ndata: x\n\n";
+}
+
+}  // namespace
+
+TEST_GROUP(EventStream){};
+
+// Guards against half an event that is passed on, however the bytes are cut.
+TEST(EventStream, PassesWholeEventsOnly) {
+  const auto held = rc::check([](std::uint8_t cut) {
+    const std::string all = Event(1) + Event(2) + Event(3);
+    const std::size_t at = cut % all.size();
+    event_stream stream;
+    const std::string first = stream.Feed(all.substr(0, at));
+    RC_ASSERT(first.size() % Event(1).size() == 0U);
+    RC_ASSERT(stream.HasRemainder() == (first.size() != at));
+    RC_ASSERT(first + stream.Feed(all.substr(at)) == all);
+    RC_ASSERT(stream.LastId() == 3U);
+  });
+  CHECK_TRUE(held);
+}
+
+// Guards against an event that comes twice when a stream goes on elsewhere.
+TEST(EventStream, DropsEventsThatWerePassedOn) {
+  event_stream stream;
+  static_cast<void>(stream.Feed(Event(1) + Event(2) + "id: 3\nda"));
+  stream.Restart();
+  STRCMP_EQUAL(Event(3).c_str(), stream.Feed(Event(2) + Event(3)).c_str());
+  CHECK_FALSE(stream.HasGap());
+}
+
+// Guards against a stream that looks whole although an event is missing.
+TEST(EventStream, TellsGaps) {
+  event_stream stream;
+  static_cast<void>(stream.Feed(Event(1) + Event(3)));
+  CHECK_TRUE(stream.HasGap());
+}
--- /dev/null
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -0,0 +1,131 @@
+#include "acaciaferry/publication/reader.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::publication;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+page Page(std::vector<std::pair<std::string, item>> items,
+          std::uint64_t revision) {
+  return {std::move(items), false, revision};
+}
+
+// A reader that has listed one target and the configuration.
+reader Listed() {
+  reader made({"t/", "c"}, 7);
+  made.Take(Page({{"t/1", {"x", 3, false}}}, 10), At(0));
+  made.Take(Page({{"c", {"v1", 5, false}}}, 11), At(1));
+  return made;
+}
+
+bool IsMissing(const reader& of, const char* key) {
+  return of.View().items.at(key).missing;
+}
+
+}  // namespace
+
+TEST_GROUP(PublicationReader){};
+
+// Guards against changes that are lost between the pages of a listing and the
+// watch behind it.
+TEST(PublicationReader, WatchesFromTheFirstPageOn) {
+  reader made({"t/", "c"}, 7);
+  const auto first = made.Next(At(0));
+  CHECK_TRUE(std::get<list_call>(first).stale);
+  made.Take(Page({}, 10), At(0));
+  STRCMP_EQUAL("c", std::get<list_call>(made.Next(At(1))).prefix.c_str());
+  made.Take(Page({}, 14), At(1));
+  LONGS_EQUAL(10, std::get<watch_call>(made.Next(At(500))).after);
+}
+
+// Guards against a listing that ends after its first page.
+TEST(PublicationReader, FollowsPages) {
+  reader made({"t/"}, 7);
+  made.Take(page{{{"t/1", {"x", 3, false}}}, true, 10}, At(0));
+  STRCMP_EQUAL("t/1", std::get<list_call>(made.Next(At(0))).after.c_str());
+  made.Take(Page({{"t/2", {"y", 4, false}}}, 12), At(1));
+  LONGS_EQUAL(2, made.View().items.size());
+  LONGS_EQUAL(10, made.View().revision);
+}
+
+// Guards against an older change that overwrites a newer one.
+TEST(PublicationReader, NewerRevisionsWin) {
+  reader made = Listed();
+  CHECK_TRUE(made.Take(changes{{{"c", "v3", 20}}, 20}, At(300)));
+  CHECK_FALSE(made.Take(changes{{{"c", "v2", 15}}, 20}, At(600)));
+  STRCMP_EQUAL("v3", made.View().items.at("c").value.c_str());
+}
+
+// Guards against a target that left and stays known: no outage excuses it.
+TEST(PublicationReader, RemovalsHoldAtOnce) {
+  reader made = Listed();
+  CHECK_TRUE(made.Take(changes{{{"t/1", {}, 20}}, 20}, At(300)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
+// Guards against targets that are dropped for good because their leases ran out
+// while the service was away, and against ones that are kept for ever.
+TEST(PublicationReader, VanishedItemsMayComeBackAfterAnOutage) {
+  reader made = Listed();
+  made.Take(call_failure::kSilent, At(1'000));
+  CHECK_TRUE(made.Take(changes{{{"t/1", {}, 20}}, 20}, At(2'000)));
+  CHECK_TRUE(IsMissing(made, "t/1"));
+  reader back = made;
+  CHECK_TRUE(back.Take(changes{{{"t/1", "x", 21}}, 21}, At(3'000)));
+  CHECK_FALSE(IsMissing(back, "t/1"));
+  CHECK_FALSE(back.Expire(At(9'000)));
+  CHECK_FALSE(made.Expire(At(4'000)));
+  CHECK_TRUE(made.Expire(At(4'300)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
+// Guards against a loop of old listings and watches whose history is gone.
+TEST(PublicationReader, ListsAfreshWhenTheHistoryIsGone) {
+  reader made = Listed();
+  made.Take(call_failure::kHistoryGone, At(1'000));
+  CHECK_FALSE(std::get<list_call>(made.Next(At(1'000))).stale);
+  made.Take(Page({}, 30), At(1'100));
+  CHECK_TRUE(made.Take(Page({{"c", {"v9", 29, false}}}, 31), At(1'200)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+  STRCMP_EQUAL("v9", made.View().items.at("c").value.c_str());
+}
+
+// Guards against VMs that call a service without pause while it refuses.
+TEST(PublicationReader, BacksOffWhileItIsRefused) {
+  reader made = Listed();
+  time_point now = At(1'000);
+  duration last{};
+  for (int i = 0; i < 8; ++i) {
+    made.Take(call_failure::kRefused, now);
+    const auto wait = std::get<wait_until>(made.Next(now)).until - now;
+    CHECK_TRUE(wait >= milliseconds(150));
+    CHECK_TRUE(wait <= milliseconds(1'800));
+    last = wait;
+    now += wait;
+  }
+  CHECK_TRUE(last >= milliseconds(1'200));
+  CHECK_FALSE(made.InContact());
+}
+
+// Guards against a VM that is turned away and serves an old configuration while
+// its peers have the new one, and against a step back.
+TEST(PublicationReader, AdoptsOnlyNewerViewsOfPeers) {
+  reader made = Listed();
+  view peer = made.View();
+  peer.items["c"] = {"v7", 40, false};
+  peer.changed_at = 40;
+  peer.revision = 41;
+  CHECK_TRUE(made.Adopt(peer, At(100)));
+  STRCMP_EQUAL("v7", made.View().items.at("c").value.c_str());
+  peer.items["c"] = {"v6", 39, false};
+  peer.changed_at = 39;
+  CHECK_FALSE(made.Adopt(peer, At(200)));
+  LONGS_EQUAL(41, std::get<watch_call>(made.Next(At(900))).after);
+}
