--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -38,8 +38,12 @@
 constexpr double kFullPrice = 6;
 // Share of the engines' time up to which it has no price.
 constexpr double kFreeShare = 0.6;
+// A prompt is small when it takes less than this part of an engine's memory.
+constexpr std::uint64_t kSmallPart = 8;
 // Harm to others, in late short requests, above which a call waits.
 constexpr double kWaitHarm = 0.3;
+// Time that a prompt may queue at engines before it is read; about two passes.
+constexpr duration kMostQueueing = std::chrono::milliseconds(120);
 // Share of the time until its first event is late that a call's placement may
 // take and still wait.
 constexpr double kWaitShare = 0.4;
@@ -262,6 +266,12 @@
          now + kLeastTimeLeft < of.deadline;
 }
 
+// A prompt that queues at the engines holds their memory without being read, and
+// one that harms others may find a better moment.
+bool IsBetterLater(const placement& at) {
+  return at.harm > kWaitHarm || at.first_event - at.part > kMostQueueing;
+}
+
 void Wait(flight& of, time_point now) {
   of.place_at = now + kPlaceAgain;
 }
@@ -274,7 +284,7 @@
                effects& out) {
   auto plan =
       PlanSpan(current, engine, candidates, Demand(current, of, now), now);
-  const bool wait = !plan || plan->at.harm > kWaitHarm;
+  const bool wait = !plan || IsBetterLater(plan->at);
   if (wait && MayWait(of, plan ? plan->at.first_event : kPlaceAgain, now)) {
     Wait(of, now);
     return;
@@ -353,14 +363,21 @@
     StartSpan(current, of, engine, candidates, now, out);
     return;
   }
-  const auto chosen = PlacePrompt(engine, candidates, current.ledger,
-                                  Demand(current, of, now), kMostHelpers, now);
+  demand wanted = Demand(current, of, now);
+  auto chosen = PlacePrompt(engine, candidates, current.ledger, wanted,
+                            kMostHelpers, now);
+  if (!chosen && wanted.memory_tokens * kSmallPart < engine.memory_tokens) {
+    // A small prompt finds room as soon as any other ends.
+    wanted.memory_tokens = 0;
+    chosen = PlacePrompt(engine, candidates, current.ledger, wanted,
+                         kMostHelpers, now);
+  }
   if (!chosen) {
     // No engine has the memory left by itself.
     StartSpan(current, of, engine, candidates, now, out);
     return;
   }
-  if (chosen->harm > kWaitHarm && MayWait(of, chosen->first_event, now)) {
+  if (IsBetterLater(*chosen) && MayWait(of, chosen->first_event, now)) {
     Wait(of, now);
     return;
   }
