--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -35,11 +35,12 @@
 constexpr double kReserveShare = 0.5;
 // Worth, in very short requests, of a second of an engine that has no second
 // left. Short prompts bring many times that, the longest less.
-constexpr double kFullPrice = 6;
+constexpr double kFullPrice = 10;
 // Share of the engines' time up to which it has no price.
-constexpr double kFreeShare = 0.6;
+constexpr double kFreeShare = 0.5;
 // A prompt is small when it takes less than this part of an engine's memory.
 constexpr std::uint64_t kSmallPart = 8;
+constexpr double kLongWorth = 3;
 // Harm to others, in late short requests, above which a call waits.
 constexpr double kWaitHarm = 0.3;
 // Time that a prompt may queue at engines before it is read; about two passes.
@@ -381,6 +382,12 @@
     Wait(of, now);
     return;
   }
+  if (!of.delivered && of.attempts == 0 &&
+      chosen->first_event > of.arrived + of.what.target_latency - now &&
+      Worth(engine, of.what.prompt_tokens) > kLongWorth) {
+    Fail(current, of, failure_code::kShed, now, out);
+    return;
+  }
   attempt& started = NewAttempt(of, chosen->first, now);
   started.predicted_first_event = chosen->first_event;
   for (const target_id& id : chosen->helpers) {
