Leave failure domains that are cut off at once

Cause: when a failure domain is cut off silently each VM waited 0.6 s for each of its targets again and again, and streams there were left only after a second of silence each. Change: a VM that hears others but nobody of a domain for 1.15 s gives the domain's targets no work while there are others and moves on from streams without progress there.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -364,7 +364,7 @@
   void Order(const std::string& address,
              const outgoing_call& order,
              int tries,
-             std::function<void(bool)> on_settled) const {
+             const std::function<void(bool)>& on_settled) const {
     struct sending {
       std::shared_ptr<net::client_exchange> exchange;
       boost::asio::steady_timer timer;
@@ -446,7 +446,12 @@
     log_.Note("peer_lost", {{"peer", gone.vm.value}});
     Post(forwarding::peer_ended{gone.incarnation});
   }
+  const auto cut_off = roster_.SilentDomains(now);
+  if (cut_off != state_.cut_off) {
+    Post(forwarding::domains_cut_off{cut_off});
+  }
   const mesh::hello hello{settings_.vm,
+                          settings_.failure_domain,
                           incarnation_,
                           settings_.datagrams,
                           settings_.control,
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -13,7 +13,8 @@
       "caller_left",      "target_found",
       "target_lost",      "target_leaving",
       "target_restarted", "target_distrusted",
-      "reserved"};
+      "reserved",         "domain_cut_off",
+      "domain_back"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -145,6 +145,11 @@
   std::vector<peer_distrust> distrusted;
 };
 
+/** Failure domains that are cut off from this VM now. */
+struct domains_cut_off {
+  std::vector<failure_domain_id> domains;
+};
+
 /** A peer's process ended, was replaced by a newer one, or is out of reach. */
 struct peer_ended {
   std::uint64_t incarnation{};
@@ -168,6 +173,7 @@
                            reservation_settled,
                            targets_published,
                            peer_load,
+                           domains_cut_off,
                            peer_ended,
                            peers_counted,
                            suspects_heard,
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -35,9 +35,9 @@
 constexpr double kReserveShare = 0.5;
 // Worth, in very short requests, of a second of an engine that has no second
 // left. Short prompts bring many times that, the longest less.
-constexpr double kFullPrice = 10;
+constexpr double kFullPrice = 16;
 // Share of the engines' time up to which it has no price.
-constexpr double kFreeShare = 0.5;
+constexpr double kFreeShare = 0.45;
 // A prompt is small when it takes less than this part of an engine's memory.
 constexpr std::uint64_t kSmallPart = 8;
 constexpr double kLongWorth = 3;
@@ -68,6 +68,16 @@
   return at == current.pools.end() || !at->second ? nullptr : &*at->second;
 }
 
+// Keeps the targets that a condition holds for, when there are any.
+template <typename Condition>
+void Prefer(std::vector<const target*>& targets, const Condition& holds) {
+  auto kept = targets;
+  std::erase_if(kept, [&](const target* each) { return !holds(each); });
+  if (!kept.empty()) {
+    targets = std::move(kept);
+  }
+}
+
 // Distrusted targets are used when there are no others: a refusal would be
 // certain, a try may succeed.
 std::vector<const target*> Candidates(const state& current,
@@ -78,12 +88,15 @@
   if (usable.empty()) {
     usable = current.targets.Staying(pool);
   }
-  auto fresh = usable;
-  std::erase_if(fresh, [&](const target* each) {
-    return std::find(of.tried.begin(), of.tried.end(), each->id) !=
+  Prefer(usable, [&](const target* each) {
+    return std::find(current.cut_off.begin(), current.cut_off.end(),
+                     each->failure_domain) == current.cut_off.end();
+  });
+  Prefer(usable, [&](const target* each) {
+    return std::find(of.tried.begin(), of.tried.end(), each->id) ==
            of.tried.end();
   });
-  return fresh.empty() ? usable : fresh;
+  return usable;
 }
 
 duration AimLeft(const flight& of, time_point now) {
@@ -267,8 +280,8 @@
          now + kLeastTimeLeft < of.deadline;
 }
 
-// A prompt that queues at the engines holds their memory without being read, and
-// one that harms others may find a better moment.
+// A prompt that queues at the engines holds their memory without being read,
+// and one that harms others may find a better moment.
 bool IsBetterLater(const placement& at) {
   return at.harm > kWaitHarm || at.first_event - at.part > kMostQueueing;
 }
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -20,7 +20,7 @@
 constexpr double kPackedShare = 0.8;
 // Cost, in late requests, of the first strict writer on an engine: it closes
 // the engine to long reads.
-constexpr double kOpeningCost = 1.0;
+constexpr double kOpeningCost = 0.5;
 // With this many writers an engine is closed to long reads anyway.
 constexpr double kOpenWriters = 8;
 // Cost of each further part, so that equal choices take the fewest engines.
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -246,6 +246,29 @@
     }
   }
 
+  void operator()(const domains_cut_off& happened) {
+    const auto contains = [](const std::vector<failure_domain_id>& domains,
+                             const failure_domain_id& id) {
+      return std::find(domains.begin(), domains.end(), id) != domains.end();
+    };
+    for (const failure_domain_id& each : current.cut_off) {
+      if (!contains(happened.domains, each)) {
+        Record(out, decision_kind::kDomainBack, each.value, {});
+      }
+    }
+    std::vector<failure_domain_id> fresh;
+    for (const failure_domain_id& each : happened.domains) {
+      if (!contains(current.cut_off, each)) {
+        Record(out, decision_kind::kDomainCutOff, each.value, {});
+        fresh.push_back(each);
+      }
+    }
+    current.cut_off = happened.domains;
+    if (!fresh.empty()) {
+      LeaveDomains(fresh);
+    }
+  }
+
   void operator()(const peer_ended& happened) {
     current.ledger.EndAllOf(SaltOfProcess(happened.incarnation), now);
   }
@@ -295,6 +318,20 @@
   }
 
  private:
+  // What runs behind a cut and shows no progress moves on at once.
+  void LeaveDomains(const std::vector<failure_domain_id>& domains) {
+    for (auto& [id, of] : current.flights) {
+      const target* to =
+          of.current ? current.targets.Find(of.current->target) : nullptr;
+      if (to != nullptr && of.current->silent_at &&
+          std::find(domains.begin(), domains.end(), to->failure_domain) !=
+              domains.end()) {
+        of.current->prolonged = true;
+        of.current->silent_at = now;
+      }
+    }
+  }
+
   // A target that answers others, or that has other prompts to read, is busy:
   // it gets as long again, once. One that shows no life is left.
   void GiveUpSilent(flight& of) {
@@ -365,10 +402,10 @@
 }  // namespace
 }  // namespace internal
 
-state::state(evidence_source self_,
+state::state(evidence_source process,
              const retry_bound& bound,
              std::uint64_t seed)
-    : self(std::move(self_)), allowance(bound), random(seed) {
+    : self(std::move(process)), allowance(bound), random(seed) {
   job_salt = SaltOfProcess(self.second);
 }
 
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -75,13 +75,15 @@
  * @brief All that the decisions about forwarded calls rest on.
  */
 struct state {
-  state(evidence_source self_, const retry_bound& bound, std::uint64_t seed);
+  state(evidence_source process, const retry_bound& bound, std::uint64_t seed);
 
   evidence_source self;
   failure_domain_id failure_domain;
   /** Pools of the accepted routing table, by name. */
   std::map<pool_id, std::optional<engine_properties>> pools;
   target_table targets;
+  /** Sorted. Their targets get work only when there are no others. */
+  std::vector<failure_domain_id> cut_off;
   load_ledger ledger;
   retry_allowance allowance;
   quarantine_state quarantine;
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -21,6 +21,7 @@
 
 struct hello_wire {
   std::string vm;
+  std::string failure_domain;
   std::uint64_t incarnation{};
   std::string datagrams;
   std::string views;
@@ -28,6 +29,7 @@
   bool leaving{};
   std::vector<std::string> known;
   MSGPACK_DEFINE_ARRAY(vm,
+                       failure_domain,
                        incarnation,
                        datagrams,
                        views,
@@ -141,8 +143,10 @@
 }
 
 std::vector<std::string> Encode(const hello& from, time_point /*now*/) {
-  hello_wire wire{from.vm.value,   from.incarnation, from.datagrams, from.views,
-                  from.changed_at, from.leaving,     from.known};
+  hello_wire wire{from.vm.value,    from.failure_domain.value,
+                  from.incarnation, from.datagrams,
+                  from.views,       from.changed_at,
+                  from.leaving,     from.known};
   wire.known.resize(std::min(wire.known.size(), kMostKnown));
   return {Pack(kHello, wire)};
 }
@@ -198,8 +202,9 @@
 }
 
 message FromWire(const hello_wire& wire) {
-  return hello{{wire.vm},       wire.incarnation, wire.datagrams, wire.views,
-               wire.changed_at, wire.leaving,     wire.known};
+  return hello{
+      {wire.vm},  {wire.failure_domain}, wire.incarnation, wire.datagrams,
+      wire.views, wire.changed_at,       wire.leaving,     wire.known};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -20,6 +20,7 @@
  */
 struct hello {
   vm_id vm;
+  failure_domain_id failure_domain;
   /** Grows with each start of the process. */
   std::uint64_t incarnation{};
   /** IP:PORT of its datagrams. */
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -8,6 +8,8 @@
 // A VM counts as live this long after its last hello: several intervals, since
 // datagrams are lost and a large fleet says hello in turns.
 constexpr duration kLiveFor = std::chrono::milliseconds(4'000);
+// Two hellos and a little more.
+constexpr duration kSilentAfter = std::chrono::milliseconds(1'150);
 // Bounds the messages of one VM in a large fleet.
 constexpr std::size_t kMostHellos = 24;
 constexpr std::uint32_t kMostTries = 6;
@@ -98,6 +100,27 @@
   return most_live_ == 0 ? internal::kAssumedSharers : most_live_ + 1;
 }
 
+std::vector<failure_domain_id> roster::SilentDomains(time_point now) const {
+  // In a large fleet a VM says hello to the others in turns.
+  const auto turns = static_cast<std::int64_t>(
+      1 + members_.size() / (internal::kMostHellos + 1));
+  const duration silent_after = internal::kSilentAfter * turns;
+  std::map<failure_domain_id, bool> heard;
+  bool any = false;
+  for (const auto& [vm, each] : members_) {
+    const bool recent = each.heard_at + silent_after >= now;
+    heard[each.last.failure_domain] |= recent;
+    any = any || recent;
+  }
+  std::vector<failure_domain_id> silent;
+  for (const auto& [domain, recent] : heard) {
+    if (any && !recent) {
+      silent.push_back(domain);
+    }
+  }
+  return silent;
+}
+
 const member* roster::Newer(std::uint64_t changed_at) const {
   const member* newest = nullptr;
   for (const auto& [vm, each] : members_) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -70,6 +70,16 @@
    */
   [[nodiscard]] std::uint64_t Sharers() const noexcept;
 
+  /**
+   * @brief Names the failure domains that are cut off from this VM.
+   *
+   * A domain is when none of its VMs was heard for several hellos while some
+   * other VM was. When no VM is heard at all, this VM itself may be cut off
+   * from the others, which tells nothing about targets.
+   */
+  [[nodiscard]] std::vector<failure_domain_id> SilentDomains(
+      time_point now) const;
+
   /** @return The live VM that knows the newest published change, when that is
    * newer than the given one. */
   [[nodiscard]] const member* Newer(std::uint64_t changed_at) const;
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -90,7 +90,7 @@
   exchange_handlers handlers_;
   std::string request_;
   std::string buffer_;
-  std::array<char, 16 * 1024> chunk_{};
+  std::array<char, 16'384> chunk_{};
   std::unique_ptr<message_parser<false>> parser_;
   bool connected_{};
   bool closed_{};
--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -8,7 +8,7 @@
 
 // A client that sends more than this before its reply is complete is not read
 // on until then.
-constexpr std::size_t kMaxReadAhead = 64 * 1024;
+constexpr std::size_t kMaxReadAhead = 65'536;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
--- a/src/acaciaferry/net/connection.hpp
+++ b/src/acaciaferry/net/connection.hpp
@@ -47,7 +47,7 @@
   http_server* server_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  std::array<char, 16 * 1024> chunk_{};
+  std::array<char, 16'384> chunk_{};
   std::string buffer_;
   std::unique_ptr<message_parser<true>> parser_;
   std::shared_ptr<server_exchange> current_;
--- a/src/acaciaferry/net/datagram.hpp
+++ b/src/acaciaferry/net/datagram.hpp
@@ -36,7 +36,7 @@
 
   boost::asio::ip::udp::socket socket_;
   handler on_datagram_;
-  std::array<char, 16 * 1024> buffer_{};
+  std::array<char, 16'384> buffer_{};
   boost::asio::ip::udp::endpoint sender_;
   std::map<std::string, boost::asio::ip::udp::endpoint> endpoints_;
 };
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -81,7 +81,7 @@
 };
 
 /** Above this many unwritten bytes the sender of an answer is paused. */
-inline constexpr std::size_t kWriteHighWater = 64 * 1024;
+inline constexpr std::size_t kWriteHighWater = 65'536;
 
 /**
  * @brief Accepts connections and parses requests on an event loop.
--- a/test/acaciaferry/forwarding/placement_test.cpp
+++ b/test/acaciaferry/forwarding/placement_test.cpp
@@ -118,7 +118,7 @@
   wanted.memory_tokens = 220'700;
   const auto chosen = PlacePrompt(Engine(), engines.candidates, engines.ledger,
                                   wanted, 16, At(0));
-  CHECK_TRUE(chosen->helpers.size() >= 1);
+  CHECK_FALSE(chosen->helpers.empty());
   CHECK_TRUE(chosen->first_event < milliseconds(3'000));
 }
 
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -62,7 +62,8 @@
 
 // Guards against a hello that is not understood by its receiver.
 TEST(MeshMessage, HelloSurvivesTheWay) {
-  const hello sent{{"vm"}, 5, "10.0.0.1:1", "10.0.0.1:2", 9, true, {"a", "b"}};
+  const hello sent{{"vm"},       {"a"}, 5,    "10.0.0.1:1",
+                   "10.0.0.1:2", 9,     true, {"a", "b"}};
   CHECK_TRUE(std::get<hello>(*Decode(Encode(sent, At(0))[0], At(0))) == sent);
 }
 
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -79,6 +79,19 @@
   STRCMP_EQUAL("b", made.Newer(4)->last.vm.value.c_str());
 }
 
+// Guards against waiting for each target of a failure domain that is cut off,
+// and against taking all targets for unreachable when this VM is.
+TEST(Roster, TellsDomainsThatAreCutOff) {
+  roster made("self:1", {}, 7);
+  made.Hear(From("a1"), At(0));
+  made.Hear(From("b1"), At(0));
+  made.Hear(From("a2"), At(1'200));
+  const auto silent = made.SilentDomains(At(1'200));
+  LONGS_EQUAL(1, silent.size());
+  STRCMP_EQUAL("b", silent[0].value.c_str());
+  LONGS_EQUAL(0, made.SilentDomains(At(3'000)).size());
+}
+
 // Guards against messages that grow with the square of a large fleet.
 TEST(Roster, BoundsTheHellosOfALargeFleet) {
   roster made("self:1", {}, 7);
