--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -18,6 +18,7 @@
            std::uint64_t incarnation = 1,
            std::uint64_t changed_at = 0) {
   return {{vm},
+          {std::string(1, vm[0])},
           incarnation,
           std::string(vm) + ":1",
           std::string(vm) + ":2",
