Tell restarts from cuts of a failure domain

Change: the own domain and VMs that leave are not missed; a cut is remembered for 10 s; a domain whose targets answer is not cut off. Ruled out: the service (its loss was told 1.5 s later).

--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "acaciaferry/forwarding/flights.hpp"
@@ -12,6 +13,8 @@
 // way a little before.
 constexpr duration kDeadlineMargin = std::chrono::milliseconds(10);
 constexpr duration kSweepInterval = std::chrono::seconds(1);
+// An engine with writers answers several times within this.
+constexpr duration kRecentLife = std::chrono::milliseconds(400);
 constexpr duration kIdleWake = std::chrono::seconds(1);
 
 // Running, waiting and slots, as the target told them.
@@ -247,26 +250,27 @@
   }
 
   void operator()(const domains_cut_off& happened) {
-    const auto contains = [](const std::vector<failure_domain_id>& domains,
-                             const failure_domain_id& id) {
-      return std::find(domains.begin(), domains.end(), id) != domains.end();
-    };
-    for (const failure_domain_id& each : current.cut_off) {
-      if (!contains(happened.domains, each)) {
+    const std::set<failure_domain_id> before(current.cut_off.begin(),
+                                             current.cut_off.end());
+    std::set<failure_domain_id> after(happened.domains.begin(),
+                                      happened.domains.end());
+    // Targets that answer are not cut off, whatever their VMs do.
+    std::erase_if(after, [&](const failure_domain_id& each) {
+      return !before.contains(each) &&
+             current.targets.AnyAliveSince(each, now - kRecentLife);
+    });
+    for (const failure_domain_id& each : before) {
+      if (!after.contains(each)) {
         Record(out, decision_kind::kDomainBack, each.value, {});
       }
     }
-    std::vector<failure_domain_id> fresh;
-    for (const failure_domain_id& each : happened.domains) {
-      if (!contains(current.cut_off, each)) {
+    for (const failure_domain_id& each : after) {
+      if (!before.contains(each)) {
         Record(out, decision_kind::kDomainCutOff, each.value, {});
-        fresh.push_back(each);
+        LeaveDomain(each);
       }
     }
-    current.cut_off = happened.domains;
-    if (!fresh.empty()) {
-      LeaveDomains(fresh);
-    }
+    current.cut_off.assign(after.begin(), after.end());
   }
 
   void operator()(const peer_ended& happened) {
@@ -319,13 +323,12 @@
 
  private:
   // What runs behind a cut and shows no progress moves on at once.
-  void LeaveDomains(const std::vector<failure_domain_id>& domains) {
+  void LeaveDomain(const failure_domain_id& domain) {
     for (auto& [id, of] : current.flights) {
       const target* to =
           of.current ? current.targets.Find(of.current->target) : nullptr;
       if (to != nullptr && of.current->silent_at &&
-          std::find(domains.begin(), domains.end(), to->failure_domain) !=
-              domains.end()) {
+          to->failure_domain == domain) {
         of.current->prolonged = true;
         of.current->silent_at = now;
       }
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -117,6 +117,14 @@
   return at != entries_.end() && at->second.last_life > since;
 }
 
+bool target_table::AnyAliveSince(const failure_domain_id& domain,
+                                 time_point since) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& each) {
+    return each.second.published.failure_domain == domain &&
+           each.second.last_life > since;
+  });
+}
+
 void target_table::Completed(const target_id& id, time_point /*now*/) {
   const auto at = entries_.find(id);
   if (at != entries_.end()) {
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -80,6 +80,10 @@
   /** @return Whether a target has answered anything since. */
   [[nodiscard]] bool AliveSince(const target_id& id, time_point since) const;
 
+  /** @return Whether any target of a failure domain has answered since. */
+  [[nodiscard]] bool AnyAliveSince(const failure_domain_id& domain,
+                                   time_point since) const;
+
   /** @brief Records that a target completed a request. */
   void Completed(const target_id& id, time_point now);
   /** @brief Records that a target failed a request that it ran.
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -10,6 +10,7 @@
 constexpr duration kLiveFor = std::chrono::milliseconds(4'000);
 // Two hellos and a little more.
 constexpr duration kSilentAfter = std::chrono::milliseconds(1'150);
+constexpr duration kCutOffFor = std::chrono::seconds(10);
 // Bounds the messages of one VM in a large fleet.
 constexpr std::size_t kMostHellos = 24;
 constexpr std::uint32_t kMostTries = 6;
@@ -20,9 +21,13 @@
 }  // namespace internal
 
 roster::roster(std::string datagrams,
+               failure_domain_id domain,
                std::vector<std::string> seeds,
                std::uint64_t seed)
-    : self_(std::move(datagrams)), seeds_(std::move(seeds)), random_(seed) {}
+    : self_(std::move(datagrams)),
+      domain_(std::move(domain)),
+      seeds_(std::move(seeds)),
+      random_(seed) {}
 
 roster::news roster::Hear(const hello& heard, time_point now) {
   if (heard.datagrams == self_ || heard.vm.empty()) {
@@ -40,6 +45,7 @@
   }
   known = {heard, now};
   most_live_ = std::max(most_live_, members_.size());
+  NoteDomain(heard, now);
   for (const std::string& address : heard.known) {
     const bool live =
         std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
@@ -100,21 +106,33 @@
   return most_live_ == 0 ? internal::kAssumedSharers : most_live_ + 1;
 }
 
+void roster::NoteDomain(const hello& heard, time_point now) {
+  const bool stays =
+      std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+        return each.second.last.failure_domain == heard.failure_domain &&
+               !each.second.last.leaving;
+      });
+  if (stays) {
+    domains_[heard.failure_domain] = now;
+  } else {
+    domains_.erase(heard.failure_domain);
+  }
+}
+
 std::vector<failure_domain_id> roster::SilentDomains(time_point now) const {
   // In a large fleet a VM says hello to the others in turns.
   const auto turns = static_cast<std::int64_t>(
       1 + members_.size() / (internal::kMostHellos + 1));
   const duration silent_after = internal::kSilentAfter * turns;
-  std::map<failure_domain_id, bool> heard;
-  bool any = false;
-  for (const auto& [vm, each] : members_) {
-    const bool recent = each.heard_at + silent_after >= now;
-    heard[each.last.failure_domain] |= recent;
-    any = any || recent;
-  }
+  const bool any =
+      std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+        return each.second.heard_at + silent_after >= now;
+      });
   std::vector<failure_domain_id> silent;
-  for (const auto& [domain, recent] : heard) {
-    if (any && !recent) {
+  for (const auto& [domain, heard_at] : domains_) {
+    const duration silence = now - heard_at;
+    if (any && domain != domain_ && silence > silent_after &&
+        silence < internal::kCutOffFor) {
       silent.push_back(domain);
     }
   }
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -29,10 +29,12 @@
  public:
   /**
    * @param datagrams This VM's datagram address.
+   * @param domain This VM's failure domain.
    * @param seeds Datagram addresses to begin with; they may be stale.
    * @param seed Of the choice among many VMs.
    */
   roster(std::string datagrams,
+         failure_domain_id domain,
          std::vector<std::string> seeds,
          std::uint64_t seed);
 
@@ -85,13 +87,18 @@
   [[nodiscard]] const member* Newer(std::uint64_t changed_at) const;
 
  private:
+  void NoteDomain(const hello& heard, time_point now);
+
   std::string self_;
+  failure_domain_id domain_;
   std::vector<std::string> seeds_;
   random_engine random_;
   std::map<vm_id, member> members_;
   /** Addresses that others told, not heard yet, and how often they were
    * tried. */
   std::map<std::string, std::uint32_t> told_;
+  /** When a VM of each domain was last heard. */
+  std::map<failure_domain_id, time_point> domains_;
   std::size_t most_live_{};
 };
 
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -266,6 +266,25 @@
   CHECK_TRUE(again[0].target != first.target);
 }
 
+// Guards against streams that wait behind a cut, and against leaving targets
+// that answer.
+TEST(ForwardingReduce, StreamsMoveOnFromDomainsThatAreCutOff) {
+  for (const bool answers : {false, true}) {
+    fixture fleet;
+    const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+    fleet.Sent(first);
+    fleet.now = At(600);
+    if (answers) {
+      fleet.Post(
+          answer_began{first.id, 1, answer_verdict::kServed, 200, "", {}});
+    }
+    fleet.Post(domains_cut_off{{{""}}});
+    fleet.Post(time_passed{});
+    LONGS_EQUAL(answers ? 0 : 1, fleet.All<send_attempt>().size());
+    LONGS_EQUAL(answers ? 0 : 1, fleet.current.cut_off.size());
+  }
+}
+
 // Guards against work that goes on for a caller that has left.
 TEST(ForwardingReduce, CallersThatLeaveEndTheirAttempt) {
   fixture fleet;
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -39,7 +39,7 @@
 // Guards against VMs that never find each other: seeds first, then whoever they
 // know.
 TEST(Roster, FindsVmsThroughSeeds) {
-  roster made("self:1", {"seed:1", "self:1"}, 7);
+  roster made("self:1", {"s"}, {"seed:1", "self:1"}, 7);
   LONGS_EQUAL(1, made.HelloTargets().size());
   hello seed = From("seed");
   seed.known = {"other:1", "self:1"};
@@ -52,7 +52,7 @@
 // Guards against a delayed hello of an earlier process that replaces the newer
 // one, and against jobs of the earlier one that are never dropped.
 TEST(Roster, NewerIncarnationsReplaceOlderOnes) {
-  roster made("self:1", {}, 7);
+  roster made("self:1", {"s"}, {}, 7);
   made.Hear(From("a", 5), At(0));
   CHECK_FALSE(made.Hear(From("a", 4), At(1)).replaced.has_value());
   LONGS_EQUAL(5, *made.Hear(From("a", 6), At(2)).replaced);
@@ -61,7 +61,7 @@
 // Guards against a bound that grows for each VM when they cannot hear each
 // other.
 TEST(Roster, CutOffVmsKeepTheirPart) {
-  roster made("self:1", {}, 7);
+  roster made("self:1", {"s"}, {}, 7);
   CHECK_TRUE(made.Sharers() > 1);
   made.Hear(From("a"), At(0));
   made.Hear(From("b"), At(0));
@@ -73,7 +73,7 @@
 
 // Guards against a fetch from a peer that knows nothing newer.
 TEST(Roster, NamesThePeerWithTheNewestView) {
-  roster made("self:1", {}, 7);
+  roster made("self:1", {"s"}, {}, 7);
   made.Hear(From("a", 1, 5), At(0));
   made.Hear(From("b", 1, 9), At(0));
   CHECK_TRUE(made.Newer(9) == nullptr);
@@ -83,7 +83,7 @@
 // Guards against waiting for each target of a failure domain that is cut off,
 // and against taking all targets for unreachable when this VM is.
 TEST(Roster, TellsDomainsThatAreCutOff) {
-  roster made("self:1", {}, 7);
+  roster made("self:1", {"s"}, {}, 7);
   made.Hear(From("a1"), At(0));
   made.Hear(From("b1"), At(0));
   made.Hear(From("a2"), At(1'200));
@@ -93,9 +93,34 @@
   LONGS_EQUAL(0, made.SilentDomains(At(3'000)).size());
 }
 
+// Guards against a domain that counts as back because its VMs are no longer
+// listed, and against one that is left for ever.
+TEST(Roster, RemembersACutAfterItsVmsHaveExpired) {
+  roster made("self:1", {"s"}, {}, 7);
+  made.Hear(From("b1"), At(0));
+  made.Hear(From("a1"), At(6'000));
+  made.Expire(At(6'000));
+  LONGS_EQUAL(1, made.SilentDomains(At(6'000)).size());
+  made.Hear(From("a1"), At(11'000));
+  LONGS_EQUAL(0, made.SilentDomains(At(11'000)).size());
+}
+
+// Guards against leaving the targets of a domain whose VMs are restarted, and
+// those of this VM's own domain.
+TEST(Roster, RestartsAreNoCut) {
+  roster made("self:1", {"s"}, {}, 7);
+  hello leaving = From("b1");
+  leaving.leaving = true;
+  made.Hear(From("b1"), At(0));
+  made.Hear(leaving, At(500));
+  made.Hear(From("s2"), At(0));
+  made.Hear(From("a1"), At(3'000));
+  LONGS_EQUAL(0, made.SilentDomains(At(3'000)).size());
+}
+
 // Guards against messages that grow with the square of a large fleet.
 TEST(Roster, BoundsTheHellosOfALargeFleet) {
-  roster made("self:1", {}, 7);
+  roster made("self:1", {"s"}, {}, 7);
   for (int i = 0; i < 200; ++i) {
     made.Hear(From(("vm" + std::to_string(i)).c_str()), At(0));
   }
