--- a/apps/acaciaferryctl/main.cpp
+++ b/apps/acaciaferryctl/main.cpp
@@ -35,6 +35,7 @@
             "requests --output json", RunRequests},
     command{"explain", "why one request went where it went",
             "REQUEST-ID [OPTIONS]",
+            "explain --log entry.log 9c41d07be2a35f68\n"
             "explain 19ae2d1c4f07b3c-12\n"
             "explain 19ae2d1c4f07b3c-12 --output json",
             RunExplain},
--- a/apps/acaciaferryctl/remote.cpp
+++ b/apps/acaciaferryctl/remote.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "acaciaferry/administration/log_walk.hpp"
 #include "command.hpp"
 #include "table.hpp"
 
@@ -141,9 +142,30 @@
   return Show("requests", words);
 }
 
+// Explains a request from a decision log, without a daemon.
+int ExplainLog(const std::string& path, const std::string& id) {
+  std::ifstream log(path);
+  if (!log) {
+    std::cerr << "acaciaferryctl: cannot read " << path << '\n';
+    return kFailed;
+  }
+  const auto text = acaciaferry::ExplainFromLog(log, id);
+  if (!text) {
+    std::cerr << "acaciaferryctl: " << path << " does not name " << id << '\n';
+    return kFailed;
+  }
+  std::cout << *text;
+  return kOk;
+}
+
 int RunExplain(arguments words) {
+  constexpr std::size_t kLogWords = 3;
+  if (words.size() == kLogWords && words.front() == "--log") {
+    return ExplainLog(words[1], words[2]);
+  }
   if (words.empty() || words.front().starts_with('-')) {
-    std::cerr << "usage: acaciaferryctl explain REQUEST-ID [OPTIONS]\n";
+    std::cerr << "usage: acaciaferryctl explain REQUEST-ID [OPTIONS]\n"
+                 "       acaciaferryctl explain --log FILE REQUEST-ID\n";
     return kUsage;
   }
   const remote_options options = ParseOptions("explain", words.subspan(1));
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -16,8 +16,9 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // The balancer asks once a second and takes a VM out after two misses; callers
-// that it has sent by then are still served.
-constexpr duration kAcceptWhileDraining = std::chrono::milliseconds(3'200);
+// that it has sent by then are still served. Later ones could not be answered
+// before the process has to be gone.
+constexpr duration kAcceptWhileDraining = std::chrono::milliseconds(3'000);
 // Kept of the grace for the process's own end.
 constexpr duration kExitMargin = std::chrono::milliseconds(500);
 constexpr duration kDrainCheck = std::chrono::milliseconds(50);
@@ -247,6 +248,11 @@
     const own_reply reply = words_->Refuse(why);
     caller->Reply(reply.status, reply.fields, "");
   };
+  if (draining_since_ &&
+      clock_.Now() - *draining_since_ >= internal::kAcceptWhileDraining) {
+    refuse(failure_code::kDraining, "");
+    return;
+  }
   if (!table_) {
     refuse(failure_code::kNoConfiguration, "");
     return;
@@ -531,9 +537,11 @@
   const duration since = clock_.Now() - *draining_since_;
   const bool over = since >= settings_.drain_grace - internal::kExitMargin;
   if (since >= internal::kAcceptWhileDraining) {
+    callers_.StopListening();
     callers_.CloseIdle();
   }
-  if (over || (since >= internal::kAcceptWhileDraining && relays_.empty())) {
+  if (over || (since >= internal::kAcceptWhileDraining && relays_.empty() &&
+               !callers_.HasUnwritten())) {
     loop_.stop();
     return;
   }
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -14,7 +14,7 @@
       "target_lost",      "target_leaving",
       "target_restarted", "target_distrusted",
       "reserved",         "domain_cut_off",
-      "domain_back"};
+      "domain_back",      "shed"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -120,10 +120,11 @@
   kReserved,
   kDomainCutOff,
   kDomainBack,
+  kShed,
 };
 
 inline constexpr std::size_t kDecisionKinds =
-    static_cast<std::size_t>(decision_kind::kDomainBack) + 1;
+    static_cast<std::size_t>(decision_kind::kShed) + 1;
 
 /** @return The name of a kind as logs and metrics carry it. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -40,6 +40,8 @@
 constexpr double kFreeShare = 0.45;
 // A prompt is small when it takes less than this part of an engine's memory.
 constexpr std::uint64_t kSmallPart = 8;
+// Worth, in very short requests, from which a prompt that would be late is
+// refused: what it would keep from others is more than a late answer is worth.
 constexpr double kLongWorth = 3;
 // Harm to others, in late short requests, above which a call waits.
 constexpr double kWaitHarm = 0.3;
@@ -350,16 +352,34 @@
 
 // Whether the time that engines would spend on a prompt is worth more to the
 // prompts that come after it. Time has a price only when it is short.
-bool IsPricedOut(const state& current,
-                 const flight& of,
-                 const engine_properties& engine,
-                 std::size_t engines,
-                 time_point now) {
-  const double busy = current.ledger.Utilization(engines, now);
+bool IsPricedOut(const engine_properties& engine,
+                 std::uint64_t prompt_tokens,
+                 double busy) {
   const double price =
       kFullPrice * std::max(0.0, busy - kFreeShare) / (1 - kFreeShare);
-  const double reading = ToSeconds(ReadingTime(engine, of.what.prompt_tokens));
-  return price * reading > Worth(engine, of.what.prompt_tokens);
+  return price * ToSeconds(ReadingTime(engine, prompt_tokens)) >
+         Worth(engine, prompt_tokens);
+}
+
+bool MayBeShed(const flight& of) {
+  return !of.delivered && of.attempts == 0;
+}
+
+void Shed(state& current,
+          flight& of,
+          const engine_properties& engine,
+          double busy,
+          duration first_event,
+          time_point now,
+          effects& out) {
+  Record(out, decision_kind::kShed, of.what.label,
+         {{"busy", std::to_string(busy)},
+          {"reading_ms", Millis(ReadingTime(engine, of.what.prompt_tokens))},
+          {"worth", std::to_string(Worth(engine, of.what.prompt_tokens))},
+          {"first_ms", Millis(first_event)},
+          {"aim_left_ms", Millis(AimLeft(of, now))},
+          {"jobs", std::to_string(current.ledger.Jobs())}});
+  Fail(current, of, failure_code::kShed, now, out);
 }
 
 void StartPrompt(state& current,
@@ -368,9 +388,9 @@
                  const std::vector<const target*>& candidates,
                  time_point now,
                  effects& out) {
-  if (!of.delivered &&
-      IsPricedOut(current, of, engine, candidates.size(), now)) {
-    Fail(current, of, failure_code::kShed, now, out);
+  const double busy = current.ledger.Utilization(candidates.size(), now);
+  if (MayBeShed(of) && IsPricedOut(engine, of.what.prompt_tokens, busy)) {
+    Shed(current, of, engine, busy, {}, now, out);
     return;
   }
   if (of.what.prompt_tokens + of.what.answer_tokens > engine.memory_tokens) {
@@ -395,10 +415,10 @@
     Wait(of, now);
     return;
   }
-  if (!of.delivered && of.attempts == 0 &&
-      chosen->first_event > of.arrived + of.what.target_latency - now &&
+  const duration in_time = of.arrived + of.what.target_latency - now;
+  if (MayBeShed(of) && chosen->first_event > in_time &&
       Worth(engine, of.what.prompt_tokens) > kLongWorth) {
-    Fail(current, of, failure_code::kShed, now, out);
+    Shed(current, of, engine, busy, chosen->first_event, now, out);
     return;
   }
   attempt& started = NewAttempt(of, chosen->first, now);
--- a/src/acaciaferry/net/server.cpp
+++ b/src/acaciaferry/net/server.cpp
@@ -1,5 +1,6 @@
 #include "acaciaferry/net/server.hpp"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <charconv>
 
@@ -189,6 +190,11 @@
   }
 }
 
+bool http_server::HasUnwritten() const noexcept {
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& each) { return each->Pending() > 0; });
+}
+
 void http_server::StopListening() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -115,6 +115,9 @@
   /** @brief Stops listening; open connections stay. */
   void StopListening();
 
+  /** @return Whether bytes of some reply wait to be written. */
+  [[nodiscard]] bool HasUnwritten() const noexcept;
+
   [[nodiscard]] std::size_t Connections() const noexcept {
     return connections_.size();
   }
--- a/test/acaciaferry/net/server_test.cpp
+++ b/test/acaciaferry/net/server_test.cpp
@@ -62,7 +62,9 @@
       {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\n", "413"},
       {"GET / HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n", "431"},
       {"not http\r\n\r\n", "400"}};
-  for (const auto& [request, status] : cases) {
+  for (const auto& each : cases) {
+    const std::string& request = each.first;
+    const std::string& status = each.second;
     fixture host;
     server_limits limits;
     limits.head_bytes = 200;
