--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -510,6 +510,11 @@
           effects& out) {
   const bool ran = of.may_have_run || (of.current && of.current->sent);
   EndAttempt(current, of, true, now, out);
+  // These statuses promise that the request has not run.
+  constexpr int kUnavailable = 503;
+  if (ran && Describe(code).http_status == kUnavailable) {
+    code = failure_code::kTargetLost;
+  }
   const failure_description& described = Describe(code);
   failure why{code, ran ? outcome::kUnknown : outcome::kNotRun, {}};
   if (!ran && described.retryable) {
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -410,6 +410,18 @@
   LONGS_EQUAL(0, fleet.All<refuse_call>().size());
 }
 
+// Guards against the promise of "not run" for a call that may have run before
+// its targets were gone.
+TEST(ForwardingReduce, CallsThatMayHaveRunAreNeverRefusedAsNotRun) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.Sent(first);
+  fleet.Post(targets_published{{}});
+  fleet.Post(attempt_lost{first.id, 1, attempt_loss::kNoAnswer});
+  LONGS_EQUAL(502, Describe(fleet.Refusal().code).http_status);
+  CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
+}
+
 // Guards against calls that hang while no target is known.
 TEST(ForwardingReduce, CallsWithoutTargetsAreRefusedAtOnce) {
   fixture fleet;
