--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <utility>
 
+#include "acaciaferry/entry/order_sender.hpp"
+
 namespace acaciaferry::entry {
 namespace internal {
 
@@ -25,7 +27,6 @@
 // A view that neither the service nor a peer has confirmed for this long may
 // lack routes and keys: what it doesn't know is refused as "try again".
 constexpr duration kConfirmedFor = std::chrono::milliseconds(3'000);
-constexpr duration kOrderPatience = std::chrono::milliseconds(1'000);
 // A release without an answer is sent again; the lease bounds the rest.
 constexpr int kReleaseTries = 3;
 constexpr std::size_t kSuspectsTold = 16;
@@ -345,18 +346,19 @@
   }
   void operator()(const forwarding::reserve_memory& what) const {
     if (what.renewal) {
-      Order(what.address, self.words_->Reserve(what), 1, [](bool) {});
+      SendOrder(self.loop_, what.address, self.words_->Reserve(what), 1,
+                [](bool) {});
       return;
     }
-    Order(what.address, self.words_->Reserve(what), 1,
-          [owner = &self, what](bool held) {
-            owner->Post(forwarding::reservation_settled{what.id, what.attempt,
-                                                        what.ticket, held});
-          });
+    SendOrder(self.loop_, what.address, self.words_->Reserve(what), 1,
+              [owner = &self, what](bool held) {
+                owner->Post(forwarding::reservation_settled{
+                    what.id, what.attempt, what.ticket, held});
+              });
   }
   void operator()(const forwarding::release_memory& what) const {
-    Order(what.address, self.words_->Release(what), internal::kReleaseTries,
-          [](bool) {});
+    SendOrder(self.loop_, what.address, self.words_->Release(what),
+              internal::kReleaseTries, [](bool) {});
   }
   void operator()(const forwarding::tell_peers& what) const {
     auto& again = self.ended_recently_;
@@ -366,54 +368,6 @@
   void operator()(const forwarding::record_decision& what) const {
     self.log_.Write(what, self.clock_.Now());
   }
-
-  // Sends an order; one without an answer is sent again when tries are left.
-  void Order(const std::string& address,
-             const outgoing_call& order,
-             int tries,
-             const std::function<void(bool)>& on_settled) const {
-    struct sending {
-      std::shared_ptr<net::client_exchange> exchange;
-      boost::asio::steady_timer timer;
-      int status{};
-    };
-    entry_daemon& owner = self;
-    const auto state = std::make_shared<sending>(
-        sending{nullptr, boost::asio::steady_timer(owner.loop_), 0});
-    const auto again = [owner = &owner, address, order, tries, on_settled] {
-      if (tries > 1) {
-        carrier{*owner}.Order(address, order, tries - 1, on_settled);
-      } else {
-        on_settled(false);
-      }
-    };
-    net::exchange_handlers handlers;
-    handlers.on_head = [state](const net::response_head& head) {
-      state->status = head.status;
-      return true;
-    };
-    handlers.on_end = [state, on_settled] {
-      state->timer.cancel();
-      on_settled(state->status == internal::kOk);
-    };
-    handlers.on_failure = [state, again](net::exchange_failure /*failure*/) {
-      state->timer.cancel();
-      again();
-    };
-    state->exchange = std::make_shared<net::client_exchange>(
-        owner.loop_, std::move(handlers));
-    state->timer.expires_after(internal::kOrderPatience);
-    state->timer.async_wait(
-        [state, again](const boost::system::error_code& error) {
-          if (!error) {
-            state->exchange->Cancel();
-            again();
-          }
-        });
-    state->exchange->Start(
-        address, net::Serialize(order.head, order.body.size()) + order.body,
-        internal::kOrderPatience);
-  }
 };
 
 void entry_daemon::CarryOut(const forwarding::effects& effects) {
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -1,14 +1,43 @@
 #pragma once
 
-#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include "acaciaferry/forwarding/state.hpp"
 
 namespace acaciaferry::forwarding::internal {
 
+/** Less time than this is no use to a target. */
+inline constexpr duration kLeastTimeLeft = std::chrono::milliseconds(30);
+
 /** @brief Places a call and starts its next attempt, or ends the call. */
 void StartAttempt(state& current, flight& of, time_point now, effects& out);
 
+/** @brief Places a prompt and sends it; or lets it wait, or refuses it. */
+void StartPrompt(state& current,
+                 flight& of,
+                 const engine_properties& engine,
+                 const std::vector<const target*>& candidates,
+                 time_point now,
+                 effects& out);
+
+/** @brief Begins the next attempt of a call at a target. */
+attempt& NewAttempt(flight& of, const target_id& first, time_point now);
+
+/** @brief Sends the running attempt. */
+void Send(state& current, flight& of, time_point now, effects& out);
+
+/** @brief Adds jobs to the ledgers of this VM and of its peers. */
+void Announce(state& current,
+              std::vector<job> jobs,
+              time_point now,
+              effects& out);
+
+/** @return Time until the first event is late; above zero. */
+[[nodiscard]] duration AimLeft(const flight& of, time_point now);
+
 /** @brief Ends the running attempt: its jobs, its tickets and, when asked, its
  * connection. */
 void EndAttempt(state& current,
