Remove fields and kinds of decisions that nothing uses

Cause: read the change as its next maintainer: two kinds of decisions that no one records would have been counters that never rise, and five fields were written and never read.

--- a/src/acaciaferry/entry/decision_log.cpp
+++ b/src/acaciaferry/entry/decision_log.cpp
@@ -53,8 +53,7 @@
 // Decisions about requests that were served give way to the others.
 std::uint32_t BudgetOf(forwarding::decision_kind kind) {
   using forwarding::decision_kind;
-  return kind == decision_kind::kSent || kind == decision_kind::kAnswered ||
-                 kind == decision_kind::kAdmitted
+  return kind == decision_kind::kSent || kind == decision_kind::kAnswered
              ? kServedLinesPerSecond
              : kLinesPerSecond;
 }
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -103,11 +103,9 @@
 
 /** What a decision was about. */
 enum class decision_kind {
-  kAdmitted,
   kSent,
   kRepeated,
   kResumed,
-  kCancelled,
   kAnswered,
   kRefused,
   kFailed,
--- a/src/acaciaferry/forwarding/placement.hpp
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -18,7 +18,6 @@
  */
 struct demand {
   std::uint64_t prompt_tokens{};
-  std::uint64_t answer_tokens{};
   /** Memory that the first engine must have. */
   std::uint64_t memory_tokens{};
   /** Smallest number of engines that read, the first one included. */
@@ -27,7 +26,6 @@
   duration aim{};
   /** Longest pause between two events that is on time; 0 for no bound. */
   duration target_gap{};
-  failure_domain_id failure_domain;
 };
 
 /**
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -70,14 +70,9 @@
   return jobs;
 }
 
-demand Demand(const state& current, const flight& of, time_point now) {
-  return {of.what.prompt_tokens,
-          of.what.answer_tokens,
-          of.what.prompt_tokens + of.what.answer_tokens,
-          1,
-          AimLeft(of, now),
-          of.what.target_gap,
-          current.failure_domain};
+demand Demand(const flight& of, time_point now) {
+  return {of.what.prompt_tokens, of.what.prompt_tokens + of.what.answer_tokens,
+          1, AimLeft(of, now), of.what.target_gap};
 }
 
 struct span_plan {
@@ -104,7 +99,7 @@
                                   const std::vector<const target*>& candidates,
                                   demand wanted,
                                   time_point now) {
-  const std::uint64_t needed = wanted.prompt_tokens + wanted.answer_tokens;
+  const std::uint64_t needed = wanted.memory_tokens;
   for (const std::size_t parts : kSpanParts) {
     wanted.least_parts = parts;
     wanted.memory_tokens = needed / parts;
@@ -131,7 +126,7 @@
       if (tokens > 0 && found != nullptr) {
         plan.first_tokens -= tokens;
         plan.reservations.push_back(
-            {id, found->address, "", tokens, false, false, now + kRenewAfter});
+            {id, found->address, "", tokens, false, now + kRenewAfter});
       }
     }
     return plan;
@@ -164,8 +159,7 @@
                const std::vector<const target*>& candidates,
                time_point now,
                effects& out) {
-  auto plan =
-      PlanSpan(current, engine, candidates, Demand(current, of, now), now);
+  auto plan = PlanSpan(current, engine, candidates, Demand(of, now), now);
   const bool wait = !plan || IsBetterLater(plan->at);
   if (wait && MayWait(of, plan ? plan->at.first_event : kPlaceAgain, now)) {
     Wait(of, now);
@@ -265,7 +259,7 @@
     StartSpan(current, of, engine, candidates, now, out);
     return;
   }
-  demand wanted = Demand(current, of, now);
+  demand wanted = Demand(of, now);
   auto chosen = PlacePrompt(engine, candidates, current.ledger, wanted,
                             kMostHelpers, now);
   if (!chosen && wanted.memory_tokens * kSmallPart < engine.memory_tokens) {
@@ -308,7 +302,6 @@
   bool all_held = true;
   for (reservation& each : running.reservations) {
     if (each.ticket == settled.ticket) {
-      each.settled = true;
       each.held = settled.held;
     }
     all_held = all_held && each.held;
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -110,7 +110,6 @@
     if (of == nullptr) {
       return;
     }
-    of->current->began = true;
     of->current->load = happened.load;
     current.targets.ShowedLife(of->current->target, now);
     switch (happened.verdict) {
@@ -165,7 +164,7 @@
     if (of == nullptr) {
       return;
     }
-    current.targets.Completed(of->current->target, now);
+    current.targets.Completed(of->current->target);
     if (IsSuspect(current.quarantine, of->what.fingerprint, now)) {
       RecordCompletion(current.quarantine, current.self, of->what.fingerprint,
                        now);
@@ -213,7 +212,7 @@
 
   void operator()(const targets_published& happened) {
     using what = target_table::change::what;
-    for (const auto& change : current.targets.Publish(happened.targets, now)) {
+    for (const auto& change : current.targets.Publish(happened.targets)) {
       switch (change.kind) {
         case what::kFound:
           RecordTarget(out, decision_kind::kTargetFound, change.id,
--- a/src/acaciaferry/forwarding/routing_table.hpp
+++ b/src/acaciaferry/forwarding/routing_table.hpp
@@ -36,7 +36,6 @@
   double read_tokens_per_ms{};
   /** Per million pairs of a token and an earlier one. */
   double read_ms_per_m_pairs{};
-  std::uint64_t read_tokens_per_step{};
   /** Mean number of tokens of a prompt. */
   double usual_prompt_tokens{};
 };
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -24,8 +24,6 @@
   std::string ticket;
   std::uint64_t tokens{};
   bool held{};
-  /** The order has been answered. */
-  bool settled{};
   time_point renew_at{};
 };
 
@@ -37,7 +35,6 @@
   std::vector<reservation> reservations;
   time_point started{};
   bool sent{};
-  bool began{};
   /** When the next sign of progress is overdue; nothing when only the deadline
    * bounds it. */
   std::optional<time_point> silent_at;
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -32,8 +32,7 @@
 }
 
 std::vector<target_table::change> target_table::Publish(
-    const std::vector<target>& targets,
-    time_point /*now*/) {
+    const std::vector<target>& targets) {
   std::vector<change> changes;
   std::set<target_id> published;
   for (const target& each : targets) {
@@ -125,7 +124,7 @@
   });
 }
 
-void target_table::Completed(const target_id& id, time_point /*now*/) {
+void target_table::Completed(const target_id& id) {
   const auto at = entries_.find(id);
   if (at != entries_.end()) {
     at->second.failing *= 1 - internal::kFailureWeight;
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -57,8 +57,7 @@
    * @return What changed; a leaving state is kept for the target's
    * incarnation.
    */
-  [[nodiscard]] std::vector<change> Publish(const std::vector<target>& targets,
-                                            time_point now);
+  [[nodiscard]] std::vector<change> Publish(const std::vector<target>& targets);
 
   /** @brief Marks a target as leaving; kept until its incarnation changes. */
   bool MarkLeaving(const target_id& id);
@@ -85,7 +84,7 @@
                                    time_point since) const;
 
   /** @brief Records that a target completed a request. */
-  void Completed(const target_id& id, time_point now);
+  void Completed(const target_id& id);
   /** @brief Records that a target failed a request that it ran.
    * @return Whether the target is distrusted now. */
   bool Failed(const target_id& id, time_point now);
--- a/test/acaciaferry/forwarding/placement_test.cpp
+++ b/test/acaciaferry/forwarding/placement_test.cpp
@@ -57,12 +57,11 @@
 };
 
 demand Short() {
-  return {5'000, 1'300, 6'300, 1, milliseconds(300), milliseconds(250), {}};
+  return {5'000, 6'300, 1, milliseconds(300), milliseconds(250)};
 }
 
 demand Long() {
-  return {133'000, 700, 133'700, 1, milliseconds(3'000), milliseconds(1'000),
-          {}};
+  return {133'000, 133'700, 1, milliseconds(3'000), milliseconds(1'000)};
 }
 
 bool Uses(const placement& chosen, const target_id& id) {
--- a/test/acaciaferry/forwarding/target_table_test.cpp
+++ b/test/acaciaferry/forwarding/target_table_test.cpp
@@ -37,11 +37,11 @@
   target_table table;
   target leaving = Published("a");
   leaving.state = target_state::kLeaving;
-  static_cast<void>(table.Publish({leaving}, At(0)));
+  static_cast<void>(table.Publish({leaving}));
   LONGS_EQUAL(0, Usable(table, 0));
-  static_cast<void>(table.Publish({Published("a")}, At(1)));
+  static_cast<void>(table.Publish({Published("a")}));
   LONGS_EQUAL(0, Usable(table, 1));
-  const auto changes = table.Publish({Published("a", 2)}, At(2));
+  const auto changes = table.Publish({Published("a", 2)});
   LONGS_EQUAL(1, changes.size());
   CHECK_TRUE(changes[0].kind == target_table::change::what::kRestarted);
   LONGS_EQUAL(1, Usable(table, 2));
@@ -51,7 +51,7 @@
 // against one that is never asked again.
 TEST(TargetTable, DistrustGrowsAndEnds) {
   target_table table;
-  static_cast<void>(table.Publish({Published("a")}, At(0)));
+  static_cast<void>(table.Publish({Published("a")}));
   const auto first =
       table.Distrust({"a"}, distrust_reason::kUnreachable, At(0));
   LONGS_EQUAL(0, Usable(table, 1));
@@ -59,7 +59,7 @@
   const auto second =
       table.Distrust({"a"}, distrust_reason::kUnreachable, At(701));
   CHECK_TRUE(second > first);
-  table.Completed({"a"}, At(3'000));
+  table.Completed({"a"});
   CHECK_TRUE(table.Distrust({"a"}, distrust_reason::kUnreachable, At(9'000)) ==
              first);
 }
@@ -68,7 +68,7 @@
 // work, and against distrust after a single failure.
 TEST(TargetTable, DistrustsWhatFailsOften) {
   target_table table;
-  static_cast<void>(table.Publish({Published("a")}, At(0)));
+  static_cast<void>(table.Publish({Published("a")}));
   CHECK_FALSE(table.Failed({"a"}, At(0)));
   CHECK_TRUE(table.Failed({"a"}, At(1)));
   LONGS_EQUAL(0, Usable(table, 2));
@@ -80,7 +80,7 @@
   target_table table;
   target missing = Published("a");
   missing.missing = true;
-  static_cast<void>(table.Publish({missing, Published("b")}, At(0)));
+  static_cast<void>(table.Publish({missing, Published("b")}));
   const auto usable = table.Usable(kPool, At(0));
   LONGS_EQUAL(1, usable.size());
   STRCMP_EQUAL("b", usable[0]->id.value.c_str());
