Refuse seven of ten prompts that are priced out

Change: a draw decides; with one return at least every second one is served. Ruled out: want of memory (span_unavailable is a tenth of the refusals).

--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -24,6 +24,10 @@
 constexpr double kFullPrice = 16;
 // Share of the engines' time up to which it has no price.
 constexpr double kFreeShare = 0.45;
+// Of the prompts that are priced out this share is refused, so that the longest
+// are still served: with one return, every second of them at least.
+constexpr std::uint64_t kShedOfHundred = 70;
+constexpr std::uint64_t kOutOfHundred = 100;
 // A prompt is small when it takes less than this part of an engine's memory.
 constexpr std::uint64_t kSmallPart = 8;
 // Worth, in very short requests, from which a prompt that would be late is
@@ -251,7 +255,8 @@
                  time_point now,
                  effects& out) {
   const double busy = current.ledger.Utilization(candidates.size(), now);
-  if (MayBeShed(of) && IsPricedOut(engine, of.what.prompt_tokens, busy)) {
+  if (MayBeShed(of) && IsPricedOut(engine, of.what.prompt_tokens, busy) &&
+      DrawBelow(current.random, kOutOfHundred) < kShedOfHundred) {
     Shed(current, of, engine, busy, {}, now, out);
     return;
   }
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -403,9 +403,20 @@
     jobs.push_back(busy);
   }
   fleet.Post(peer_load{jobs, {}, {}});
-  fleet.Start(call_kind::kStreaming, kModel, 400'000);
-  CHECK_TRUE(fleet.Refusal().code == failure_code::kShed);
-  CHECK_TRUE(fleet.Refusal().retry_after.has_value());
+  // Not all of them, so that the longest prompts are not starved.
+  int refused = 0;
+  constexpr int kCalls = 40;
+  for (int i = 0; i < kCalls; ++i) {
+    fleet.Start(call_kind::kStreaming, kModel, 400'000);
+    if (!fleet.All<refuse_call>().empty()) {
+      CHECK_TRUE(fleet.Refusal().code == failure_code::kShed);
+      CHECK_TRUE(fleet.Refusal().retry_after.has_value());
+      ++refused;
+    }
+    fleet.Post(caller_gone{fleet.id});
+  }
+  CHECK_TRUE(refused > kCalls / 2);
+  CHECK_TRUE(refused < kCalls);
   fleet.Start(call_kind::kStreaming, kModel, 5'000);
   LONGS_EQUAL(0, fleet.All<refuse_call>().size());
 }
