--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -219,8 +219,11 @@
 bool IsPricedOut(const engine_properties& engine,
                  std::uint64_t prompt_tokens,
                  double busy) {
-  const double price =
-      kFullPrice * std::max(0.0, busy - kFreeShare) / (1 - kFreeShare);
+  // More than all of the time cannot be short: short prompts are never too
+  // dear.
+  const double price = kFullPrice *
+                       (std::clamp(busy, kFreeShare, 1.0) - kFreeShare) /
+                       (1 - kFreeShare);
   return price * ToSeconds(ReadingTime(engine, prompt_tokens)) >
          Worth(engine, prompt_tokens);
 }
