Place short prompts also when every engine counts as full

Two prompts of several hundred thousand tokens paused all engines for over a second, streams moved on as from silent targets, and no engine was taken for the resumption: each counted as over its memory, although no memory was asked for. Change: a placement that asks for no memory is never refused for it. The test failed before. Ruled out: the configuration (routes and pools of the streams were unchanged).

--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -102,6 +102,9 @@
 bool HasMemory(const engine_properties& engine,
                const target_load& load,
                const demand& wanted) {
+  if (wanted.memory_tokens == 0) {
+    return true;
+  }
   const auto usable = static_cast<std::uint64_t>(
       static_cast<double>(engine.memory_tokens) * kMemoryShare);
   const std::uint64_t needed = wanted.memory_tokens;
--- a/src/acaciaferry/forwarding/placement.hpp
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -18,7 +18,7 @@
  */
 struct demand {
   std::uint64_t prompt_tokens{};
-  /** Memory that the first engine must have. */
+  /** Memory that the first engine must have; 0 to place it anywhere. */
   std::uint64_t memory_tokens{};
   /** Smallest number of engines that read, the first one included. */
   std::size_t least_parts{1};
--- a/test/acaciaferry/forwarding/placement_test.cpp
+++ b/test/acaciaferry/forwarding/placement_test.cpp
@@ -132,6 +132,20 @@
                   .has_value());
 }
 
+// Guards against a short stream that is given up because every engine counts as
+// full: it finds room as soon as any other request ends.
+TEST(Placement, PlacesWithoutAskingForMemory) {
+  fleet engines(1);
+  job held = engines.Writer({"e0"}, 1);
+  held.memory_tokens = 240'000;
+  engines.ledger.Add(held, At(0));
+  demand wanted = Short();
+  wanted.memory_tokens = 0;
+  CHECK_TRUE(PlacePrompt(Engine(), engines.candidates, engines.ledger, wanted,
+                         16, At(0))
+                 .has_value());
+}
+
 // Guards against more helpers than asked for.
 TEST(Placement, KeepsToTheNumberOfHelpers) {
   fleet engines(20);
