Say hello to found VMs at once

Ruled out: the engines' own leftovers, whose load is back to 0 when the connections close. Change: a found VM, and one that it names, gets a hello at once.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -393,8 +393,24 @@
 }
 
 void entry_daemon::Broadcast(const mesh::message& what) {
-  const auto datagrams = mesh::Encode(what, clock_.Now());
-  for (const std::string& address : roster_.Live()) {
+  SendEach(mesh::Encode(what, clock_.Now()), roster_.Live());
+}
+
+void entry_daemon::SayHello(const std::vector<std::string>& addresses) {
+  const mesh::hello hello{settings_.vm,
+                          settings_.failure_domain,
+                          incarnation_,
+                          settings_.datagrams,
+                          settings_.control,
+                          views_.View().changed_at,
+                          draining_since_.has_value(),
+                          roster_.Live()};
+  SendEach(mesh::Encode(hello, clock_.Now()), addresses);
+}
+
+void entry_daemon::SendEach(const std::vector<std::string>& datagrams,
+                            const std::vector<std::string>& addresses) {
+  for (const std::string& address : addresses) {
     for (const std::string& datagram : datagrams) {
       datagrams_.Send(address, datagram);
     }
@@ -411,20 +427,7 @@
   if (cut_off != state_.cut_off) {
     Post(forwarding::domains_cut_off{cut_off});
   }
-  const mesh::hello hello{settings_.vm,
-                          settings_.failure_domain,
-                          incarnation_,
-                          settings_.datagrams,
-                          settings_.control,
-                          views_.View().changed_at,
-                          draining_since_.has_value(),
-                          roster_.Live()};
-  const auto targets = roster_.HelloTargets();
-  for (const std::string& datagram : mesh::Encode(hello, now)) {
-    for (const std::string& address : targets) {
-      datagrams_.Send(address, datagram);
-    }
-  }
+  SayHello(roster_.HelloTargets());
   // An end that is lost would leave a load that is not there.
   if (!ended_recently_.empty()) {
     Broadcast(mesh::load_news{{}, std::exchange(ended_recently_, {}), {}});
@@ -463,6 +466,7 @@
       log_.Note("peer_replaced", {{"peer", hello->vm.value}});
       Post(forwarding::peer_ended{*news.replaced});
     }
+    SayHello(news.contact);
     if (hello->changed_at <= views_.View().changed_at) {
       peer_confirmed_ = now;
     }
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -60,6 +60,9 @@
   void OnViewChanged();
   void OnSignal();
   void Hello();
+  void SayHello(const std::vector<std::string>& addresses);
+  void SendEach(const std::vector<std::string>& datagrams,
+                const std::vector<std::string>& addresses);
   void Post(const forwarding::event& happened);
   void CarryOut(const forwarding::effects& effects);
   void Broadcast(const mesh::message& what);
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -39,7 +39,10 @@
   if (!added && heard.incarnation < known.last.incarnation) {
     return {};
   }
-  news changed{added, {}};
+  news changed{added, {}, {}};
+  if (added) {
+    changed.contact.push_back(heard.datagrams);
+  }
   if (!added && heard.incarnation > known.last.incarnation) {
     changed.replaced = known.last.incarnation;
   }
@@ -51,8 +54,9 @@
         std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
           return each.second.last.datagrams == address;
         });
-    if (!live && address != self_ && told_.size() < internal::kMostTold) {
-      told_.try_emplace(address, 0);
+    if (!live && address != self_ && told_.size() < internal::kMostTold &&
+        told_.try_emplace(address, 1).second) {
+      changed.contact.push_back(address);
     }
   }
   return changed;
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -46,6 +46,9 @@
     bool is_found{};
     /** Incarnation of the process that the VM ran before. */
     std::optional<std::uint64_t> replaced;
+    /** Datagram addresses to say hello to at once: a VM that was found, and
+     * others that it knows and this one doesn't. */
+    std::vector<std::string> contact;
   };
 
   /**
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -49,6 +49,21 @@
   CHECK_FALSE(Contains(targets, "self:1"));
 }
 
+// Guards against VMs that start together and choose targets for a second
+// without each other's dispatches.
+TEST(Roster, AnswersFoundVmsAtOnce) {
+  roster made("self:1", {"s"}, {"seed:1"}, 7);
+  hello seed = From("seed");
+  seed.known = {"other:1", "self:1"};
+  const auto contact = made.Hear(seed, At(0)).contact;
+  LONGS_EQUAL(2, contact.size());
+  CHECK_TRUE(Contains(contact, "seed:1"));
+  CHECK_TRUE(Contains(contact, "other:1"));
+  // Once is enough: further hellos follow at their interval.
+  LONGS_EQUAL(0, made.Hear(seed, At(10)).contact.size());
+  LONGS_EQUAL(1, made.Hear(From("other"), At(20)).contact.size());
+}
+
 // Guards against a delayed hello of an earlier process that replaces the newer
 // one, and against jobs of the earlier one that are never dropped.
 TEST(Roster, NewerIncarnationsReplaceOlderOnes) {
