Follow the passes of engines with writers in the load ledger

Cause: the first event of a prompt beside writers comes with the end of the pass that reads it, and a pass starts only when the one before has ended. Change: the ledger keeps the end of the pass that runs and what it reads; events of streams set that end. Placement charges a read with the delay of what waits for the same pass. The bound on queueing counts whole passes now (200 ms).

--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -25,28 +25,119 @@
   return XXH3_64bits(&incarnation, sizeof incarnation) & kLowHalf;
 }
 
-duration target_load::Backlog() const noexcept {
+duration target_load::Waiting() const noexcept {
   duration total{};
   for (const unfinished_read& each : reads) {
-    total += each.remaining;
+    total += each.in_pass ? duration{} : each.remaining;
   }
   return total;
 }
 
-void load_ledger::Advance(queue& target_queue, time_point now) {
-  duration elapsed = now - target_queue.advanced_to;
-  target_queue.advanced_to = std::max(target_queue.advanced_to, now);
+void load_ledger::Describe(const target_id& id,
+                           const engine_properties& engine) {
+  engines_[id] = engine;
+  const auto at = queues_.find(id);
+  if (at != queues_.end()) {
+    at->second.engine = engine;
+  }
+}
+
+duration load_ledger::PassOf(const queue& target_queue) {
+  std::uint32_t writers = 0;
+  std::uint64_t context = 0;
+  for (const job& each : target_queue.jobs) {
+    if (each.writes) {
+      ++writers;
+      context += each.context_tokens;
+    }
+  }
+  return PassTime(target_queue.engine, writers, context);
+}
+
+duration load_ledger::WaitingOf(const queue& target_queue) {
+  duration total{};
+  for (const unfinished_read& each : target_queue.reads) {
+    total += each.in_pass ? duration{} : each.remaining;
+  }
+  return total;
+}
+
+// A pass reads all that is there when it starts.
+void load_ledger::StartPass(queue& target_queue, time_point now) {
+  target_queue.pass_started = now;
+  target_queue.pass_ends = now + PassOf(target_queue);
+  for (unfinished_read& each : target_queue.reads) {
+    target_queue.pass_ends += each.remaining;
+    each.in_pass = true;
+  }
+}
+
+void load_ledger::AdvancePasses(queue& target_queue, time_point now) {
+  while (target_queue.pass_ends <= now) {
+    std::erase_if(target_queue.reads,
+                  [](const unfinished_read& each) { return each.in_pass; });
+    if (!target_queue.reads.empty()) {
+      StartPass(target_queue, target_queue.pass_ends);
+      continue;
+    }
+    // Passes without reads follow each other until now.
+    const duration pass = PassOf(target_queue);
+    target_queue.pass_started =
+        pass > duration{} ? now - (now - target_queue.pass_ends) % pass : now;
+    target_queue.pass_ends = target_queue.pass_started + pass;
+    return;
+  }
+}
+
+void load_ledger::AdvanceReads(queue& target_queue, time_point now) {
   auto& reads = target_queue.reads;
-  auto at = reads.begin();
-  for (; at != reads.end() && elapsed > duration{}; ++at) {
-    const duration worked = std::min(elapsed, at->remaining);
-    at->remaining -= worked;
-    elapsed -= worked;
-    if (at->remaining > duration{}) {
+  while (!reads.empty() && !HasWriters(target_queue)) {
+    const duration elapsed = now - target_queue.advanced_to;
+    unfinished_read& first = reads.front();
+    if (elapsed < first.remaining) {
+      first.remaining -= std::max(elapsed, duration{});
       break;
     }
+    target_queue.advanced_to += first.remaining;
+    reads.erase(reads.begin());
+  }
+}
+
+void load_ledger::Advance(queue& target_queue, time_point now) {
+  if (!HasWriters(target_queue)) {
+    target_queue.runs_passes = false;
+    AdvanceReads(target_queue, now);
+  }
+  if (HasWriters(target_queue)) {
+    if (!target_queue.runs_passes) {
+      target_queue.runs_passes = true;
+      StartPass(target_queue, target_queue.advanced_to);
+    }
+    AdvancePasses(target_queue, now);
+  }
+  target_queue.advanced_to = std::max(target_queue.advanced_to, now);
+}
+
+void load_ledger::PassEnded(const target_id& id, time_point now) {
+  const auto at = queues_.find(id);
+  if (at == queues_.end()) {
+    return;
+  }
+  queue& target_queue = at->second;
+  Advance(target_queue, now);
+  if (!target_queue.runs_passes) {
+    return;
+  }
+  const duration since = now - target_queue.pass_started;
+  const duration left = target_queue.pass_ends - now;
+  if (since < left) {
+    // The end that was expected a little before.
+    target_queue.pass_started += since;
+    target_queue.pass_ends += since;
+  } else {
+    target_queue.pass_ends = now;
+    AdvancePasses(target_queue, now);
   }
-  reads.erase(reads.begin(), at);
 }
 
 bool load_ledger::IsRead(const queue& target_queue, job_key key) {
@@ -74,14 +165,11 @@
 // All that a target has not read is read between two events of its writers. A
 // request that is still read has no events yet.
 void load_ledger::MarkPaused(queue& target_queue) {
-  duration backlog{};
-  for (const unfinished_read& each : target_queue.reads) {
-    backlog += each.remaining;
-  }
+  const duration pause = PassOf(target_queue) + WaitingOf(target_queue);
   for (job& each : target_queue.jobs) {
     each.paused = each.paused ||
                   (each.writes && !IsRead(target_queue, each.key) &&
-                   each.target_gap > duration{} && backlog > each.target_gap);
+                   each.target_gap > duration{} && pause > each.target_gap);
   }
 }
 
@@ -90,6 +178,10 @@
   queue& target_queue = at->second;
   if (fresh) {
     target_queue.advanced_to = now;
+    const auto engine = engines_.find(added.target);
+    if (engine != engines_.end()) {
+      target_queue.engine = engine->second;
+    }
   }
   Advance(target_queue, now);
   target_queue.jobs.push_back(added);
@@ -101,7 +193,8 @@
       recent_.pop_front();
     }
     const unfinished_read read{added.key, added.reading, added.is_part,
-                               added.due, added.worth,   {}};
+                               added.due, added.worth,   false,
+                               {}};
     target_queue.reads.insert(PlaceOf(target_queue, added.is_part), read);
     MarkPaused(target_queue);
   }
@@ -109,6 +202,18 @@
   ++jobs_;
 }
 
+// What a pass does not read any more makes it shorter.
+void load_ledger::DropReads(queue& target_queue, job_key key, time_point now) {
+  for (const unfinished_read& each : target_queue.reads) {
+    if (each.key == key && each.in_pass) {
+      target_queue.pass_ends =
+          std::max(now, target_queue.pass_ends - each.remaining);
+    }
+  }
+  std::erase_if(target_queue.reads,
+                [&](const unfinished_read& each) { return each.key == key; });
+}
+
 void load_ledger::End(job_key key, time_point now) {
   const auto found = targets_.find(key);
   if (found == targets_.end()) {
@@ -123,8 +228,7 @@
     Advance(target_queue, now);
     jobs_ -= std::erase_if(target_queue.jobs,
                            [&](const job& each) { return each.key == key; });
-    std::erase_if(target_queue.reads,
-                  [&](const unfinished_read& each) { return each.key == key; });
+    DropReads(target_queue, key, now);
     if (target_queue.jobs.empty()) {
       queues_.erase(at);
     }
@@ -164,6 +268,7 @@
     jobs_ -= at->second.jobs.size();
     queues_.erase(at);
   }
+  engines_.erase(id);
 }
 
 void load_ledger::Expire(time_point now) {
@@ -188,12 +293,21 @@
   }
   queue current = at->second;
   Advance(current, now);
-  time_point done = now;
-  for (unfinished_read& each : current.reads) {
-    done += each.remaining;
-    each.done = done;
+  load.has_writers = current.runs_passes;
+  if (load.has_writers) {
+    load.pass_left = current.pass_ends - now;
+    const time_point next =
+        current.pass_ends + PassOf(current) + WaitingOf(current);
+    for (unfinished_read& each : current.reads) {
+      each.done = each.in_pass ? current.pass_ends : next;
+    }
+  } else {
+    time_point done = now;
+    for (unfinished_read& each : current.reads) {
+      done += each.remaining;
+      each.done = done;
+    }
   }
-  load.has_writers = HasWriters(current);
   load.reads = std::move(current.reads);
   for (const job& each : at->second.jobs) {
     load.memory_tokens += each.memory_tokens;
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -66,7 +66,10 @@
   bool is_part{};
   time_point due{};
   double worth{};
-  /** When the target is expected to finish it. */
+  /** Whether the pass that runs reads it. */
+  bool in_pass{};
+  /** When the target is expected to finish it; beside writers, when the pass
+   * that reads it ends. */
   time_point done{};
 };
 
@@ -88,11 +91,13 @@
   std::vector<paced_writer> paced;
   /** Whether some writer has begun, so that passes are long. */
   bool has_writers{};
+  /** Time until the pass that runs ends; 0 without writers. */
+  duration pass_left{};
   /** Reads in the order in which the target works on them. */
   std::vector<unfinished_read> reads;
 
-  /** @return Time that the target still reads. */
-  [[nodiscard]] duration Backlog() const noexcept;
+  /** @return Time that the target still reads after the pass that runs. */
+  [[nodiscard]] duration Waiting() const noexcept;
 };
 
 /**
@@ -102,6 +107,12 @@
  */
 class load_ledger {
  public:
+  /** @brief Tells what the engine of a target is like; without it, passes take
+   * the time of their reads only. */
+  void Describe(const target_id& id, const engine_properties& engine);
+  /** @brief Notes that a target has sent events of a stream, which it does at
+   * the end of a pass. */
+  void PassEnded(const target_id& id, time_point now);
   /** @brief Adds a job. A part is read at once, a whole prompt after all that
    * the target reads. */
   void Add(const job& added, time_point now);
@@ -137,8 +148,13 @@
     std::vector<job> jobs;
     /** In the order of work. */
     std::vector<unfinished_read> reads;
-    /** Up to when the reads are worked off. */
+    /** Up to when the reads are worked off while there are no writers. */
     time_point advanced_to{};
+    /** Of the pass that runs; without meaning while there are no writers. */
+    time_point pass_started{};
+    time_point pass_ends{};
+    bool runs_passes{};
+    engine_properties engine;
   };
 
   [[nodiscard]] static bool IsRead(const queue& target_queue, job_key key);
@@ -147,9 +163,16 @@
       queue& target_queue,
       bool is_part);
   static void MarkPaused(queue& target_queue);
+  static void DropReads(queue& target_queue, job_key key, time_point now);
+  static duration PassOf(const queue& target_queue);
+  static duration WaitingOf(const queue& target_queue);
+  static void StartPass(queue& target_queue, time_point now);
+  static void AdvancePasses(queue& target_queue, time_point now);
+  static void AdvanceReads(queue& target_queue, time_point now);
   static void Advance(queue& target_queue, time_point now);
 
   std::unordered_map<target_id, queue> queues_;
+  std::unordered_map<target_id, engine_properties> engines_;
   /** Targets of each dispatch. */
   std::unordered_map<job_key, std::vector<target_id>> targets_;
   std::size_t jobs_{};
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -33,7 +33,8 @@
   const target* which{};
   target_load load;
   duration pass{};
-  duration backlog{};
+  /** Reads that wait for the next pass, or all reads without writers. */
+  duration waiting{};
   double cost{};
   duration done{};
 };
@@ -55,15 +56,19 @@
   return 0.01 * share + std::min(over, 1.0) + 0.05 * std::max(over - 1, 0.0);
 }
 
-// Cost of a read to the reads that it delays: on an engine without writers a
-// part delays all that is not finished, else nothing is delayed.
+// Cost of a read to the reads that it delays: without writers a part goes ahead
+// of all that is not finished; beside them it makes the next pass longer, whose
+// end all that wait for it have to await.
 double HarmToReads(const option& on,
                    duration reading,
                    bool is_part,
                    time_point now) {
+  if (!is_part && !on.load.has_writers) {
+    return 0;
+  }
   double harm = 0;
   for (const unfinished_read& each : on.load.reads) {
-    if (!is_part || on.load.has_writers || each.due <= now) {
+    if (each.in_pass || each.due <= now) {
       continue;
     }
     const duration left = each.due - now;
@@ -76,7 +81,7 @@
 // Cost of a read to the writers of an engine: all that the engine has not read
 // yet is read in its next pass, within the pause between two events.
 double HarmToWriters(const option& on, duration reading) {
-  const duration before = on.pass + on.backlog;
+  const duration before = on.pass + on.waiting;
   double harm = 0;
   for (const paced_writer& each : on.load.paced) {
     harm +=
@@ -90,13 +95,20 @@
   return HarmToWriters(on, reading) + HarmToReads(on, reading, is_part, now);
 }
 
-// Beside writers a read waits for the end of the pass that runs now, which
-// reads all that was there before; else a part goes ahead of all reads.
+// Beside writers a read waits for the end of the pass that runs; else a part
+// goes ahead of all reads.
 duration PartDone(const option& on, duration reading, bool is_part) {
   if (on.load.has_writers) {
-    return on.backlog + on.pass / 2 + reading;
+    return on.load.pass_left + on.waiting + reading;
   }
-  return (is_part ? duration{} : on.backlog) + reading;
+  return (is_part ? duration{} : on.waiting) + reading;
+}
+
+// The first event comes with the end of the pass that has read all; the first
+// pass of an engine without writers has nothing else to do.
+duration FirstEvent(const option& on, duration reading, bool is_part) {
+  return PartDone(on, reading, is_part) +
+         (on.load.has_writers ? on.pass : on.pass / 2);
 }
 
 bool HasMemory(const engine_properties& engine,
@@ -142,7 +154,7 @@
   options.reserve(candidates.size());
   for (const target* each : candidates) {
     option one{each, ledger.Load(each->id, now), {}, {}, 0, {}};
-    one.backlog = one.load.Backlog();
+    one.waiting = one.load.Waiting();
     one.pass = PassTime(engine, one.load.writers + 1,
                         one.load.context_tokens + wanted.prompt_tokens);
     options.push_back(one);
@@ -175,7 +187,7 @@
     if (!HasMemory(engine, each.load, wanted)) {
       continue;
     }
-    const duration done = PartDone(each, part, is_part) + each.pass / 2;
+    const duration done = FirstEvent(each, part, is_part);
     double cost = Harm(each, part, is_part, now) +
                   WritingCost(engine, each, wanted) +
                   Lateness(done, wanted.aim, kAimShare);
@@ -218,14 +230,16 @@
       helpers.begin(), helpers.begin() + static_cast<std::ptrdiff_t>(parts - 1),
       helpers.end(),
       [](const option* a, const option* b) { return a->cost < b->cost; });
-  duration last = options[first].done;
+  duration last{};
   result.harm = Harm(options[first], result.part, is_part, now);
   for (std::size_t index = 0; index + 1 < parts; ++index) {
     last = std::max(last, helpers[index]->done);
     result.harm += Harm(*helpers[index], result.part, is_part, now);
     result.cost += kPartCost;
   }
-  result.first_event = last + options[first].pass / 2;
+  result.first_event =
+      std::max(FirstEvent(options[first], result.part, is_part),
+               last + options[first].pass / 2);
   result.cost +=
       result.harm + worth * Lateness(result.first_event, wanted.aim, kAimShare);
   return result;
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -35,8 +35,9 @@
 constexpr double kLongWorth = 3;
 // Harm to others, in late short requests, above which a call waits.
 constexpr double kWaitHarm = 0.3;
-// Time that a prompt may queue at engines before it is read; about two passes.
-constexpr duration kMostQueueing = std::chrono::milliseconds(120);
+// Time to the first event beside the reading itself, above which a prompt is
+// queueing at the engines: about two passes with reads of others.
+constexpr duration kMostQueueing = std::chrono::milliseconds(200);
 // Share of the time until its first event is late that a call's placement may
 // take and still wait.
 constexpr double kWaitShare = 0.4;
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -25,6 +25,16 @@
               : "";
 }
 
+void DescribeEngines(state& current) {
+  for (const auto& [pool, engine] : current.pools) {
+    if (engine) {
+      for (const target* each : current.targets.Staying(pool)) {
+        current.ledger.Describe(each->id, *engine);
+      }
+    }
+  }
+}
+
 void RecordTarget(effects& out,
                   decision_kind kind,
                   const target_id& id,
@@ -146,6 +156,7 @@
       of->longest_gap = std::max(of->longest_gap, now - of->last_progress);
     }
     of->last_progress = now;
+    current.ledger.PassEnded(of->current->target, now);
     of->current->prolonged = false;
     current.targets.ShowedLife(of->current->target, now);
     of->delivered = true;
@@ -234,6 +245,7 @@
           break;
       }
     }
+    DescribeEngines(current);
   }
 
   void operator()(const peer_load& happened) {
@@ -344,9 +356,10 @@
     }
     const time_point since = std::max(running.started, of.last_progress);
     const duration waited = now - since;
-    const duration backlog = current.ledger.Load(running.target, now).Backlog();
+    const auto load = current.ledger.Load(running.target, now);
+    const duration backlog = load.pass_left + load.Waiting();
     const bool busy = current.targets.AliveSince(running.target, since) ||
-                      backlog > duration{};
+                      !load.reads.empty();
     if (busy && !running.prolonged) {
       running.prolonged = true;
       running.silent_at = now + std::max(waited, backlog);
@@ -416,6 +429,7 @@
   for (const pool& each : table.pools) {
     current.pools.emplace(each.name, each.engine);
   }
+  internal::DescribeEngines(current);
 }
 
 effects Reduce(state& current, const event& happened, time_point now) {
--- a/test/acaciaferry/forwarding/load_ledger_test.cpp
+++ b/test/acaciaferry/forwarding/load_ledger_test.cpp
@@ -64,16 +64,71 @@
   CHECK_TRUE(load.reads[1].done == At(150));
 }
 
+// Guards against predictions that take a read beside writers for done as soon
+// as its reading time is over, although its first event comes with the end of a
+// pass: they were short by two thirds, and short prompts in bursts were late.
+TEST(LoadLedger, ReadsWaitForTheEndOfAPass) {
+  load_ledger ledger;
+  engine_properties engine;
+  engine.stride = 50;
+  engine.step_ms = 1;
+  ledger.Describe(kTarget, engine);
+  ledger.Add(Writer(9, 1'000), At(0));
+  ledger.Add(Read(1, 30, false), At(0));
+  // The pass that began with the writer ends at 50; the next reads for 30.
+  auto load = ledger.Load(kTarget, At(10));
+  CHECK_TRUE(load.pass_left == milliseconds(40));
+  CHECK_TRUE(load.Waiting() == milliseconds(30));
+  CHECK_TRUE(load.reads[0].done == At(130));
+  load = ledger.Load(kTarget, At(60));
+  CHECK_TRUE(load.reads[0].in_pass);
+  CHECK_TRUE(load.pass_left == milliseconds(70));
+  CHECK_TRUE(load.Waiting() == milliseconds(0));
+  CHECK_TRUE(ledger.Load(kTarget, At(130)).reads.empty());
+  CHECK_TRUE(ledger.Load(kTarget, At(140)).pass_left == milliseconds(40));
+}
+
+// Guards against expected passes that drift away from the engine's: events of
+// streams tell when a pass has ended.
+TEST(LoadLedger, EventsSetTheEndOfThePass) {
+  load_ledger ledger;
+  engine_properties engine;
+  engine.stride = 50;
+  engine.step_ms = 1;
+  ledger.Describe(kTarget, engine);
+  ledger.Add(Writer(9, 1'000), At(0));
+  // The engine is faster than expected,
+  ledger.PassEnded(kTarget, At(40));
+  CHECK_TRUE(ledger.Load(kTarget, At(40)).pass_left == milliseconds(50));
+  // then slower: the end expected at 90 is seen at 95.
+  ledger.PassEnded(kTarget, At(95));
+  CHECK_TRUE(ledger.Load(kTarget, At(95)).pass_left == milliseconds(50));
+  // A second stream tells the same end.
+  ledger.PassEnded(kTarget, At(96));
+  CHECK_TRUE(ledger.Load(kTarget, At(96)).pass_left == milliseconds(50));
+}
+
+// Guards against a pass that is expected to last as long as a read that was
+// cancelled.
+TEST(LoadLedger, CancelledReadsShortenThePass) {
+  load_ledger ledger;
+  ledger.Add(Writer(9, 1'000), At(0));
+  ledger.Add(Read(1, 5'000, false), At(0));
+  CHECK_TRUE(ledger.Load(kTarget, At(10)).pass_left == milliseconds(4'990));
+  ledger.End(1, At(10));
+  CHECK_TRUE(ledger.Load(kTarget, At(10)).pass_left == milliseconds(0));
+}
+
 // Guards against load that is worked off but still counted, and the other way
 // round.
 TEST(LoadLedger, WorksReadsOffAndDropsEndedOnes) {
   load_ledger ledger;
   ledger.Add(Read(1, 100, false), At(0));
   ledger.Add(Read(2, 100, false), At(0));
-  CHECK_TRUE(ledger.Load(kTarget, At(50)).Backlog() == milliseconds(150));
+  CHECK_TRUE(ledger.Load(kTarget, At(50)).Waiting() == milliseconds(150));
   ledger.End(2, At(60));
-  CHECK_TRUE(ledger.Load(kTarget, At(60)).Backlog() == milliseconds(40));
-  CHECK_TRUE(ledger.Load(kTarget, At(200)).Backlog() == milliseconds(0));
+  CHECK_TRUE(ledger.Load(kTarget, At(60)).Waiting() == milliseconds(40));
+  CHECK_TRUE(ledger.Load(kTarget, At(200)).Waiting() == milliseconds(0));
 }
 
 // Guards against charging a writer again for a pause that it suffers anyway.
