Let VMs catch up with each other's live dispatches; peers in a module of their own

Cause: dispatches and their ends travel in datagrams. Behind a cut, or before a VM was found, they are lost for good: ends that were lost stayed as load until two seconds after the deadline, dispatches that were lost were never counted. Ruled out: sending every message twice, which loses both in a cut. Change: with each hello a VM names its dispatches that have not ended.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -29,7 +29,6 @@
 constexpr duration kConfirmedFor = std::chrono::milliseconds(3'000);
 // A release without an answer is sent again; the lease bounds the rest.
 constexpr int kReleaseTries = 3;
-constexpr std::size_t kSuspectsTold = 16;
 
 std::uint64_t StartOfProcess() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -41,18 +40,6 @@
          (device() & 0xFFFFU);
 }
 
-std::string WithPortOf(const std::string& address, const std::string& other) {
-  return address.substr(0, address.rfind(':')) + other.substr(other.rfind(':'));
-}
-
-std::vector<std::string> DatagramSeeds(const entry_settings& settings) {
-  std::vector<std::string> seeds;
-  for (const std::string& seed : settings.seeds) {
-    seeds.push_back(WithPortOf(seed, settings.datagrams));
-  }
-  return seeds;
-}
-
 std::string ReadFile(const std::string& path) {
   const std::ifstream file(path);
   std::ostringstream text;
@@ -75,11 +62,6 @@
       callers_(loop_, [this](const exchange& caller) { OnCall(caller); }),
       readiness_(loop_, [this](const exchange& asked) { OnReadiness(asked); }),
       control_(loop_, [this](const exchange& asked) { OnControl(asked); }),
-      datagrams_(loop_, [this](std::string_view bytes) { OnDatagram(bytes); }),
-      roster_(settings_.datagrams,
-              settings_.failure_domain,
-              internal::DatagramSeeds(settings_),
-              incarnation_),
       views_(loop_,
              *words_,
              settings_.service,
@@ -87,9 +69,22 @@
              clock_,
              incarnation_,
              [this] { OnViewChanged(); }),
+      peers_(loop_,
+             settings_,
+             incarnation_,
+             state_,
+             log_,
+             metrics_,
+             clock_,
+             {[this](const forwarding::event& happened) { Post(happened); },
+              [this] {
+                return own_standing{views_.View().changed_at,
+                                    draining_since_.has_value()};
+              },
+              [this](const std::string& views) { views_.FetchFrom(views); },
+              [this] { ReloadSettings(); }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       wake_(loop_),
-      hello_(loop_),
       drain_(loop_) {
   state_.failure_domain = settings_.failure_domain;
   callers_.OnRefusal([this](int status) {
@@ -111,7 +106,7 @@
       return error;
     }
   }
-  return datagrams_.Bind(settings_.datagrams);
+  return peers_.Bind();
 }
 
 void entry_daemon::Run() {
@@ -120,7 +115,7 @@
                         {"failure_domain", settings_.failure_domain.value}});
   OnSignal();
   views_.Start();
-  Hello();
+  peers_.Start();
   loop_.run();
   log_.Note("stopped", {{"in_flight", std::to_string(relays_.size())}});
 }
@@ -158,7 +153,7 @@
   settings_.drain_grace = fresh.drain_grace;
   settings_.seeds = fresh.seeds;
   state_.allowance.SetBound(fresh.retries);
-  roster_.SetSeeds(internal::DatagramSeeds(settings_));
+  peers_.SetSeeds(settings_);
   if (settings_.log_level != fresh.log_level) {
     settings_.log_level = fresh.log_level;
     ConfigureDecisionLog(settings_.log_level);
@@ -174,8 +169,8 @@
   // A watch that waits confirms the view only when it is answered, so peers
   // with the same view count as well.
   const time_point now = clock_.Now();
-  const bool by_peer =
-      peer_confirmed_ && now - *peer_confirmed_ < internal::kConfirmedFor;
+  const auto confirmed = peers_.ViewConfirmedAt();
+  const bool by_peer = confirmed && now - *confirmed < internal::kConfirmedFor;
   const auto age = views_.Age();
   return !by_peer && (!age || *age > internal::kConfirmedFor);
 }
@@ -197,7 +192,7 @@
                               state_.ledger.Jobs(),
                               state_.targets.size(),
                               callers_.Connections(),
-                              roster_.Sharers(),
+                              peers_.Sharers(),
                               table_ ? table_->version : 0,
                               age ? ToSeconds(*age) : -1,
                               views_.Calls()};
@@ -361,9 +356,7 @@
               internal::kReleaseTries, [](bool) {});
   }
   void operator()(const forwarding::tell_peers& what) const {
-    auto& again = self.ended_recently_;
-    again.insert(again.end(), what.ended.begin(), what.ended.end());
-    self.Broadcast(mesh::load_news{what.jobs, what.ended, what.distrusted});
+    self.peers_.Tell(what);
   }
   void operator()(const forwarding::record_decision& what) const {
     self.log_.Write(what, self.clock_.Now());
@@ -392,92 +385,6 @@
   });
 }
 
-void entry_daemon::Broadcast(const mesh::message& what) {
-  SendEach(mesh::Encode(what, clock_.Now()), roster_.Live());
-}
-
-void entry_daemon::SayHello(const std::vector<std::string>& addresses) {
-  const mesh::hello hello{settings_.vm,
-                          settings_.failure_domain,
-                          incarnation_,
-                          settings_.datagrams,
-                          settings_.control,
-                          views_.View().changed_at,
-                          draining_since_.has_value(),
-                          roster_.Live()};
-  SendEach(mesh::Encode(hello, clock_.Now()), addresses);
-}
-
-void entry_daemon::SendEach(const std::vector<std::string>& datagrams,
-                            const std::vector<std::string>& addresses) {
-  for (const std::string& address : addresses) {
-    for (const std::string& datagram : datagrams) {
-      datagrams_.Send(address, datagram);
-    }
-  }
-}
-
-void entry_daemon::Hello() {
-  const time_point now = clock_.Now();
-  for (const mesh::hello& gone : roster_.Expire(now)) {
-    log_.Note("peer_lost", {{"peer", gone.vm.value}});
-    Post(forwarding::peer_ended{gone.incarnation});
-  }
-  const auto cut_off = roster_.SilentDomains(now);
-  if (cut_off != state_.cut_off) {
-    Post(forwarding::domains_cut_off{cut_off});
-  }
-  SayHello(roster_.HelloTargets());
-  // An end that is lost would leave a load that is not there.
-  if (!ended_recently_.empty()) {
-    Broadcast(mesh::load_news{{}, std::exchange(ended_recently_, {}), {}});
-  }
-  const auto suspects =
-      SuspectsToTell(state_.quarantine, internal::kSuspectsTold, now);
-  if (!suspects.empty()) {
-    Broadcast(suspects_heard{suspects});
-  }
-  if (const mesh::member* newer = roster_.Newer(views_.View().changed_at)) {
-    views_.FetchFrom(newer->last.views);
-  }
-  Post(forwarding::peers_counted{roster_.Sharers()});
-  ReloadSettings();
-  hello_.expires_after(mesh::kHelloInterval);
-  hello_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      Hello();
-    }
-  });
-}
-
-void entry_daemon::OnDatagram(std::string_view bytes) {
-  const time_point now = clock_.Now();
-  auto message = mesh::Decode(bytes, now);
-  if (!message) {
-    metrics_.CountMalformedDatagram();
-    return;
-  }
-  if (auto* hello = std::get_if<mesh::hello>(&*message)) {
-    const auto news = roster_.Hear(*hello, now);
-    if (news.is_found) {
-      log_.Note("peer_found", {{"peer", hello->vm.value}});
-    }
-    if (news.replaced) {
-      log_.Note("peer_replaced", {{"peer", hello->vm.value}});
-      Post(forwarding::peer_ended{*news.replaced});
-    }
-    SayHello(news.contact);
-    if (hello->changed_at <= views_.View().changed_at) {
-      peer_confirmed_ = now;
-    }
-  } else if (auto* news = std::get_if<mesh::load_news>(&*message)) {
-    Post(forwarding::peer_load{std::move(news->jobs), std::move(news->ended),
-                               std::move(news->distrusted)});
-  } else {
-    Post(std::get<suspects_heard>(*message));
-  }
-}
-
 void entry_daemon::Drain() {
   if (draining_since_) {
     return;
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -15,10 +15,9 @@
 #include "acaciaferry/entry/dialect.hpp"
 #include "acaciaferry/entry/entry_metrics.hpp"
 #include "acaciaferry/entry/entry_settings.hpp"
+#include "acaciaferry/entry/peer_exchange.hpp"
 #include "acaciaferry/entry/view_keeper.hpp"
 #include "acaciaferry/forwarding/state.hpp"
-#include "acaciaferry/mesh/roster.hpp"
-#include "acaciaferry/net/datagram.hpp"
 #include "acaciaferry/net/server.hpp"
 
 namespace acaciaferry::entry {
@@ -56,16 +55,10 @@
   void OnCall(const exchange& caller);
   void OnReadiness(const exchange& asked);
   void OnControl(const exchange& asked);
-  void OnDatagram(std::string_view bytes);
   void OnViewChanged();
   void OnSignal();
-  void Hello();
-  void SayHello(const std::vector<std::string>& addresses);
-  void SendEach(const std::vector<std::string>& datagrams,
-                const std::vector<std::string>& addresses);
   void Post(const forwarding::event& happened);
   void CarryOut(const forwarding::effects& effects);
-  void Broadcast(const mesh::message& what);
   void SetWake();
   void CheckDrained();
   void ReloadSettings();
@@ -88,19 +81,14 @@
   net::http_server callers_;
   net::http_server readiness_;
   net::http_server control_;
-  net::datagram_socket datagrams_;
-  mesh::roster roster_;
   view_keeper views_;
+  peer_exchange peers_;
   boost::asio::signal_set signals_;
   boost::asio::steady_timer wake_;
-  boost::asio::steady_timer hello_;
   boost::asio::steady_timer drain_;
   std::unordered_map<forwarding::call_id, std::shared_ptr<call_relay>> relays_;
-  /** Told to peers again with the next hello. */
-  std::vector<forwarding::job_key> ended_recently_;
   forwarding::call_id next_id_{1};
   std::optional<time_point> draining_since_;
-  std::optional<time_point> peer_confirmed_;
   time_point woken_at_{};
   bool in_post_{};
 };
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -6,10 +6,12 @@
 
 std::string_view ToString(decision_kind kind) noexcept {
   constexpr std::array<std::string_view, kDecisionKinds> kNames{
-      "sent",        "repeated",       "resumed",          "answered",
-      "refused",     "failed",         "caller_left",      "target_found",
-      "target_lost", "target_leaving", "target_restarted", "target_distrusted",
-      "reserved",    "domain_cut_off", "domain_back",      "shed"};
+      "sent",           "repeated",         "resumed",
+      "answered",       "refused",          "failed",
+      "caller_left",    "target_found",     "target_lost",
+      "target_leaving", "target_restarted", "target_distrusted",
+      "reserved",       "domain_cut_off",   "domain_back",
+      "shed",           "load_corrected"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -119,10 +119,11 @@
   kDomainCutOff,
   kDomainBack,
   kShed,
+  kLoadCorrected,
 };
 
 inline constexpr std::size_t kDecisionKinds =
-    static_cast<std::size_t>(decision_kind::kShed) + 1;
+    static_cast<std::size_t>(decision_kind::kLoadCorrected) + 1;
 
 /** @return The name of a kind as logs and metrics carry it. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -155,6 +155,12 @@
   std::uint64_t incarnation{};
 };
 
+/** The dispatches of a peer's process that have not ended. */
+struct peer_holds {
+  std::uint64_t incarnation{};
+  std::vector<job_key> keys;
+};
+
 /** How many VMs are live, this one included. */
 struct peers_counted {
   std::uint64_t vms{1};
@@ -175,6 +181,7 @@
                            peer_load,
                            domains_cut_off,
                            peer_ended,
+                           peer_holds,
                            peers_counted,
                            suspects_heard,
                            time_passed>;
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -3,12 +3,15 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace acaciaferry::forwarding {
 namespace internal {
 
 // The end of a peer's dispatch is told in a datagram, which may be lost.
 constexpr duration kOverdue = std::chrono::seconds(2);
+// Datagrams of one VM may overtake each other by this much.
+constexpr duration kUnderWay = std::chrono::milliseconds(200);
 constexpr duration kUtilizationWindow = std::chrono::seconds(2);
 constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
@@ -140,6 +143,18 @@
   }
 }
 
+duration load_ledger::LeftOf(const queue& target_queue, const job& of) {
+  if (of.reading <= duration{}) {
+    return {};
+  }
+  for (const unfinished_read& each : target_queue.reads) {
+    if (each.key == of.key) {
+      return each.remaining;
+    }
+  }
+  return {};
+}
+
 bool load_ledger::IsRead(const queue& target_queue, job_key key) {
   return std::any_of(
       target_queue.reads.begin(), target_queue.reads.end(),
@@ -198,7 +213,12 @@
     target_queue.reads.insert(PlaceOf(target_queue, added.is_part), read);
     MarkPaused(target_queue);
   }
-  targets_[added.key].push_back(added.target);
+  dispatch& of = dispatches_[added.key];
+  of.added = of.targets.empty() ? now : of.added;
+  if (std::find(of.targets.begin(), of.targets.end(), added.target) ==
+      of.targets.end()) {
+    of.targets.push_back(added.target);
+  }
   ++jobs_;
 }
 
@@ -215,11 +235,11 @@
 }
 
 void load_ledger::End(job_key key, time_point now) {
-  const auto found = targets_.find(key);
-  if (found == targets_.end()) {
+  const auto found = dispatches_.find(key);
+  if (found == dispatches_.end()) {
     return;
   }
-  for (const target_id& id : found->second) {
+  for (const target_id& id : found->second.targets) {
     const auto at = queues_.find(id);
     if (at == queues_.end()) {
       continue;
@@ -233,19 +253,70 @@
       queues_.erase(at);
     }
   }
-  targets_.erase(found);
+  dispatches_.erase(found);
 }
 
 void load_ledger::EndAllOf(std::uint64_t salt, time_point now) {
+  for (const job_key key : KeysOf(salt)) {
+    End(key, now);
+  }
+}
+
+std::size_t load_ledger::KeepOnly(std::uint64_t salt,
+                                  std::span<const job_key> live,
+                                  time_point now) {
+  std::size_t ended = 0;
+  for (const job_key key : KeysOf(salt)) {
+    const bool is_live = std::find(live.begin(), live.end(), key) != live.end();
+    if (!is_live && dispatches_.at(key).added + internal::kUnderWay < now) {
+      End(key, now);
+      ++ended;
+    }
+  }
+  return ended;
+}
+
+std::vector<job_key> load_ledger::KeysOf(std::uint64_t salt) const {
   std::vector<job_key> keys;
-  for (const auto& [key, targets] : targets_) {
+  for (const auto& [key, of] : dispatches_) {
     if (SaltOf(key) == salt) {
       keys.push_back(key);
     }
   }
+  return keys;
+}
+
+std::vector<job_key> load_ledger::Lacking(std::span<const job_key> keys) const {
+  std::vector<job_key> lacking;
+  std::copy_if(keys.begin(), keys.end(), std::back_inserter(lacking),
+               [this](job_key each) { return !dispatches_.contains(each); });
+  return lacking;
+}
+
+std::vector<job> load_ledger::JobsOf(std::span<const job_key> keys,
+                                     time_point now) const {
+  std::vector<job> jobs;
   for (const job_key key : keys) {
-    End(key, now);
+    const auto found = dispatches_.find(key);
+    if (found == dispatches_.end()) {
+      continue;
+    }
+    for (const target_id& id : found->second.targets) {
+      const auto at = queues_.find(id);
+      if (at == queues_.end()) {
+        continue;
+      }
+      queue current = at->second;
+      Advance(current, now);
+      for (job each : current.jobs) {
+        if (each.key == key) {
+          each.reading = LeftOf(current, each);
+          jobs.push_back(std::move(each));
+        }
+      }
+    }
   }
+  return jobs;
 }
 
 double load_ledger::Utilization(std::size_t targets, time_point now) const {
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -121,6 +122,12 @@
   /** @brief Ends all jobs of a VM's process.
    * @param salt As in the keys of its jobs; see SaltOf. */
   void EndAllOf(std::uint64_t salt, time_point now);
+  /** @brief Ends the dispatches of a VM's process that are not among those
+   * given, but for the newest, which may have overtaken the list.
+   * @return How many dispatches were ended. */
+  std::size_t KeepOnly(std::uint64_t salt,
+                       std::span<const job_key> live,
+                       time_point now);
   /** @brief Forgets everything about a target that has restarted or gone. */
   void Forget(const target_id& id);
   /** @brief Drops the jobs that are overdue. */
@@ -143,6 +150,15 @@
 
   [[nodiscard]] std::size_t Jobs() const noexcept { return jobs_; }
 
+  /** @return The dispatches of a process. */
+  [[nodiscard]] std::vector<job_key> KeysOf(std::uint64_t salt) const;
+  /** @return Those of the given dispatches that are not known. */
+  [[nodiscard]] std::vector<job_key> Lacking(
+      std::span<const job_key> keys) const;
+  /** @return The jobs of some dispatches with what is left to read. */
+  [[nodiscard]] std::vector<job> JobsOf(std::span<const job_key> keys,
+                                        time_point now) const;
+
  private:
   struct queue {
     std::vector<job> jobs;
@@ -163,6 +179,8 @@
       queue& target_queue,
       bool is_part);
   static void MarkPaused(queue& target_queue);
+  [[nodiscard]] static duration LeftOf(const queue& target_queue,
+                                       const job& of);
   static void DropReads(queue& target_queue, job_key key, time_point now);
   static duration PassOf(const queue& target_queue);
   static duration WaitingOf(const queue& target_queue);
@@ -173,8 +191,12 @@
 
   std::unordered_map<target_id, queue> queues_;
   std::unordered_map<target_id, engine_properties> engines_;
-  /** Targets of each dispatch. */
-  std::unordered_map<job_key, std::vector<target_id>> targets_;
+  struct dispatch {
+    std::vector<target_id> targets;
+    time_point added{};
+  };
+
+  std::unordered_map<job_key, dispatch> dispatches_;
   std::size_t jobs_{};
   /** Time and length of the last reads. */
   std::deque<std::pair<time_point, duration>> recent_;
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -288,6 +288,17 @@
     current.ledger.EndAllOf(SaltOfProcess(happened.incarnation), now);
   }
 
+  void operator()(const peer_holds& happened) {
+    const std::size_t dropped = current.ledger.KeepOnly(
+        SaltOfProcess(happened.incarnation), happened.keys, now);
+    if (dropped > 0) {
+      Record(out, decision_kind::kLoadCorrected,
+             std::to_string(happened.incarnation),
+             {{"dropped", std::to_string(dropped)},
+              {"live", std::to_string(happened.keys.size())}});
+    }
+  }
+
   void operator()(const peers_counted& happened) {
     current.vms = std::max<std::uint64_t>(happened.vms, 1);
   }
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -11,7 +11,13 @@
 // as VMs of two versions run side by side.
 constexpr char kFormat = 1;
 
-enum kind : std::uint32_t { kHello = 1, kLoad = 2, kSuspects = 3 };
+enum kind : std::uint32_t {
+  kHello = 1,
+  kLoad = 2,
+  kSuspects = 3,
+  kLiveJobs = 4,
+  kJobsWanted = 5
+};
 
 constexpr std::size_t kJobsPerDatagram = 16;
 constexpr std::size_t kKeysPerDatagram = 64;
@@ -76,6 +82,19 @@
   MSGPACK_DEFINE_ARRAY(jobs, ended, distrusted)
 };
 
+struct live_jobs_wire {
+  std::uint64_t incarnation{};
+  std::string datagrams;
+  std::vector<std::uint64_t> keys;
+  MSGPACK_DEFINE_ARRAY(incarnation, datagrams, keys)
+};
+
+struct jobs_wanted_wire {
+  std::string datagrams;
+  std::vector<std::uint64_t> keys;
+  MSGPACK_DEFINE_ARRAY(datagrams, keys)
+};
+
 struct suspect_wire {
   std::uint64_t fingerprint{};
   std::string vm;
@@ -201,6 +220,27 @@
   return datagrams;
 }
 
+// Half of a list would make its receiver drop the other half.
+std::vector<std::string> Encode(const live_jobs& from, time_point /*now*/) {
+  if (from.keys.size() > kMostLiveJobs) {
+    return {};
+  }
+  return {Pack(kLiveJobs,
+               live_jobs_wire{from.incarnation, from.datagrams, from.keys})};
+}
+
+std::vector<std::string> Encode(const jobs_wanted& from, time_point /*now*/) {
+  return {Pack(kJobsWanted, jobs_wanted_wire{from.datagrams, from.keys})};
+}
+
+message FromWire(const live_jobs_wire& wire) {
+  return live_jobs{wire.incarnation, wire.datagrams, wire.keys};
+}
+
+message FromWire(const jobs_wanted_wire& wire) {
+  return jobs_wanted{wire.datagrams, wire.keys};
+}
+
 message FromWire(const hello_wire& wire) {
   return hello{
       {wire.vm},  {wire.failure_domain}, wire.incarnation, wire.datagrams,
@@ -263,6 +303,10 @@
       case internal::kSuspects:
         return internal::FromWire(
             body.get().as<std::vector<internal::suspect_wire>>());
+      case internal::kLiveJobs:
+        return internal::FromWire(body.get().as<internal::live_jobs_wire>());
+      case internal::kJobsWanted:
+        return internal::FromWire(body.get().as<internal::jobs_wanted_wire>());
       default:
         return std::nullopt;
     }
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -45,7 +45,30 @@
   std::vector<forwarding::peer_distrust> distrusted;
 };
 
-using message = std::variant<hello, load_news, suspects_heard>;
+/** The dispatches of one VM that have not ended. Said only when all fit. */
+struct live_jobs {
+  std::uint64_t incarnation{};
+  /** IP:PORT to ask for those that the receiver lacks. */
+  std::string datagrams;
+  std::vector<forwarding::job_key> keys;
+
+  [[nodiscard]] bool operator==(const live_jobs&) const = default;
+};
+
+/** More keys than this don't fit into one datagram. */
+inline constexpr std::size_t kMostLiveJobs = 140;
+
+/** Asks a VM for some of its dispatches. */
+struct jobs_wanted {
+  /** IP:PORT to send them to. */
+  std::string datagrams;
+  std::vector<forwarding::job_key> keys;
+
+  [[nodiscard]] bool operator==(const jobs_wanted&) const = default;
+};
+
+using message =
+    std::variant<hello, load_news, suspects_heard, live_jobs, jobs_wanted>;
 
 /** Largest datagram that is sent, in bytes; larger ones would be split by the
  * network, and one lost part loses all. */
--- a/test/acaciaferry/forwarding/load_ledger_test.cpp
+++ b/test/acaciaferry/forwarding/load_ledger_test.cpp
@@ -158,6 +158,38 @@
   LONGS_EQUAL(0, ledger.Jobs());
 }
 
+// Guards against load that stays until its deadline when the datagrams with its
+// end were lost in a cut, and against load that is never learnt of.
+TEST(LoadLedger, CatchesUpWithAPeer) {
+  const std::uint64_t salt = SaltOfProcess(42);
+  const job_key first = salt << 32U | 1U;
+  const job_key second = salt << 32U | 2U;
+  load_ledger peers;
+  peers.Add(Read(first, 100, true), At(0));
+  job held = Read(first, 0, true);
+  held.memory_tokens = 500;
+  peers.Add(held, At(0));
+  load_ledger own;
+  own.Add(Writer(second, 250), At(0));
+  own.Add(Writer(7, 250), At(0));
+
+  const auto live = peers.KeysOf(salt);
+  LONGS_EQUAL(1, live.size());
+  const auto lacking = own.Lacking(live);
+  LONGS_EQUAL(1, lacking.size());
+  const auto jobs = peers.JobsOf(lacking, At(40));
+  LONGS_EQUAL(2, jobs.size());
+  CHECK_TRUE(jobs[0].reading == milliseconds(60));
+  CHECK_TRUE(jobs[1].reading == milliseconds(0));
+  LONGS_EQUAL(500, jobs[1].memory_tokens);
+
+  // A dispatch that is as new as the list may have overtaken it.
+  LONGS_EQUAL(0, own.KeepOnly(salt, live, At(100)));
+  LONGS_EQUAL(1, own.KeepOnly(salt, live, At(300)));
+  LONGS_EQUAL(1, own.Jobs());
+  LONGS_EQUAL(1, own.Load(kTarget, At(300)).writers);
+}
+
 // Guards against a utilization that never falls again.
 TEST(LoadLedger, UtilizationCoversTheLastTwoSeconds) {
   load_ledger ledger;
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -67,6 +67,24 @@
   CHECK_TRUE(std::get<hello>(*Decode(Encode(sent, At(0))[0], At(0))) == sent);
 }
 
+// Guards against a receiver that drops live dispatches because it got only a
+// part of their list.
+TEST(MeshMessage, LiveJobsAreSaidWholeOrNotAtAll) {
+  live_jobs sent{5, "10.0.0.1:1", {}};
+  for (std::uint64_t key = 0; key < kMostLiveJobs; ++key) {
+    sent.keys.push_back(~key);
+  }
+  const auto datagrams = Encode(sent, At(0));
+  LONGS_EQUAL(1, datagrams.size());
+  CHECK_TRUE(datagrams[0].size() <= kMostDatagramBytes);
+  CHECK_TRUE(std::get<live_jobs>(*Decode(datagrams[0], At(0))) == sent);
+  sent.keys.push_back(7);
+  CHECK_TRUE(Encode(sent, At(0)).empty());
+  const jobs_wanted wanted{"10.0.0.2:1", {1, 2}};
+  CHECK_TRUE(std::get<jobs_wanted>(*Decode(Encode(wanted, At(0))[0], At(0))) ==
+             wanted);
+}
+
 // Guards against a process that ends because of bytes from the network.
 TEST(MeshMessage, AnyBytesAreDecodedOrRefused) {
   CHECK_FALSE(Decode("", At(0)).has_value());
