--- a/apps/acaciaferry-load/report.cpp
+++ b/apps/acaciaferry-load/report.cpp
@@ -9,7 +9,7 @@
 #include <utility>
 
 #include "acaciaferry/core/length_class.hpp"
-#include "acaciaferry/platform/http_get.hpp"
+#include "acaciaferry/polling/http_get.hpp"
 
 namespace acaciaferry::load {
 namespace internal {
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -82,7 +82,10 @@
                                     draining_since_.has_value()};
               },
               [this](const std::string& views) { views_.FetchFrom(views); },
-              [this] { ReloadSettings(); }}),
+              [this] {
+                views_.SetLookout(peers_.IsLookout());
+                ReloadSettings();
+              }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       wake_(loop_),
       drain_(loop_) {
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t kSuspectsTold = 16;
+// Of each failure domain: the second stands in while the first is down and not
+// yet dropped from the roster.
+constexpr std::size_t kLookouts = 2;
 
 std::string WithPortOf(const std::string& address, const std::string& other) {
   return address.substr(0, address.rfind(':')) + other.substr(other.rfind(':'));
@@ -60,6 +63,10 @@
   roster_.SetSeeds(internal::DatagramSeeds(settings_));
 }
 
+bool peer_exchange::IsLookout() const {
+  return roster_.IsAmongFirst(internal::kLookouts);
+}
+
 void peer_exchange::Tell(const forwarding::tell_peers& news) {
   ended_recently_.insert(ended_recently_.end(), news.ended.begin(),
                          news.ended.end());
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -64,6 +64,8 @@
   [[nodiscard]] std::uint64_t Sharers() const noexcept {
     return roster_.Sharers();
   }
+  /** @return Whether this VM watches the configuration service for others. */
+  [[nodiscard]] bool IsLookout() const;
   /** @return When a peer last confirmed that this VM's view is the newest. */
   [[nodiscard]] std::optional<time_point> ViewConfirmedAt() const noexcept {
     return view_confirmed_at_;
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -9,8 +9,6 @@
 
 constexpr duration kConnectTimeout = std::chrono::milliseconds(1'000);
 constexpr duration kListPatience = std::chrono::milliseconds(2'000);
-// Beyond the time that a watch may wait.
-constexpr duration kWatchPatience = std::chrono::milliseconds(1'500);
 constexpr duration kFetchPatience = std::chrono::milliseconds(800);
 constexpr int kOk = 200;
 constexpr std::size_t kMostBodyBytes = 16U << 20U;
@@ -119,7 +117,7 @@
            }
          });
   } else if (const auto* watch = std::get_if<publication::watch_call>(&next)) {
-    Call(words_.Watch(*watch), watch->wait + internal::kWatchPatience,
+    Call(words_.Watch(*watch), watch->wait + watch->patience,
          [this](int status, std::string_view body) {
            const auto decoded = words_.DecodeChanges(status, body);
            if (const auto* some = std::get_if<publication::changes>(&decoded)) {
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -43,6 +43,8 @@
 
   void Start();
   void Stop();
+  /** @brief Makes this VM a lookout or not; see publication::reader. */
+  void SetLookout(bool is_lookout) noexcept { reader_.SetLookout(is_lookout); }
   [[nodiscard]] const publication::view& View() const noexcept {
     return reader_.View();
   }
--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -5,20 +5,17 @@
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
-#include <sys/socket.h>
 
-#include <charconv>
-#include <istream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <ostream>
 #include <variant>
 
 #include "acaciaferry/core/length_class.hpp"
+#include "acaciaferry/http/caller_request.hpp"
 #include "acaciaferry/http/completion_body.hpp"
 #include "acaciaferry/http/header_guard.hpp"
 #include "acaciaferry/http/reply_writer.hpp"
@@ -36,114 +33,9 @@
 constexpr duration kKeepAliveInterval = std::chrono::seconds(5);
 // A caller that sends its head byte by byte holds a thread for this time.
 constexpr duration kHeadTimeout = std::chrono::seconds(5);
-constexpr std::size_t kReadBytes = 64 << 10;
 constexpr std::string_view kServicePrefix = "/v1/services/";
 constexpr int kAcceptBacklog = 1'024;
 
-// Ends the handling of a request with a reply.
-struct refused {
-  failure reason;
-  std::string operation_key;
-  /** Whether the reducer decided it; otherwise it never saw the request. */
-  bool decided{};
-};
-
-refused Refused(failure_code code) {
-  return {{code, outcome::kNotRun, std::nullopt}, {}};
-}
-
-// Reads the body within the size and time limits.
-std::string ReadBody(HTTPServerRequest& request,
-                     HTTPServerResponse& response,
-                     const callers_context& context) {
-  const std::uint64_t limit = context.settings.max_body_bytes;
-  if (request.hasContentLength() && request.getContentLength64() < 0) {
-    throw Refused(failure_code::kMalformedRequest);
-  }
-  if (request.hasContentLength() &&
-      static_cast<std::uint64_t>(request.getContentLength64()) > limit) {
-    throw Refused(failure_code::kRequestTooLarge);
-  }
-  if (request.getExpectContinue()) {
-    response.sendContinue();
-  }
-  const time_point end = context.clock.Now() + context.settings.body_timeout;
-  std::string body;
-  std::string buffer(kReadBytes, '\0');
-  std::istream& stream = request.stream();
-  // Takes what one receive gives: a blocking read of a whole buffer would never
-  // look at the time limit of a caller that sends byte by byte.
-  while (stream.peek() != std::istream::traits_type::eof()) {
-    const std::streamsize count = stream.readsome(
-        buffer.data(), static_cast<std::streamsize>(buffer.size()));
-    body.append(buffer, 0, static_cast<std::size_t>(count));
-    if (body.size() > limit) {
-      throw Refused(failure_code::kRequestTooLarge);
-    }
-    if (context.clock.Now() > end) {
-      throw Refused(failure_code::kRequestTooSlow);
-    }
-  }
-  const bool half_sent =
-      request.hasContentLength() &&
-      body.size() != static_cast<std::uint64_t>(request.getContentLength64());
-  // A receive that times out ends the stream as a closed connection does.
-  if (half_sent && context.clock.Now() > end) {
-    throw Refused(failure_code::kRequestTooSlow);
-  }
-  if (half_sent) {
-    throw Refused(failure_code::kMalformedRequest);
-  }
-  return body;
-}
-
-std::optional<duration> ReadTimeout(const HTTPServerRequest& request) {
-  const std::string text = request.get("Request-Timeout-Ms", "");
-  if (text.empty()) {
-    return std::nullopt;
-  }
-  constexpr std::uint64_t kMaxTimeoutMs = 86'400'000;
-  std::uint64_t value{};
-  const char* const last = text.data() + text.size();
-  const auto [end, error] = std::from_chars(text.data(), last, value);
-  const bool valid = error == std::errc{} && end == last && value > 0 &&
-                     value <= kMaxTimeoutMs;
-  if (!valid) {
-    throw Refused(failure_code::kMalformedRequest);
-  }
-  return std::chrono::milliseconds(value);
-}
-
-authenticated_workspace Authenticate(const HTTPServerRequest& request,
-                                     const workspace_directory& workspaces) {
-  constexpr std::string_view kScheme = "Bearer ";
-  const std::string header = request.get("Authorization", "");
-  if (!header.starts_with(kScheme)) {
-    throw Refused(failure_code::kUnauthenticated);
-  }
-  auto workspace =
-      workspaces.Authenticate(std::string_view(header).substr(kScheme.size()));
-  if (!workspace) {
-    throw Refused(workspaces.IsConfigured() ? failure_code::kUnauthenticated
-                                            : failure_code::kNoConfiguration);
-  }
-  return *std::move(workspace);
-}
-
-bool IsConnected(HTTPServerRequest& request) {
-  auto& impl = static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-  try {
-    Poco::Net::StreamSocket& socket = impl.socket();
-    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      return true;
-    }
-    char byte{};
-    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 // Measures how long the parts of one request's reply take.
 class reply_timer {
  public:
--- a/src/acaciaferry/http/header_guard.hpp
+++ b/src/acaciaferry/http/header_guard.hpp
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "acaciaferry/core/time.hpp"
-#include "acaciaferry/platform/periodic_task.hpp"
+#include "acaciaferry/polling/periodic_task.hpp"
 
 namespace acaciaferry {
 
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -143,6 +143,16 @@
   return silent;
 }
 
+bool roster::IsAmongFirst(std::size_t count) const {
+  const auto before =
+      std::count_if(members_.begin(), members_.end(), [this](const auto& each) {
+        const hello& last = each.second.last;
+        return last.failure_domain == domain_ && !last.leaving &&
+               last.datagrams < self_;
+      });
+  return static_cast<std::size_t>(before) < count;
+}
+
 const member* roster::Newer(std::uint64_t changed_at) const {
   const member* newest = nullptr;
   for (const auto& [vm, each] : members_) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -85,6 +85,10 @@
   [[nodiscard]] std::vector<failure_domain_id> SilentDomains(
       time_point now) const;
 
+  /** @return Whether this VM is among the first of the live VMs of its failure
+   * domain, in the order of their addresses. VMs that leave don't count. */
+  [[nodiscard]] bool IsAmongFirst(std::size_t count) const;
+
   /** @return The live VM that knows the newest published change, when that is
    * newer than the given one. */
   [[nodiscard]] const member* Newer(std::uint64_t changed_at) const;
--- a/src/acaciaferry/platform/configuration_watcher.cpp
+++ b/src/acaciaferry/polling/configuration_watcher.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/platform/configuration_watcher.hpp"
+#include "acaciaferry/polling/configuration_watcher.hpp"
 
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "acaciaferry/membership/message.hpp"
-#include "acaciaferry/platform/http_get.hpp"
+#include "acaciaferry/polling/http_get.hpp"
 
 namespace acaciaferry {
 namespace internal {
--- a/src/acaciaferry/platform/configuration_watcher.hpp
+++ b/src/acaciaferry/polling/configuration_watcher.hpp
@@ -4,7 +4,7 @@
 #include <functional>
 #include <string>
 
-#include "acaciaferry/platform/periodic_task.hpp"
+#include "acaciaferry/polling/periodic_task.hpp"
 #include "acaciaferry/reducer/event.hpp"
 
 namespace acaciaferry {
--- a/src/acaciaferry/platform/http_get.cpp
+++ b/src/acaciaferry/polling/http_get.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/platform/http_get.hpp"
+#include "acaciaferry/polling/http_get.hpp"
 
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPClientSession.h>
--- a/src/acaciaferry/platform/periodic_task.cpp
+++ b/src/acaciaferry/polling/periodic_task.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/platform/periodic_task.hpp"
+#include "acaciaferry/polling/periodic_task.hpp"
 
 #include <utility>
 
--- a/src/acaciaferry/platform/pollers.cpp
+++ b/src/acaciaferry/polling/pollers.cpp
@@ -1,8 +1,8 @@
-#include "acaciaferry/platform/pollers.hpp"
+#include "acaciaferry/polling/pollers.hpp"
 
 #include <algorithm>
 
-#include "acaciaferry/platform/http_get.hpp"
+#include "acaciaferry/polling/http_get.hpp"
 #include "acaciaferry/target_client/wire.hpp"
 
 namespace acaciaferry {
--- a/src/acaciaferry/platform/target_poller.hpp
+++ b/src/acaciaferry/polling/target_poller.hpp
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "acaciaferry/platform/pollers.hpp"
+#include "acaciaferry/polling/pollers.hpp"
 
 namespace acaciaferry {
 
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -10,6 +10,12 @@
 // targets.
 constexpr duration kWatchSpacing = std::chrono::milliseconds(200);
 constexpr duration kWatchWait = std::chrono::milliseconds(10'000);
+constexpr duration kWatchPatience = std::chrono::milliseconds(1'500);
+// A lookout notices a dead connection after both, makes a probe within 0.4 s
+// and tells peers with its next hello: less than three seconds in all, the time
+// after an outage from which the bound on configuration holds again.
+constexpr duration kLookoutWait = std::chrono::milliseconds(1'000);
+constexpr duration kLookoutPatience = std::chrono::milliseconds(900);
 constexpr duration kProbeWait = std::chrono::milliseconds(100);
 constexpr duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr duration kMaxBackoff = std::chrono::milliseconds(1'200);
@@ -43,8 +49,14 @@
     return list_call{prefixes_[prefix_], after_, stale_will_do_};
   }
   // After a failure a short watch shows soon whether the service is back.
-  return watch_call{view_.revision, failures_ > 0 ? internal::kProbeWait
-                                                  : internal::kWatchWait};
+  if (failures_ > 0) {
+    return watch_call{view_.revision, internal::kProbeWait,
+                      internal::kLookoutPatience};
+  }
+  return is_lookout_ ? watch_call{view_.revision, internal::kLookoutWait,
+                                  internal::kLookoutPatience}
+                     : watch_call{view_.revision, internal::kWatchWait,
+                                  internal::kWatchPatience};
 }
 
 void reader::Answered(time_point now) {
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -46,7 +46,10 @@
 /** Wait for changes after a revision. */
 struct watch_call {
   std::uint64_t after{};
+  /** How long the service waits for a change. */
   duration wait{};
+  /** How long after that its answer is waited for. */
+  duration patience{};
 };
 
 /** Make no call before this time. */
@@ -100,6 +103,16 @@
    */
   reader(std::vector<std::string> prefixes, std::uint64_t seed);
 
+  /**
+   * @brief Makes this process a lookout or not.
+   *
+   * When the service loses answers, a watch may wait on a connection that
+   * brings nothing any more, and only the end of its wait shows that. Lookouts
+   * watch for short times, so that they find it out within the bound on
+   * configuration; the others learn changes from them.
+   */
+  void SetLookout(bool is_lookout) noexcept { is_lookout_ = is_lookout; }
+
   /** @return The call to make now, or how long to wait. */
   [[nodiscard]] next_call Next(time_point now);
 
@@ -138,6 +151,7 @@
   std::vector<std::string> prefixes_;
   random_engine random_;
   view view_;
+  bool is_lookout_{true};
   bool listing_{true};
   bool stale_will_do_{true};
   std::size_t prefix_{};
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -64,6 +64,22 @@
   LONGS_EQUAL(1, made.Hear(From("other"), At(20)).contact.size());
 }
 
+// Guards against a failure domain without a lookout, or with only lookouts.
+TEST(Roster, RanksTheVmsOfItsFailureDomain) {
+  roster made("s5:1", {"s"}, {}, 7);
+  CHECK_TRUE(made.IsAmongFirst(1));
+  made.Hear(From("s1"), At(0));
+  CHECK_FALSE(made.IsAmongFirst(1));
+  CHECK_TRUE(made.IsAmongFirst(2));
+  made.Hear(From("a1"), At(0));
+  made.Hear(From("s9"), At(0));
+  CHECK_TRUE(made.IsAmongFirst(2));
+  hello leaving = From("s1");
+  leaving.leaving = true;
+  made.Hear(leaving, At(10));
+  CHECK_TRUE(made.IsAmongFirst(1));
+}
+
 // Guards against a delayed hello of an earlier process that replaces the newer
 // one, and against jobs of the earlier one that are never dropped.
 TEST(Roster, NewerIncarnationsReplaceOlderOnes) {
--- a/test/acaciaferry/platform/target_poller_test.cpp
+++ b/test/acaciaferry/polling/target_poller_test.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/platform/target_poller.hpp"
+#include "acaciaferry/polling/target_poller.hpp"
 
 #include <algorithm>
 #include <chrono>
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -114,6 +114,25 @@
   CHECK_FALSE(made.InContact());
 }
 
+// Guards against a watch that waits for ten seconds on a connection that the
+// service has forgotten in an outage, while a newer configuration is in force:
+// the bound holds again three seconds after the outage.
+TEST(PublicationReader, LookoutsNoticeDeadConnectionsInTime) {
+  reader made = Listed();
+  const auto watch = std::get<watch_call>(made.Next(At(1'000)));
+  made.Take(call_failure::kSilent, At(0));
+  const auto again = std::get<wait_until>(made.Next(At(0))).until - At(0);
+  const auto probe = std::get<watch_call>(made.Next(At(1'000)));
+  constexpr auto kHelloInterval = milliseconds(500);
+  CHECK_TRUE(watch.wait + watch.patience + again + probe.wait + kHelloInterval <
+             milliseconds(3'000));
+  // The others spare the service.
+  made = Listed();
+  made.SetLookout(false);
+  CHECK_TRUE(std::get<watch_call>(made.Next(At(1'000))).wait >=
+             milliseconds(10'000));
+}
+
 // Guards against a VM that is turned away and serves an old configuration while
 // its peers have the new one, and against a step back.
 TEST(PublicationReader, AdoptsOnlyNewerViewsOfPeers) {
