--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import fcntl
 import http.client
 import json
 import os
@@ -18,6 +19,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 BOUND_S = 20
+# The least that a pipe can hold.
+PIPE_BYTES = 4096
 STAMP = "Acaciaferry-Engine-Stamp"
 
 
@@ -33,7 +36,10 @@
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
-        self.wfile.write(body)
+        try:
+            self.wfile.write(body)
+        except BrokenPipeError:
+            print("the daemon did not wait for the answer to " + self.path)
 
 
 def serve(handler):
@@ -200,15 +206,43 @@
     with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
         file.write(settings)
         file.flush()
-        daemon = subprocess.Popen([os.path.join(sys.argv[1], "acaciaferryd"), "-c", file.name],
-                                  stdout=subprocess.PIPE, text=True)
-        try:
-            run(fleet, daemon, callers, ready, control)
-        finally:
-            fleet.finish_stream.set()
-            if daemon.poll() is None:
-                daemon.kill()
-            daemon.wait()
+        command = [os.path.join(sys.argv[1], "acaciaferryd"), "-c", file.name]
+        with_process(subprocess.Popen(command, stdout=subprocess.PIPE, text=True), fleet,
+                     lambda daemon: run(fleet, daemon, callers, ready, control))
+        reader, writer = os.pipe()
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, PIPE_BYTES)
+        with_process(subprocess.Popen(command, stdout=writer), fleet,
+                     lambda daemon: run_without_log_reader(daemon, callers, ready, control))
+        os.close(writer)
+        os.close(reader)
+
+
+def with_process(daemon, fleet, scenario):
+    try:
+        scenario(daemon)
+    finally:
+        fleet.finish_stream.set()
+        if daemon.poll() is None:
+            daemon.kill()
+        daemon.wait()
+
+
+# Guards against a process that stands still because nobody reads its log.
+def run_without_log_reader(daemon, callers, ready, control):
+    wait_for(lambda: is_ready(ready), "readiness")
+    # Each call brings two lines of over 100 bytes; the pipe holds PIPE_BYTES.
+    for number in range(PIPE_BYTES // 100):
+        status, body, _ = call(callers, "/once/x", label="r%d" % number)
+        check((status, body) == (200, b"done"), "a call is answered: %s %s" % (status, body))
+    connection = http.client.HTTPConnection("127.0.0.1", control, timeout=BOUND_S)
+    connection.request("GET", "/metrics")
+    metrics = connection.getresponse().read().decode()
+    lines = [line for line in metrics.splitlines()
+             if line.startswith("acaciaferry_log_lines_not_written_total ")]
+    check(len(lines) == 1 and float(lines[0].split()[1]) > 0,
+          "lines that were not written are counted: %s" % lines)
+    daemon.send_signal(signal.SIGTERM)
+    check(daemon.wait(BOUND_S) == 0, "the daemon ends by itself")
 
 
 def run(fleet, daemon, callers, ready, control):
