Count repeats by reason and queueing times, tell the ages of knowledge in metrics

Change: acaciaferry_repeats_total, acaciaferry_queued_seconds, three gauges of ages, _sum and _count of each histogram. Ruled out: nothing.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -190,6 +190,9 @@
   if (asked->head.target == view_keeper::kPath) {
     asked->Reply(internal::kOk, {}, EncodeView(views_.View()));
   } else if (asked->head.target == "/metrics") {
+    const auto age_of = [this](std::optional<time_point> since) {
+      return since ? ToSeconds(clock_.Now() - *since) : -1;
+    };
     const auto age = views_.Age();
     const entry_gauges gauges{relays_.size(),
                               state_.ledger.Jobs(),
@@ -198,7 +201,10 @@
                               peers_.Sharers(),
                               table_ ? table_->version : 0,
                               age ? ToSeconds(*age) : -1,
-                              views_.Calls()};
+                              views_.Calls(),
+                              age_of(table_accepted_at_),
+                              age_of(peers_.LoadHeardAt()),
+                              age_of(peers_.OldestHelloAt())};
     asked->Reply(internal::kOk, {{"Content-Type", "text/plain; version=0.0.4"}},
                  metrics_.ToPrometheusText(log_, gauges));
   } else {
@@ -219,6 +225,7 @@
                {"before", std::to_string(table_ ? table_->version : 0)},
                {"routes", std::to_string(decoded.table->Routes())}});
     table_ = std::move(decoded.table);
+    table_accepted_at_ = clock_.Now();
     AcceptPools(state_, *table_);
     const forwarding::caller_limits& limits = table_->limits;
     net::server_limits server;
@@ -339,8 +346,7 @@
     self.relays_.erase(what.id);
   }
   void operator()(const forwarding::observe_answer& what) const {
-    self.metrics_.Observe(what.what, what.first_event, what.longest_gap,
-                          what.whole);
+    self.metrics_.Observe(what);
   }
   void operator()(const forwarding::reserve_memory& what) const {
     if (what.renewal) {
@@ -363,6 +369,14 @@
   }
   void operator()(const forwarding::record_decision& what) const {
     self.log_.Write(what, self.clock_.Now());
+    if (what.kind == forwarding::decision_kind::kRepeated ||
+        what.kind == forwarding::decision_kind::kResumed) {
+      for (const auto& [name, value] : what.inputs) {
+        if (name == "reason") {
+          self.metrics_.CountRepeat(value);
+        }
+      }
+    }
   }
 };
 
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -78,6 +78,7 @@
   std::uint64_t incarnation_;
   forwarding::state state_;
   std::optional<forwarding::routing_table> table_;
+  std::optional<time_point> table_accepted_at_;
   net::http_server callers_;
   net::http_server readiness_;
   net::http_server control_;
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -1,5 +1,6 @@
 #include "acaciaferry/entry/entry_metrics.hpp"
 
+#include <array>
 #include <boost/histogram.hpp>
 #include <string_view>
 
@@ -17,14 +18,29 @@
 constexpr unsigned kBuckets = 15;
 
 using time_axis = bh::axis::regular<double, bh::axis::transform::log>;
-using time_histogram =
+using bucket_counts =
     decltype(bh::make_histogram(bh::axis::integer<>(0, kSeries),
                                 time_axis(kBuckets, kShortestS, kLongestS)));
 
-time_histogram Make() {
-  return bh::make_histogram(bh::axis::integer<>(0, kSeries),
-                            time_axis(kBuckets, kShortestS, kLongestS));
-}
+// Buckets and the sum of each series.
+class time_histogram {
+ public:
+  void Add(int series, duration value) {
+    counts_(series, ToSeconds(value));
+    sums_[static_cast<std::size_t>(series)] += ToSeconds(value);
+  }
+
+  [[nodiscard]] const bucket_counts& Counts() const { return counts_; }
+  [[nodiscard]] double Sum(int series) const {
+    return sums_[static_cast<std::size_t>(series)];
+  }
+
+ private:
+  bucket_counts counts_{
+      bh::make_histogram(bh::axis::integer<>(0, kSeries),
+                         time_axis(kBuckets, kShortestS, kLongestS))};
+  std::array<double, kSeries> sums_{};
+};
 
 int SeriesOf(const forwarding::call& what) {
   return what.prompt_tokens == 0
@@ -39,12 +55,13 @@
 
 void Append(std::string& text,
             std::string_view name,
-            const time_histogram& values) {
+            const time_histogram& histogram) {
+  const bucket_counts& values = histogram.Counts();
   text += "# TYPE " + std::string(name) + " histogram\n";
   for (int series = 0; series < kSeries; ++series) {
     double total = 0;
-    const std::string label =
-        "{kind=\"" + std::string(NameOf(series)) + "\",le=\"";
+    const std::string kind = "{kind=\"" + std::string(NameOf(series)) + "\"";
+    const std::string label = kind + ",le=\"";
     for (int bucket = -1; bucket < static_cast<int>(kBuckets); ++bucket) {
       total += values.at(series, bucket);
       const double upper =
@@ -53,8 +70,11 @@
               "\"} " + std::to_string(static_cast<std::uint64_t>(total)) + "\n";
     }
     total += values.at(series, static_cast<int>(kBuckets));
-    text += std::string(name) + "_bucket" + label + "+Inf\"} " +
-            std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+    const auto count = std::to_string(static_cast<std::uint64_t>(total));
+    text += std::string(name) + "_bucket" + label + "+Inf\"} " + count + "\n";
+    text += std::string(name) + "_sum" + kind + "} " +
+            std::to_string(histogram.Sum(series)) + "\n";
+    text += std::string(name) + "_count" + kind + "} " + count + "\n";
   }
 }
 
@@ -70,9 +90,10 @@
 
 class entry_metrics::histograms {
  public:
-  internal::time_histogram first_event{internal::Make()};
-  internal::time_histogram longest_gap{internal::Make()};
-  internal::time_histogram whole{internal::Make()};
+  internal::time_histogram queued;
+  internal::time_histogram first_event;
+  internal::time_histogram longest_gap;
+  internal::time_histogram whole;
 };
 
 entry_metrics::entry_metrics() : histograms_(std::make_unique<histograms>()) {}
@@ -86,15 +107,13 @@
   ++read_refusals_;
 }
 
-void entry_metrics::Observe(const forwarding::call& what,
-                            duration first_event,
-                            duration longest_gap,
-                            duration whole) {
-  const int series = internal::SeriesOf(what);
-  histograms_->first_event(series, ToSeconds(first_event));
-  histograms_->whole(series, ToSeconds(whole));
-  if (longest_gap > duration{}) {
-    histograms_->longest_gap(series, ToSeconds(longest_gap));
+void entry_metrics::Observe(const forwarding::observe_answer& answered) {
+  const int series = internal::SeriesOf(answered.what);
+  histograms_->queued.Add(series, answered.queued);
+  histograms_->first_event.Add(series, answered.first_event);
+  histograms_->whole.Add(series, answered.whole);
+  if (answered.longest_gap > duration{}) {
+    histograms_->longest_gap.Add(series, answered.longest_gap);
   }
 }
 
@@ -115,6 +134,11 @@
               "\"} " + std::to_string(refusals_[index]) + "\n";
     }
   }
+  text += "# TYPE acaciaferry_repeats_total counter\n";
+  for (const auto& [reason, count] : repeats_) {
+    text += "acaciaferry_repeats_total{reason=\"" + reason + "\"} " +
+            std::to_string(count) + "\n";
+  }
   const auto counter = [&](std::string_view name, std::uint64_t value) {
     internal::AppendValue(text, "counter", name, std::to_string(value));
   };
@@ -135,6 +159,13 @@
   gauge("acaciaferry_configuration_version",
         std::to_string(gauges.configuration_version));
   gauge("acaciaferry_view_age_seconds", std::to_string(gauges.view_age_s));
+  gauge("acaciaferry_configuration_age_seconds",
+        std::to_string(gauges.configuration_age_s));
+  gauge("acaciaferry_load_news_age_seconds",
+        std::to_string(gauges.load_news_age_s));
+  gauge("acaciaferry_oldest_hello_age_seconds",
+        std::to_string(gauges.oldest_hello_age_s));
+  internal::Append(text, "acaciaferry_queued_seconds", histograms_->queued);
   internal::Append(text, "acaciaferry_first_event_seconds",
                    histograms_->first_event);
   internal::Append(text, "acaciaferry_longest_gap_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,12 @@
    */
   double view_age_s{};
   std::uint64_t service_calls{};
+  /** Ages of the other knowledge that decisions rest on; negative when there is
+   * none: the configuration's acceptance, the last news of peers' dispatches,
+   * and the hello of the live peer that was heard least recently. */
+  double configuration_age_s{-1};
+  double load_news_age_s{-1};
+  double oldest_hello_age_s{-1};
 };
 
 /**
@@ -40,11 +47,10 @@
   void CountReadRefusal(int status) noexcept;
   void CountMalformedDatagram() noexcept { ++malformed_datagrams_; }
   void CountDocumentFault() noexcept { ++document_faults_; }
+  /** @brief Counts an attempt that follows another one. */
+  void CountRepeat(const std::string& reason) { ++repeats_[reason]; }
   /** @brief Takes the times of an answered call. */
-  void Observe(const forwarding::call& what,
-               duration first_event,
-               duration longest_gap,
-               duration whole);
+  void Observe(const forwarding::observe_answer& answered);
 
   /** @return All values in the Prometheus text format. */
   [[nodiscard]] std::string ToPrometheusText(const decision_log& log,
@@ -55,6 +61,8 @@
   class histograms;
   std::unique_ptr<histograms> histograms_;
   std::array<std::uint64_t, kFailureCodes> refusals_{};
+  /** By reason; reasons are static names of the reducer. */
+  std::map<std::string, std::uint64_t> repeats_;
   std::uint64_t read_refusals_{};
   std::uint64_t malformed_datagrams_{};
   std::uint64_t document_faults_{};
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -161,6 +161,7 @@
 }
 
 void peer_exchange::Hear(const mesh::load_news& news) {
+  load_heard_at_ = clock_.Now();
   calls_.post(forwarding::peer_load{news.jobs, news.ended, news.distrusted});
 }
 
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -64,6 +64,14 @@
   [[nodiscard]] std::uint64_t Sharers() const noexcept {
     return roster_.Sharers();
   }
+  /** @return When a peer last told of its dispatches. */
+  [[nodiscard]] std::optional<time_point> LoadHeardAt() const noexcept {
+    return load_heard_at_;
+  }
+  /** @return When the live peer that was heard least recently said hello. */
+  [[nodiscard]] std::optional<time_point> OldestHelloAt() const {
+    return roster_.OldestHello();
+  }
   /** @return Whether this VM watches the configuration service for others. */
   [[nodiscard]] bool IsLookout() const;
   /** @return When a peer last confirmed that this VM's view is the newest. */
@@ -97,6 +105,7 @@
   boost::asio::steady_timer turn_;
   std::vector<forwarding::job_key> ended_recently_;
   std::optional<time_point> view_confirmed_at_;
+  std::optional<time_point> load_heard_at_;
 };
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -70,6 +70,8 @@
 /** Count the times of an answered call. */
 struct observe_answer {
   call what;
+  /** Time until its first attempt was made. */
+  duration queued{};
   duration first_event{};
   duration longest_gap{};
   duration whole{};
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -138,6 +138,7 @@
   of.current->number = ++of.attempts;
   of.current->target = first;
   of.current->started = now;
+  of.first_attempt_at = of.first_attempt_at.value_or(now);
   return *of.current;
 }
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -408,7 +408,8 @@
     const duration first =
         of.first_event_at ? *of.first_event_at - of.arrived : now - of.arrived;
     out.emplace_back(
-        observe_answer{of.what, first, of.longest_gap, now - of.arrived});
+        observe_answer{of.what, of.first_attempt_at.value_or(now) - of.arrived,
+                       first, of.longest_gap, now - of.arrived});
     Record(out, decision_kind::kAnswered, of.what.label,
            {{"route", of.what.route_name},
             {"kind", std::string(ToString(of.what.kind))},
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -50,6 +50,8 @@
   call what;
   time_point arrived{};
   time_point deadline{};
+  /** When its first attempt was made. */
+  std::optional<time_point> first_attempt_at;
   std::optional<attempt> current;
   /** When a call that waits for a place is placed again. */
   std::optional<time_point> place_at;
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -143,6 +143,15 @@
   return silent;
 }
 
+std::optional<time_point> roster::OldestHello() const {
+  const auto oldest = std::min_element(
+      members_.begin(), members_.end(), [](const auto& a, const auto& b) {
+        return a.second.heard_at < b.second.heard_at;
+      });
+  return oldest == members_.end() ? std::nullopt
+                                  : std::optional(oldest->second.heard_at);
+}
+
 bool roster::IsAmongFirst(std::size_t count) const {
   const auto before =
       std::count_if(members_.begin(), members_.end(), [this](const auto& each) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -85,6 +85,9 @@
   [[nodiscard]] std::vector<failure_domain_id> SilentDomains(
       time_point now) const;
 
+  /** @return When the live VM that was heard least recently said hello. */
+  [[nodiscard]] std::optional<time_point> OldestHello() const;
+
   /** @return Whether this VM is among the first of the live VMs of its failure
    * domain, in the order of their addresses. VMs that leave don't count. */
   [[nodiscard]] bool IsAmongFirst(std::size_t count) const;
--- /dev/null
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -0,0 +1,62 @@
+#include "acaciaferry/entry/entry_metrics.hpp"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::entry;
+using std::chrono::milliseconds;
+
+namespace {
+
+bool Contains(const std::string& text, const std::string& line) {
+  return ("\n" + text).find("\n" + line + "\n") != std::string::npos;
+}
+
+}  // namespace
+
+TEST_GROUP(EntryMetrics){};
+
+// Guards against histograms that collectors refuse, since their sum or count is
+// missing or differs from the buckets.
+TEST(EntryMetrics, HistogramsHaveSumAndCount) {
+  entry_metrics metrics;
+  forwarding::observe_answer answered;
+  answered.queued = milliseconds(20);
+  answered.first_event = milliseconds(250);
+  answered.whole = milliseconds(500);
+  metrics.Observe(answered);
+  metrics.Observe(answered);
+  const std::string text = metrics.ToPrometheusText(decision_log("vm"), {});
+  CHECK_TRUE(
+      Contains(text,
+               "acaciaferry_whole_answer_seconds_sum{kind=\"service_call\"} "
+               "1.000000"));
+  CHECK_TRUE(Contains(
+      text, "acaciaferry_whole_answer_seconds_count{kind=\"service_call\"} 2"));
+  CHECK_TRUE(Contains(text,
+                      "acaciaferry_whole_answer_seconds_bucket{kind=\"service_"
+                      "call\",le=\"+Inf\"} 2"));
+  CHECK_TRUE(Contains(
+      text, "acaciaferry_queued_seconds_sum{kind=\"service_call\"} 0.040000"));
+  // Calls without pauses between events have no longest one.
+  CHECK_TRUE(Contains(
+      text, "acaciaferry_longest_gap_seconds_count{kind=\"service_call\"} 0"));
+}
+
+// Guards against repeats that operators cannot tell apart, and against ages
+// that look fresh although nothing is known.
+TEST(EntryMetrics, CountsRepeatsByReasonAndTellsAges) {
+  entry_metrics metrics;
+  metrics.CountRepeat("silent");
+  metrics.CountRepeat("silent");
+  metrics.CountRepeat("broken");
+  entry_gauges gauges;
+  gauges.load_news_age_s = 1.5;
+  const std::string text = metrics.ToPrometheusText(decision_log("vm"), gauges);
+  CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"silent\"} 2"));
+  CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"broken\"} 1"));
+  CHECK_TRUE(Contains(text, "acaciaferry_load_news_age_seconds 1.500000"));
+  CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
+}
