--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -183,7 +183,7 @@
       {wanted.datagrams});
 }
 
-void peer_exchange::Hear(const suspects_heard& suspects) {
+void peer_exchange::Hear(const suspects_heard& suspects) const {
   calls_.post(suspects);
 }
 
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -91,7 +91,7 @@
   void Hear(const mesh::load_news& news);
   void Hear(const mesh::live_jobs& live);
   void Hear(const mesh::jobs_wanted& wanted);
-  void Hear(const suspects_heard& suspects);
+  void Hear(const suspects_heard& suspects) const;
 
   entry_settings settings_;
   std::uint64_t incarnation_;
