Fix the test that read an optional without a value

RC_ASSERT captures its expression with overloaded operators, so || does not stop at its first operand: refusal->retry_after was read while refusal was empty (a print before the assertion says EMPTY each time that the sanitizer reports). Ruled out: the product, whose CheckProspect fills every field; the optimizer, since -O0 reports it as well. Change: three assertions behind an if, as strict as before. Conclusion: the fault was in the test.

--- a/test/acaciaferry/admission/admission_test.cpp
+++ b/test/acaciaferry/admission/admission_test.cpp
@@ -40,9 +40,12 @@
     // Without a prediction only a deadline that has passed is refused.
     RC_ASSERT(left > duration::zero() || refusal.has_value());
     RC_ASSERT(!refusal || is_grounded || left == duration::zero());
-    RC_ASSERT(!refusal || (refusal->retry_after &&
-                           refusal->code == failure_code::kDeadlineTooShort &&
-                           refusal->result == outcome::kNotRun));
+    // RC_ASSERT overloads ||, so that both of its operands are evaluated.
+    if (refusal) {
+      RC_ASSERT(refusal->retry_after.has_value());
+      RC_ASSERT(refusal->code == failure_code::kDeadlineTooShort);
+      RC_ASSERT(refusal->result == outcome::kNotRun);
+    }
   }));
 }
 
