--- a/test/acaciaferry/workspaces/workspaces_test.cpp
+++ b/test/acaciaferry/workspaces/workspaces_test.cpp
@@ -101,7 +101,10 @@
             ConfigureWorkspaces(state, config, latest);
           }
           const auto wait = Spend(state, {"a"}, tokens, now);
-          RC_ASSERT(!wait || *wait > duration::zero());
+          // RC_ASSERT overloads ||, so that both of its operands are evaluated.
+          if (wait) {
+            RC_ASSERT(*wait > duration::zero());
+          }
           spent += wait ? 0 : tokens;
           largest = std::max(largest, double{1} * tokens);
           RC_ASSERT(spent <= kLimit / 7 * (ToSeconds(latest - kStart) + 2) +
