--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -166,6 +166,9 @@
 }
 
 void peer_exchange::Hear(const mesh::live_jobs& live) {
+  if (!roster_.IsLive(live.datagrams)) {
+    return;
+  }
   calls_.post(forwarding::peer_holds{live.incarnation, live.keys});
   const auto lacking = state_.ledger.Lacking(live.keys);
   if (!lacking.empty()) {
@@ -176,6 +179,10 @@
 }
 
 void peer_exchange::Hear(const mesh::jobs_wanted& wanted) {
+  // Strangers get no answer: an address in a datagram may be anyone's.
+  if (!roster_.IsLive(wanted.datagrams)) {
+    return;
+  }
   const time_point now = clock_.Now();
   Send(
       mesh::Encode(
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -21,6 +21,14 @@
       std::chrono::duration<double, std::milli>(value));
 }
 
+duration WaitingOf(std::span<const unfinished_read> reads) noexcept {
+  duration total{};
+  for (const unfinished_read& each : reads) {
+    total += each.in_pass ? duration{} : each.remaining;
+  }
+  return total;
+}
+
 }  // namespace internal
 
 std::uint64_t SaltOfProcess(std::uint64_t incarnation) noexcept {
@@ -29,11 +37,7 @@
 }
 
 duration target_load::Waiting() const noexcept {
-  duration total{};
-  for (const unfinished_read& each : reads) {
-    total += each.in_pass ? duration{} : each.remaining;
-  }
-  return total;
+  return internal::WaitingOf(reads);
 }
 
 void load_ledger::Describe(const target_id& id,
@@ -57,14 +61,6 @@
   return PassTime(target_queue.engine, writers, context);
 }
 
-duration load_ledger::WaitingOf(const queue& target_queue) {
-  duration total{};
-  for (const unfinished_read& each : target_queue.reads) {
-    total += each.in_pass ? duration{} : each.remaining;
-  }
-  return total;
-}
-
 // A pass reads all that is there when it starts.
 void load_ledger::StartPass(queue& target_queue, time_point now) {
   target_queue.pass_started = now;
@@ -180,7 +176,8 @@
 // All that a target has not read is read between two events of its writers. A
 // request that is still read has no events yet.
 void load_ledger::MarkPaused(queue& target_queue) {
-  const duration pause = PassOf(target_queue) + WaitingOf(target_queue);
+  const duration pause =
+      PassOf(target_queue) + internal::WaitingOf(target_queue.reads);
   for (job& each : target_queue.jobs) {
     each.paused = each.paused ||
                   (each.writes && !IsRead(target_queue, each.key) &&
@@ -367,8 +364,8 @@
   load.has_writers = current.runs_passes;
   if (load.has_writers) {
     load.pass_left = current.pass_ends - now;
-    const time_point next =
-        current.pass_ends + PassOf(current) + WaitingOf(current);
+    const time_point next = current.pass_ends + PassOf(current) +
+                            internal::WaitingOf(current.reads);
     for (unfinished_read& each : current.reads) {
       each.done = each.in_pass ? current.pass_ends : next;
     }
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -183,7 +183,6 @@
                                        const job& of);
   static void DropReads(queue& target_queue, job_key key, time_point now);
   static duration PassOf(const queue& target_queue);
-  static duration WaitingOf(const queue& target_queue);
   static void StartPass(queue& target_queue, time_point now);
   static void AdvancePasses(queue& target_queue, time_point now);
   static void AdvanceReads(queue& target_queue, time_point now);
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -50,11 +50,8 @@
   most_live_ = std::max(most_live_, members_.size());
   NoteDomain(heard, now);
   for (const std::string& address : heard.known) {
-    const bool live =
-        std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
-          return each.second.last.datagrams == address;
-        });
-    if (!live && address != self_ && told_.size() < internal::kMostTold &&
+    if (!IsLive(address) && address != self_ &&
+        told_.size() < internal::kMostTold &&
         told_.try_emplace(address, 1).second) {
       changed.contact.push_back(address);
     }
@@ -75,6 +72,12 @@
   return dropped;
 }
 
+bool roster::IsLive(const std::string& datagrams) const {
+  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
+    return each.second.last.datagrams == datagrams;
+  });
+}
+
 std::vector<std::string> roster::Live() const {
   std::vector<std::string> addresses;
   addresses.reserve(members_.size());
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -64,6 +64,9 @@
    * know, and seeds. In a large fleet a changing part of them. */
   [[nodiscard]] std::vector<std::string> HelloTargets();
 
+  /** @return Whether a live VM has this datagram address. */
+  [[nodiscard]] bool IsLive(const std::string& datagrams) const;
+
   /** @return Datagram addresses of the live VMs. */
   [[nodiscard]] std::vector<std::string> Live() const;
 
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -62,6 +62,8 @@
   // Once is enough: further hellos follow at their interval.
   LONGS_EQUAL(0, made.Hear(seed, At(10)).contact.size());
   LONGS_EQUAL(1, made.Hear(From("other"), At(20)).contact.size());
+  CHECK_TRUE(made.IsLive("other:1"));
+  CHECK_FALSE(made.IsLive("stranger:1"));
 }
 
 // Guards against a failure domain without a lookout, or with only lookouts.
