--- /dev/null
+++ b/src/acaciaferry/experiment/fleet_run.hpp
@@ -0,0 +1,195 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "acaciaferry/experiment/engine_model.hpp"
+#include "acaciaferry/experiment/event_heap.hpp"
+#include "acaciaferry/experiment/fleet_simulation.hpp"
+#include "acaciaferry/experiment/service_model.hpp"
+#include "acaciaferry/reducer/reduce.hpp"
+
+namespace acaciaferry::internal {
+
+// Virtual time does not start at zero, as a default time_point must stay
+// different from any moment of the run.
+inline constexpr time_point kStart{std::chrono::hours(1)};
+inline constexpr std::uint64_t kFirstEntryIncarnation = 1000;
+inline constexpr std::uint64_t kFirstTargetIncarnation = 1'000'000;
+// Time for holdings to be released after the last deadline (section 3.5).
+inline constexpr duration kReleaseGrace = std::chrono::seconds(30);
+
+// The actions that the simulation schedules.
+struct send_next {};
+struct vm_event {
+  std::size_t vm{};
+  acaciaferry::event event;
+};
+struct vm_timer {
+  std::size_t vm{};
+};
+struct target_command {
+  std::size_t target{};
+  std::size_t vm{};
+  std::variant<start_attempt, resume_attempt, cancel_attempt> command;
+};
+struct step_ended {
+  std::size_t target{};
+  std::uint64_t incarnation{};
+};
+struct call_ended {
+  std::size_t target{};
+  std::uint64_t incarnation{};
+  attempt_id id;
+};
+struct heartbeat_due {
+  std::size_t target{};
+  std::uint64_t incarnation{};
+  attempt_id id;
+};
+struct report_due {
+  std::size_t target{};
+};
+struct engines_change {
+  bool die{};
+};
+
+using action = std::variant<send_next,
+                            vm_event,
+                            vm_timer,
+                            target_command,
+                            step_ended,
+                            call_ended,
+                            heartbeat_due,
+                            report_due,
+                            engines_change>;
+
+struct simulated_entry {
+  std::size_t domain{};
+  std::variant<state, baseline_state> brain;
+  std::optional<time_point> timer;
+};
+
+struct simulated_target {
+  std::size_t domain{};
+  std::uint64_t incarnation{};
+  bool alive{true};
+  bool stepping{};
+  std::optional<engine_model> engine;
+  std::optional<service_model> service;
+};
+
+/**
+ * @brief One run of a fleet in virtual time: an event queue over clients, entry
+ * VMs, the network and targets.
+ */
+class fleet_run {
+ public:
+  fleet_run(const simulation_plan& plan,
+            std::span<const traffic_request> traffic);
+
+  simulation_result Run();
+
+ private:
+  void MakeEntries();
+  void MakeTargets();
+  void Restart(std::size_t index);
+  void Begin();
+  [[nodiscard]] bool IsOver() const;
+  [[nodiscard]] static bool IsIdle(const simulated_target& target);
+  void Collect(const simulated_target& target);
+
+  // Clients.
+
+  void ScheduleSend();
+  void Do(const send_next& /*unused*/);
+  void EndRequest(const request_id& id, request_result result);
+
+  // Entry VMs.
+
+  void Do(vm_event& work);
+  void Do(const vm_timer& work);
+  void Apply(std::size_t vm, const event& event);
+  void Execute(std::size_t vm, start_attempt& effect);
+  void Execute(std::size_t vm, resume_attempt& effect);
+  void Execute(std::size_t vm, cancel_attempt& effect);
+
+  template <typename Command>
+  void SendCommand(std::size_t vm, std::size_t target, Command& command) {
+    const attempt_id id = command.attempt;
+    const bool lost = !Reachable(vm, target) || !targets_[target].alive;
+    if (!lost) {
+      heap_.Push(now_ + 3 * Latency(vm, target),
+                 target_command{target, vm, std::move(command)});
+    } else if constexpr (std::is_same_v<Command, resume_attempt>) {
+      heap_.Push(
+          now_ + fleet_.connect_timeout,
+          vm_event{vm, attempt_failed{id, transport_error::kConnectFailed,
+                                      command.connection}});
+    }
+  }
+
+  void Execute(std::size_t /*vm*/, const deliver_chunk& effect);
+  void Execute(std::size_t /*vm*/, const finish_request& effect);
+  void Execute(std::size_t /*vm*/, const fail_request& effect);
+
+  // Counters and other effects that clients and targets do not see.
+  template <typename Other>
+  void Execute(std::size_t /*vm*/, const Other& /*effect*/) const {}
+
+  // Network.
+
+  [[nodiscard]] static std::size_t TargetAt(const std::string& address);
+  [[nodiscard]] duration Latency(std::size_t vm, std::size_t target) const;
+  [[nodiscard]] bool Reachable(std::size_t vm, std::size_t target) const;
+  void Answer(std::size_t target, std::size_t vm, event event);
+
+  // Targets.
+
+  [[nodiscard]] std::size_t EntryOf(const attempt_id& id) const;
+  void Do(target_command& work);
+  void Reset(std::size_t index, std::size_t vm, const start_attempt& command);
+  void Reset(std::size_t index, std::size_t vm, const resume_attempt& command);
+  void Reset(std::size_t /*index*/,
+             std::size_t /*vm*/,
+             const cancel_attempt& /*command*/) const;
+  void Serve(std::size_t index, std::size_t vm, const start_attempt& command);
+  void Serve(std::size_t index, std::size_t vm, const resume_attempt& command);
+  void Serve(std::size_t index,
+             std::size_t /*vm*/,
+             const cancel_attempt& command);
+  void Step(std::size_t index);
+  void Do(const step_ended& work);
+  void StartCalls(std::size_t index);
+  void Do(const call_ended& work);
+  void Do(const heartbeat_due& work);
+  void Do(const report_due& work);
+
+  // The fleet.
+
+  void Do(const engines_change& work);
+  void Kill(std::size_t index);
+  void SendVmList(duration lag);
+
+  const simulation_plan& plan_;
+  const fleet_parameters& fleet_;
+  const deployment config_;
+  std::span<const traffic_request> traffic_;
+  std::vector<simulated_entry> entries_;
+  std::vector<simulated_target> targets_;
+  event_heap<action> heap_;
+  simulation_result result_;
+  std::vector<time_point> sent_at_;
+  std::vector<engine_output> outputs_;
+  time_point now_{kStart};
+  time_point last_sent_{kStart};
+  duration longest_deadline_{};
+  std::size_t sent_{};
+  std::size_t ended_{};
+  std::uint64_t starts_{};
+};
+
+}  // namespace acaciaferry::internal
