Expire dispatches of targets that have gone; usual names for the watches of a failure domain

A dispatch whose targets have all gone was never expired, since only the queues of known targets were searched: a peer's dispatch that arrived after the peer's end stayed for ever. No test failed when the reducer did not describe the engines to the ledger. Lookout and standing were private words. A hello was encoded for each one that is heard, also when nobody was to get it. The peers' module kept a copy of the settings. Change: expiry goes over the dispatches; the names are short watches and designated watchers; the rest is mended. Ruled out: nothing.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -78,12 +78,12 @@
              clock_,
              {[this](const forwarding::event& happened) { Post(happened); },
               [this] {
-                return own_standing{views_.View().changed_at,
-                                    draining_since_.has_value()};
+                return own_status{views_.View().changed_at,
+                                  draining_since_.has_value()};
               },
               [this](const std::string& views) { views_.FetchFrom(views); },
               [this] {
-                views_.SetLookout(peers_.IsLookout());
+                views_.SetShortWatches(peers_.IsDesignatedWatcher());
                 ReloadSettings();
               }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
@@ -156,7 +156,7 @@
   settings_.drain_grace = fresh.drain_grace;
   settings_.seeds = fresh.seeds;
   state_.allowance.SetBound(fresh.retries);
-  peers_.SetSeeds(settings_);
+  peers_.SeedsChanged();
   if (settings_.log_level != fresh.log_level) {
     settings_.log_level = fresh.log_level;
     ConfigureDecisionLog(settings_.log_level);
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t kSuspectsTold = 16;
 // Of each failure domain: the second stands in while the first is down and not
 // yet dropped from the roster.
-constexpr std::size_t kLookouts = 2;
+constexpr std::size_t kDesignatedWatchers = 2;
 
 std::string WithPortOf(const std::string& address, const std::string& other) {
   return address.substr(0, address.rfind(':')) + other.substr(other.rfind(':'));
@@ -48,23 +48,22 @@
               settings.failure_domain,
               internal::DatagramSeeds(settings),
               incarnation),
-      turn_(loop) {}
+      interval_(loop) {}
 
 std::optional<std::string> peer_exchange::Bind() {
   return datagrams_.Bind(settings_.datagrams);
 }
 
 void peer_exchange::Start() {
-  OnTurn();
+  OnInterval();
 }
 
-void peer_exchange::SetSeeds(const entry_settings& settings) {
-  settings_.seeds = settings.seeds;
+void peer_exchange::SeedsChanged() {
   roster_.SetSeeds(internal::DatagramSeeds(settings_));
 }
 
-bool peer_exchange::IsLookout() const {
-  return roster_.IsAmongFirst(internal::kLookouts);
+bool peer_exchange::IsDesignatedWatcher() const {
+  return roster_.IsAmongFirst(internal::kDesignatedWatchers);
 }
 
 void peer_exchange::Tell(const forwarding::tell_peers& news) {
@@ -86,12 +85,12 @@
   Send(mesh::Encode(what, clock_.Now()), roster_.Live());
 }
 
-void peer_exchange::SayHello(const std::vector<std::string>& addresses) {
-  const own_standing standing = calls_.standing();
+void peer_exchange::SendHello(const std::vector<std::string>& addresses) {
+  const own_status status = calls_.status();
   const mesh::hello hello{settings_.vm,      settings_.failure_domain,
                           incarnation_,      settings_.datagrams,
-                          settings_.control, standing.changed_at,
-                          standing.leaving,  roster_.Live()};
+                          settings_.control, status.changed_at,
+                          status.leaving,    roster_.Live()};
   Send(mesh::Encode(hello, clock_.Now()), addresses);
   const mesh::live_jobs live{incarnation_, settings_.datagrams,
                              state_.ledger.KeysOf(state_.job_salt)};
@@ -106,7 +105,7 @@
   }
 }
 
-void peer_exchange::OnTurn() {
+void peer_exchange::OnInterval() {
   const time_point now = clock_.Now();
   for (const mesh::hello& gone : roster_.Expire(now)) {
     log_.Note("peer_lost", {{"peer", gone.vm.value}});
@@ -116,21 +115,21 @@
   if (cut_off != state_.cut_off) {
     calls_.post(forwarding::domains_cut_off{cut_off});
   }
-  SayHello(roster_.HelloTargets());
+  SendHello(roster_.HelloTargets());
   // An end that is lost would leave a load that is not there.
   if (!ended_recently_.empty()) {
     Broadcast(mesh::load_news{{}, std::exchange(ended_recently_, {}), {}});
   }
   TellSuspects();
-  if (const mesh::member* newer = roster_.Newer(calls_.standing().changed_at)) {
+  if (const mesh::member* newer = roster_.Newer(calls_.status().changed_at)) {
     calls_.on_newer(newer->last.views);
   }
   calls_.post(forwarding::peers_counted{roster_.Sharers()});
-  calls_.on_turn();
-  turn_.expires_after(mesh::kHelloInterval);
-  turn_.async_wait([this](const boost::system::error_code& error) {
+  calls_.on_interval();
+  interval_.expires_after(mesh::kHelloInterval);
+  interval_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      OnTurn();
+      OnInterval();
     }
   });
 }
@@ -154,8 +153,10 @@
     log_.Note("peer_replaced", {{"peer", hello.vm.value}});
     calls_.post(forwarding::peer_ended{*news.replaced});
   }
-  SayHello(news.contact);
-  if (hello.changed_at <= calls_.standing().changed_at) {
+  if (!news.contact.empty()) {
+    SendHello(news.contact);
+  }
+  if (hello.changed_at <= calls_.status().changed_at) {
     view_confirmed_at_ = now;
   }
 }
@@ -179,7 +180,7 @@
 }
 
 void peer_exchange::Hear(const mesh::jobs_wanted& wanted) {
-  // Strangers get no answer: an address in a datagram may be anyone's.
+  // Other addresses may be forged.
   if (!roster_.IsLive(wanted.datagrams)) {
     return;
   }
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -18,7 +18,7 @@
 namespace acaciaferry::entry {
 
 /** What peers are told of this VM beside its load. */
-struct own_standing {
+struct own_status {
   /** Revision of the newest published change that it knows. */
   std::uint64_t changed_at{};
   bool leaving{};
@@ -36,13 +36,23 @@
   struct handlers {
     /** Decides on an event. */
     std::function<void(const forwarding::event&)> post;
-    std::function<own_standing()> standing;
+    std::function<own_status()> status;
     /** A peer knows a newer published change; its view can be fetched there. */
     std::function<void(const std::string& views)> on_newer;
-    /** Called with each hello that this VM sends to all. */
-    std::function<void()> on_turn;
+    /** Called at each interval of hellos. */
+    std::function<void()> on_interval;
   };
 
+  /**
+   * @param loop Runs the exchange.
+   * @param settings Outlive it.
+   * @param incarnation Of this process.
+   * @param current The load that is told and the suspects; outlives it.
+   * @param log For changes of the peers.
+   * @param metrics For malformed datagrams.
+   * @param clock The time.
+   * @param calls What it asks of the daemon.
+   */
   peer_exchange(boost::asio::io_context& loop,
                 const entry_settings& settings,
                 std::uint64_t incarnation,
@@ -56,7 +66,8 @@
   [[nodiscard]] std::optional<std::string> Bind();
   /** @brief Begins to say hello. */
   void Start();
-  void SetSeeds(const entry_settings& settings);
+  /** @brief Takes the seeds of the settings again. */
+  void SeedsChanged();
   /** @brief Tells all live VMs; ends are told again with the next hello. */
   void Tell(const forwarding::tell_peers& news);
 
@@ -73,15 +84,15 @@
     return roster_.OldestHello();
   }
   /** @return Whether this VM watches the configuration service for others. */
-  [[nodiscard]] bool IsLookout() const;
+  [[nodiscard]] bool IsDesignatedWatcher() const;
   /** @return When a peer last confirmed that this VM's view is the newest. */
   [[nodiscard]] std::optional<time_point> ViewConfirmedAt() const noexcept {
     return view_confirmed_at_;
   }
 
  private:
-  void OnTurn();
-  void SayHello(const std::vector<std::string>& addresses);
+  void OnInterval();
+  void SendHello(const std::vector<std::string>& addresses);
   void TellSuspects();
   void Broadcast(const mesh::message& what);
   void Send(const std::vector<std::string>& datagrams,
@@ -93,7 +104,7 @@
   void Hear(const mesh::jobs_wanted& wanted);
   void Hear(const suspects_heard& suspects) const;
 
-  entry_settings settings_;
+  const entry_settings& settings_;
   std::uint64_t incarnation_;
   const forwarding::state& state_;
   decision_log& log_;
@@ -102,7 +113,7 @@
   handlers calls_;
   net::datagram_socket datagrams_;
   mesh::roster roster_;
-  boost::asio::steady_timer turn_;
+  boost::asio::steady_timer interval_;
   std::vector<forwarding::job_key> ended_recently_;
   std::optional<time_point> view_confirmed_at_;
   std::optional<time_point> load_heard_at_;
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -43,12 +43,14 @@
 
   void Start();
   void Stop();
-  /** @brief Makes this VM a lookout or not; see publication::reader. */
-  void SetLookout(bool is_lookout) noexcept { reader_.SetLookout(is_lookout); }
+  /** @brief Lets watches wait for short times; see publication::reader. */
+  void SetShortWatches(bool are_short) noexcept {
+    reader_.SetShortWatches(are_short);
+  }
   [[nodiscard]] const publication::view& View() const noexcept {
     return reader_.View();
   }
-  /** @return Time since the service or a peer last confirmed the view. */
+  /** @return Time since the service last answered. */
   [[nodiscard]] std::optional<duration> Age() const;
   [[nodiscard]] std::uint64_t Calls() const noexcept { return calls_; }
 
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -11,7 +11,7 @@
 // The end of a peer's dispatch is told in a datagram, which may be lost.
 constexpr duration kOverdue = std::chrono::seconds(2);
 // Datagrams of one VM may overtake each other by this much.
-constexpr duration kUnderWay = std::chrono::milliseconds(200);
+constexpr duration kReorderingSlack = std::chrono::milliseconds(200);
 constexpr duration kUtilizationWindow = std::chrono::seconds(2);
 constexpr double kPerThousand = 1e-3;
 constexpr double kPerMillion = 1e-6;
@@ -212,6 +212,7 @@
   }
   dispatch& of = dispatches_[added.key];
   of.added = of.targets.empty() ? now : of.added;
+  of.latest_end = std::max(of.latest_end, added.latest_end);
   if (std::find(of.targets.begin(), of.targets.end(), added.target) ==
       of.targets.end()) {
     of.targets.push_back(added.target);
@@ -265,7 +266,8 @@
   std::size_t ended = 0;
   for (const job_key key : KeysOf(salt)) {
     const bool is_live = std::find(live.begin(), live.end(), key) != live.end();
-    if (!is_live && dispatches_.at(key).added + internal::kUnderWay < now) {
+    if (!is_live &&
+        dispatches_.at(key).added + internal::kReorderingSlack < now) {
       End(key, now);
       ++ended;
     }
@@ -341,11 +343,9 @@
 
 void load_ledger::Expire(time_point now) {
   std::vector<job_key> overdue;
-  for (const auto& [id, target_queue] : queues_) {
-    for (const job& each : target_queue.jobs) {
-      if (each.latest_end + internal::kOverdue < now) {
-        overdue.push_back(each.key);
-      }
+  for (const auto& [key, of] : dispatches_) {
+    if (of.latest_end + internal::kOverdue < now) {
+      overdue.push_back(key);
     }
   }
   for (const job_key key : overdue) {
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -193,6 +193,7 @@
   struct dispatch {
     std::vector<target_id> targets;
     time_point added{};
+    time_point latest_end{};
   };
 
   std::unordered_map<job_key, dispatch> dispatches_;
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -11,11 +11,11 @@
 constexpr duration kWatchSpacing = std::chrono::milliseconds(200);
 constexpr duration kWatchWait = std::chrono::milliseconds(10'000);
 constexpr duration kWatchPatience = std::chrono::milliseconds(1'500);
-// A lookout notices a dead connection after both, makes a probe within 0.4 s
-// and tells peers with its next hello: less than three seconds in all, the time
-// after an outage from which the bound on configuration holds again.
-constexpr duration kLookoutWait = std::chrono::milliseconds(1'000);
-constexpr duration kLookoutPatience = std::chrono::milliseconds(900);
+// With short watches a VM notices a dead connection after both, makes a probe
+// within 0.4 s and tells peers with its next hello: less than three seconds in
+// all, the time after an outage from which the bound on configuration holds.
+constexpr duration kShortWatchWait = std::chrono::milliseconds(1'000);
+constexpr duration kShortWatchPatience = std::chrono::milliseconds(900);
 constexpr duration kProbeWait = std::chrono::milliseconds(100);
 constexpr duration kFirstBackoff = std::chrono::milliseconds(150);
 constexpr duration kMaxBackoff = std::chrono::milliseconds(1'200);
@@ -51,12 +51,12 @@
   // After a failure a short watch shows soon whether the service is back.
   if (failures_ > 0) {
     return watch_call{view_.revision, internal::kProbeWait,
-                      internal::kLookoutPatience};
+                      internal::kShortWatchPatience};
   }
-  return is_lookout_ ? watch_call{view_.revision, internal::kLookoutWait,
-                                  internal::kLookoutPatience}
-                     : watch_call{view_.revision, internal::kWatchWait,
-                                  internal::kWatchPatience};
+  return short_watches_ ? watch_call{view_.revision, internal::kShortWatchWait,
+                                     internal::kShortWatchPatience}
+                        : watch_call{view_.revision, internal::kWatchWait,
+                                     internal::kWatchPatience};
 }
 
 void reader::Answered(time_point now) {
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -104,14 +104,14 @@
   reader(std::vector<std::string> prefixes, std::uint64_t seed);
 
   /**
-   * @brief Makes this process a lookout or not.
+   * @brief Lets watches wait for a short time instead of a long one.
    *
-   * When the service loses answers, a watch may wait on a connection that
-   * brings nothing any more, and only the end of its wait shows that. Lookouts
-   * watch for short times, so that they find it out within the bound on
+   * After an outage of the service a watch may wait on a connection that brings
+   * nothing any more, and only the end of its wait shows that. Some VMs of a
+   * fleet use short waits, so that they notice it within the bound on
    * configuration; the others learn changes from them.
    */
-  void SetLookout(bool is_lookout) noexcept { is_lookout_ = is_lookout; }
+  void SetShortWatches(bool are_short) noexcept { short_watches_ = are_short; }
 
   /** @return The call to make now, or how long to wait. */
   [[nodiscard]] next_call Next(time_point now);
@@ -151,7 +151,7 @@
   std::vector<std::string> prefixes_;
   random_engine random_;
   view view_;
-  bool is_lookout_{true};
+  bool short_watches_{true};
   bool listing_{true};
   bool stale_will_do_{true};
   std::size_t prefix_{};
--- a/test/acaciaferry/forwarding/load_ledger_test.cpp
+++ b/test/acaciaferry/forwarding/load_ledger_test.cpp
@@ -158,6 +158,19 @@
   LONGS_EQUAL(0, ledger.Jobs());
 }
 
+// Guards against dispatches that are kept for ever when their target has gone
+// and their end is never told.
+TEST(LoadLedger, ExpiresDispatchesOfTargetsThatHaveGone) {
+  load_ledger ledger;
+  const std::uint64_t salt = SaltOfProcess(42);
+  const job_key key = salt << 32U | 1U;
+  ledger.Add(Writer(key, 250), At(0));
+  ledger.Forget(kTarget);
+  LONGS_EQUAL(1, ledger.KeysOf(salt).size());
+  ledger.Expire(At(13'000));
+  LONGS_EQUAL(0, ledger.KeysOf(salt).size());
+}
+
 // Guards against load that stays until its deadline when the datagrams with its
 // end were lost in a cut, and against load that is never learnt of.
 TEST(LoadLedger, CatchesUpWithAPeer) {
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -433,6 +433,51 @@
   CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
 }
 
+// Guards against predictions that leave out the passes of engines, because the
+// ledger was not told what the engines are like.
+TEST(ForwardingReduce, LedgerFollowsThePassesOfPublishedEngines) {
+  fixture fleet;
+  job writer;
+  writer.key = 1'000;
+  writer.target.value = "e0";
+  writer.writes = true;
+  writer.latest_end = At(20'000);
+  fleet.Post(peer_load{{writer}, {}, {}});
+  // A pass takes 43 steps of 1.02 ms.
+  const auto left = [&] {
+    return fleet.current.ledger.Load({"e0"}, fleet.now).pass_left;
+  };
+  CHECK_TRUE(left() > milliseconds(40));
+  // A restarted engine is described afresh.
+  std::vector<target> targets{Target("e0", kModel)};
+  targets.front().incarnation = 2;
+  fleet.Post(targets_published{targets});
+  CHECK_TRUE(left() == milliseconds(0));
+  writer.key = 1'001;
+  fleet.Post(peer_load{{writer}, {}, {}});
+  CHECK_TRUE(left() > milliseconds(40));
+}
+
+// Guards against phantom load of a peer: jobs whose end was lost are dropped,
+// and the drop is on record.
+TEST(ForwardingReduce, DropsWhatAPeerNoLongerRuns) {
+  fixture fleet;
+  constexpr std::uint64_t kPeer = 42;
+  job writer;
+  writer.key = SaltOfProcess(kPeer) << 32U | 1U;
+  writer.target.value = "e0";
+  writer.writes = true;
+  writer.latest_end = At(20'000);
+  fleet.Post(peer_load{{writer}, {}, {}});
+  fleet.PostAt(1'000, peer_holds{kPeer, {writer.key}});
+  LONGS_EQUAL(1, fleet.current.ledger.Jobs());
+  LONGS_EQUAL(0, fleet.All<record_decision>().size());
+  fleet.PostAt(1'500, peer_holds{kPeer, {}});
+  LONGS_EQUAL(0, fleet.current.ledger.Jobs());
+  CHECK_TRUE(fleet.All<record_decision>().front().kind ==
+             decision_kind::kLoadCorrected);
+}
+
 // Guards against calls that hang while no target is known.
 TEST(ForwardingReduce, CallsWithoutTargetsAreRefusedAtOnce) {
   fixture fleet;
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -66,7 +66,8 @@
   CHECK_FALSE(made.IsLive("stranger:1"));
 }
 
-// Guards against a failure domain without a lookout, or with only lookouts.
+// Guards against a failure domain in which no VM, or every VM, is the one that
+// watches the configuration service for the others.
 TEST(Roster, RanksTheVmsOfItsFailureDomain) {
   roster made("s5:1", {"s"}, {}, 7);
   CHECK_TRUE(made.IsAmongFirst(1));
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -117,7 +117,7 @@
 // Guards against a watch that waits for ten seconds on a connection that the
 // service has forgotten in an outage, while a newer configuration is in force:
 // the bound holds again three seconds after the outage.
-TEST(PublicationReader, LookoutsNoticeDeadConnectionsInTime) {
+TEST(PublicationReader, ShortWatchesNoticeDeadConnectionsInTime) {
   reader made = Listed();
   const auto watch = std::get<watch_call>(made.Next(At(1'000)));
   made.Take(call_failure::kSilent, At(0));
@@ -128,7 +128,7 @@
              milliseconds(3'000));
   // The others spare the service.
   made = Listed();
-  made.SetLookout(false);
+  made.SetShortWatches(false);
   CHECK_TRUE(std::get<watch_call>(made.Next(At(1'000))).wait >=
              milliseconds(10'000));
 }
