Test a VM that the configuration service turns away, a configuration that reverts and an unconfirmed view

Cause: platform.md promises that a view is exchanged between VMs, that versions only grow and that 401 and 404 come only with a confirmed view; no test brought any of them to failure. Nothing checked that repeats are counted by reason. Change: the process test runs two daemons, the second behind a store that refuses it. Ruled out: a wait of fixed length; a change behind the older configuration tells when that was decided on.

--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -92,24 +92,53 @@
     return Target
 
 
-def make_store(documents):
+def encoded(value):
+    return base64.b64encode(json.dumps(value).encode()).decode()
+
+
+class Changes:
+    """What is published after the listing; all changes of one call come together."""
+
+    def __init__(self):
+        self.events = []
+
+    def publish(self, documents):
+        revision = 10 + len(self.events)
+        self.events = self.events + [
+            {"key": key, "value": encoded(value), "revision": revision + number}
+            for number, (key, value) in enumerate(documents)]
+
+
+def make_store(documents, changes=None):
+    changes = changes or Changes()
+
     class Store(Handler):
         def do_GET(self):
             if self.path.startswith("/api/kv-range"):
                 prefix = self.path.split("path_prefix=")[1].split("&")[0]
                 items = [
-                    {"key": key, "value": base64.b64encode(json.dumps(value).encode()).decode(),
+                    {"key": key, "value": encoded(value),
                      "revision": 5, "created_at": 5, "lease": 0}
                     for key, value in documents.items() if key.startswith(prefix)]
                 answer = {"items": items, "has_more": False, "store_revision": 9}
             else:
                 time.sleep(0.2)
-                answer = {"events": [], "store_revision": 9}
+                after = int(self.path.split("after=")[1].split("&")[0])
+                events = [each for each in changes.events if each["revision"] > after]
+                answer = {"events": events,
+                          "store_revision": events[-1]["revision"] if events else after}
             self.reply(200, json.dumps(answer).encode())
 
     return Store
 
 
+class RefusingStore(Handler):
+    """A store that turns this VM away."""
+
+    def do_GET(self):
+        self.reply(503)
+
+
 def documents(targets):
     def route(prefix, kind, **more):
         return {"name": prefix, "host": "h.example", "path_prefix": prefix, "kind": kind,
@@ -151,8 +180,8 @@
     raise AssertionError("not within %d s: %s" % (BOUND_S, what))
 
 
-def call(port, path, key="key1", body=b"b", label="a1", read=True):
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=BOUND_S)
+def call(port, path, key="key1", body=b"b", label="a1", read=True, ip="127.0.0.1"):
+    connection = http.client.HTTPConnection(ip, port, timeout=BOUND_S)
     headers = {"Host": "h.example", "Acaciaferry-Attempt-Id": label,
                "Authorization": "Token " + key, "Acaciaferry-Deadline-Ms": "14000"}
     connection.request("POST", path, body, headers)
@@ -160,9 +189,9 @@
     return (answer.status, answer.read(), answer) if read else (answer.status, connection, answer)
 
 
-def is_ready(port):
+def is_ready(port, ip="127.0.0.1"):
     try:
-        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=BOUND_S)
+        connection = http.client.HTTPConnection(ip, port, timeout=BOUND_S)
         connection.request("GET", "/api/readiness")
         return connection.getresponse().status == 200
     except OSError:
@@ -187,26 +216,9 @@
     targets = [serve(make_target(fleet))[1] for _ in range(2)]
     _, store = serve(make_store(documents(targets)))
     callers, ready, control, datagrams = free_ports(4)
-    settings = """
-[vm]
-name = vm1
-failure_domain = a
-[callers]
-address = 127.0.0.1:%d
-[readiness]
-address = 127.0.0.1:%d
-[peers]
-control = 127.0.0.1:%d
-datagrams = 127.0.0.1:%d
-[configuration]
-service = %s
-[retries]
-slack = 100
-""" % (callers, ready, control, datagrams, store)
-    with tempfile.NamedTemporaryFile("w", suffix=".ini") as file:
-        file.write(settings)
-        file.flush()
-        command = [os.path.join(sys.argv[1], "acaciaferryd"), "-c", file.name]
+    ports = callers, ready, control, datagrams
+    with settings_file("127.0.0.1", ports, store) as file:
+        command = command_of(file)
         with_process(subprocess.Popen(command, stdout=subprocess.PIPE, text=True), fleet,
                      lambda daemon: run(fleet, daemon, callers, ready, control))
         reader, writer = os.pipe()
@@ -215,6 +227,92 @@
                      lambda daemon: run_without_log_reader(daemon, callers, ready, control))
         os.close(writer)
         os.close(reader)
+    run_with_peer(fleet, targets)
+
+
+def settings_file(ip, ports, store, seeds=""):
+    callers, ready, control, datagrams = ports
+    file = tempfile.NamedTemporaryFile("w", suffix=".ini")
+    file.write("""
+[vm]
+name = vm-%(ip)s
+failure_domain = a
+[callers]
+address = %(ip)s:%(callers)d
+[readiness]
+address = %(ip)s:%(ready)d
+[peers]
+control = %(ip)s:%(control)d
+datagrams = %(ip)s:%(datagrams)d
+seeds = %(seeds)s
+[configuration]
+service = %(store)s
+[retries]
+slack = 100
+""" % locals())
+    file.flush()
+    return file
+
+
+def command_of(file):
+    return [os.path.join(sys.argv[1], "acaciaferryd"), "-c", file.name]
+
+
+def run_with_peer(fleet, targets):
+    published = documents(targets)
+    changes = Changes()
+    ports = tuple(free_ports(4))
+    first_store = serve(make_store(published, changes))[1]
+    refusing_store = serve(RefusingStore)[1]
+    first_ip, second_ip = "127.0.0.1", "127.0.0.2"
+    with settings_file(first_ip, ports, first_store) as first, \
+            settings_file(second_ip, ports, refusing_store,
+                          "%s:%d" % (first_ip, ports[2])) as second:
+        with_process(
+            subprocess.Popen(command_of(first), stdout=subprocess.DEVNULL), fleet,
+            lambda first_daemon: with_process(
+                subprocess.Popen(command_of(second), stdout=subprocess.DEVNULL), fleet,
+                lambda _: turned_away(first_daemon, second_ip, ports, published, changes)))
+
+
+def metric(ip, control, name):
+    connection = http.client.HTTPConnection(ip, control, timeout=BOUND_S)
+    connection.request("GET", "/metrics")
+    for line in connection.getresponse().read().decode().splitlines():
+        if line.startswith(name + " "):
+            return float(line.split()[1])
+    return None
+
+
+def turned_away(first_daemon, ip, ports, published, changes):
+    callers, ready, control, _ = ports
+
+    def status(key):
+        return call(callers, "/once/x", key=key, label="p-" + key, ip=ip)[0]
+
+    # Guards against a VM that serves nothing, or an old configuration, because the
+    # store turns it away while its peers are served.
+    wait_for(lambda: is_ready(ready, ip), "readiness through a peer's view")
+    check(status("key1") == 200, "a call is answered with the peer's view")
+    # The next hello of the peer confirms the view.
+    wait_for(lambda: status("none") == 401, "refusal of an unknown key with a confirmed view")
+    newer = dict(published["op/config"], version=4,
+                 tenants=[{"name": "w1", "api_keys": ["key1", "key2"]}])
+    changes.publish([("op/config", newer)])
+    wait_for(lambda: status("key2") == 200, "the newer configuration by way of the peer")
+
+    # Guards against a configuration that reverts.
+    older = dict(published["op/config"], version=2, tenants=[])
+    target = dict(published["servers/i-0"], address="127.0.0.9:1", state="draining")
+    changes.publish([("op/config", older), ("servers/i-9", target)])
+    wait_for(lambda: metric(ip, control, "acaciaferry_targets") == 3, "the change after it")
+    check(metric(ip, control, "acaciaferry_configuration_version") == 4, "versions only grow")
+    check(status("key2") == 200, "the newer key stays")
+
+    # Guards against 401 and 404 from a VM whose view nothing confirms any more.
+    first_daemon.kill()
+    wait_for(lambda: status("none") == 503, "an unconfirmed view refuses as not known")
+    check(status("key1") == 200, "what is known is served on")
 
 
 def with_process(daemon, fleet, scenario):
@@ -273,6 +371,7 @@
     connection.request("GET", "/metrics")
     metrics = connection.getresponse().read().decode()
     check('acaciaferry_decisions_total{kind="resumed"} 1' in metrics, "metrics count the resumption")
+    check('acaciaferry_repeats_total{reason="broken"} 1' in metrics, "metrics tell its reason")
 
     # Guards against a request that is cut off by a planned stop, and against one
     # that is taken when it can't be answered any more.
