Count refusals of half-read requests by status and datagrams of unknown VMs; one check of a caller's connection

CountReadRefusal took a status and ignored it; datagrams of VMs that are not live were dropped without a trace; IsConnected stood in the callers' listener and in the stand-ins. Change: counters by status and for unknown senders, with a check in the process test; http/connection_check. Ruled out: nothing.

--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -103,10 +103,6 @@
   ++refusals_[static_cast<std::size_t>(code)];
 }
 
-void entry_metrics::CountReadRefusal(int /*status*/) noexcept {
-  ++read_refusals_;
-}
-
 void entry_metrics::Observe(const forwarding::observe_answer& answered) {
   const int series = internal::SeriesOf(answered.what);
   histograms_->queued.Add(series, answered.queued);
@@ -139,13 +135,18 @@
     text += "acaciaferry_repeats_total{reason=\"" + reason + "\"} " +
             std::to_string(count) + "\n";
   }
+  text += "# TYPE acaciaferry_read_refusals_total counter\n";
+  for (const auto& [status, count] : read_refusals_) {
+    text += "acaciaferry_read_refusals_total{status=\"" +
+            std::to_string(status) + "\"} " + std::to_string(count) + "\n";
+  }
   const auto counter = [&](std::string_view name, std::uint64_t value) {
     internal::AppendValue(text, "counter", name, std::to_string(value));
   };
   const auto gauge = [&](std::string_view name, const std::string& value) {
     internal::AppendValue(text, "gauge", name, value);
   };
-  counter("acaciaferry_read_refusals_total", read_refusals_);
+  counter("acaciaferry_unknown_senders_total", unknown_senders_);
   counter("acaciaferry_malformed_datagrams_total", malformed_datagrams_);
   counter("acaciaferry_document_faults_total", document_faults_);
   counter("acaciaferry_log_lines_left_out_total", log.LeftOut());
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -44,8 +44,11 @@
   entry_metrics& operator=(const entry_metrics&) = delete;
 
   void CountRefusal(failure_code code) noexcept;
-  void CountReadRefusal(int status) noexcept;
+  /** @brief Counts a request that was refused before it was whole. */
+  void CountReadRefusal(int status) { ++read_refusals_[status]; }
   void CountMalformedDatagram() noexcept { ++malformed_datagrams_; }
+  /** @brief Counts a datagram that names a VM that is not live. */
+  void CountUnknownSender() noexcept { ++unknown_senders_; }
   void CountDocumentFault() noexcept { ++document_faults_; }
   /** @brief Counts an attempt that follows another one. */
   void CountRepeat(const std::string& reason) { ++repeats_[reason]; }
@@ -63,7 +66,9 @@
   std::array<std::uint64_t, kFailureCodes> refusals_{};
   /** By reason; reasons are static names of the reducer. */
   std::map<std::string, std::uint64_t> repeats_;
-  std::uint64_t read_refusals_{};
+  /** By status. */
+  std::map<int, std::uint64_t> read_refusals_;
+  std::uint64_t unknown_senders_{};
   std::uint64_t malformed_datagrams_{};
   std::uint64_t document_faults_{};
 };
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -168,6 +168,7 @@
 
 void peer_exchange::Hear(const mesh::live_jobs& live) {
   if (!roster_.IsLive(live.datagrams)) {
+    metrics_.CountUnknownSender();
     return;
   }
   calls_.post(forwarding::peer_holds{live.incarnation, live.keys});
@@ -182,6 +183,7 @@
 void peer_exchange::Hear(const mesh::jobs_wanted& wanted) {
   // Other addresses may be forged.
   if (!roster_.IsLive(wanted.datagrams)) {
+    metrics_.CountUnknownSender();
     return;
   }
   const time_point now = clock_.Now();
--- a/src/acaciaferry/http/caller_request.cpp
+++ b/src/acaciaferry/http/caller_request.cpp
@@ -1,9 +1,5 @@
 #include "acaciaferry/http/caller_request.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <sys/socket.h>
-
 #include <charconv>
 #include <istream>
 
@@ -95,18 +91,4 @@
   return *std::move(workspace);
 }
 
-bool IsConnected(HTTPServerRequest& request) {
-  auto& impl = static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-  try {
-    Poco::Net::StreamSocket& socket = impl.socket();
-    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      return true;
-    }
-    char byte{};
-    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 }  // namespace acaciaferry::internal
--- a/src/acaciaferry/http/caller_request.hpp
+++ b/src/acaciaferry/http/caller_request.hpp
@@ -44,7 +44,4 @@
     const Poco::Net::HTTPServerRequest& request,
     const workspace_directory& workspaces);
 
-/** @return Whether the caller's connection is still open. */
-[[nodiscard]] bool IsConnected(Poco::Net::HTTPServerRequest& request);
-
 }  // namespace acaciaferry::internal
--- a/src/acaciaferry/http/callers_listener.cpp
+++ b/src/acaciaferry/http/callers_listener.cpp
@@ -17,6 +17,7 @@
 #include "acaciaferry/core/length_class.hpp"
 #include "acaciaferry/http/caller_request.hpp"
 #include "acaciaferry/http/completion_body.hpp"
+#include "acaciaferry/http/connection_check.hpp"
 #include "acaciaferry/http/header_guard.hpp"
 #include "acaciaferry/http/reply_writer.hpp"
 
--- a/src/acaciaferry/standin/fault_switches.cpp
+++ b/src/acaciaferry/standin/fault_switches.cpp
@@ -1,14 +1,10 @@
 #include "acaciaferry/standin/fault_switches.hpp"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/StreamSocket.h>
-#include <Poco/Timespan.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <thread>
 
+#include "acaciaferry/http/connection_check.hpp"
+
 namespace acaciaferry::standin {
 namespace internal {
 
@@ -55,18 +51,4 @@
   }
 }
 
-bool fault_switches::IsConnected(Poco::Net::HTTPServerRequest& request) {
-  auto& impl = static_cast<Poco::Net::HTTPServerRequestImpl&>(request);
-  try {
-    Poco::Net::StreamSocket& socket = impl.socket();
-    if (!socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ)) {
-      return true;
-    }
-    char byte{};
-    return socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-  } catch (const Poco::Exception&) {
-    return false;
-  }
-}
-
 }  // namespace acaciaferry::standin
--- a/src/acaciaferry/standin/fault_switches.hpp
+++ b/src/acaciaferry/standin/fault_switches.hpp
@@ -36,9 +36,6 @@
   /** @brief Blocks, without sending anything, until the peer closes. */
   static void StaySilent(Poco::Net::HTTPServerRequest& request);
 
-  /** @return Whether the peer still has its connection open. */
-  [[nodiscard]] static bool IsConnected(Poco::Net::HTTPServerRequest& request);
-
  private:
   const clock_source& clock_;
   mutable std::mutex mutex_;
--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -372,6 +372,7 @@
     metrics = connection.getresponse().read().decode()
     check('acaciaferry_decisions_total{kind="resumed"} 1' in metrics, "metrics count the resumption")
     check('acaciaferry_repeats_total{reason="broken"} 1' in metrics, "metrics tell its reason")
+    check('acaciaferry_read_refusals_total{status="413"} 1' in metrics, "the long body is counted")
 
     # Guards against a request that is cut off by a planned stop, and against one
     # that is taken when it can't be answered any more.
