--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -9,8 +9,6 @@
 #include <sstream>
 #include <utility>
 
-#include "acaciaferry/entry/order_sender.hpp"
-
 namespace acaciaferry::entry {
 namespace internal {
 
@@ -366,22 +364,27 @@
     self.metrics_.Observe(effect);
   }
   void operator()(const forwarding::reserve_memory& effect) const {
-    if (effect.renewal) {
-      SendOrder(self.loop_, effect.address,
-                self.protocol_->BuildReserveRequest(effect), 1, [](bool) {});
-      return;
-    }
     SendOrder(self.loop_, effect.address,
               self.protocol_->BuildReserveRequest(effect), 1,
-              [owner = &self, effect](bool held) {
+              [owner = &self, effect](order_result result) {
+                owner->LogOrderFailure(effect.renewal ? "renew" : "reserve",
+                                       effect.ticket, effect.target, result);
+                if (effect.renewal) {
+                  return;
+                }
                 owner->Post(forwarding::reservation_settled{
-                    effect.id, effect.attempt, effect.ticket, held});
+                    effect.id, effect.attempt, effect.ticket,
+                    result == order_result::kDone});
               });
   }
   void operator()(const forwarding::release_memory& effect) const {
     SendOrder(self.loop_, effect.address,
               self.protocol_->BuildReleaseRequest(effect),
-              internal::kMaxReleaseAttempts, [](bool) {});
+              internal::kMaxReleaseAttempts,
+              [owner = &self, effect](order_result result) {
+                owner->LogOrderFailure("release", effect.ticket, effect.target,
+                                       result);
+              });
   }
   void operator()(const forwarding::notify_peers& effect) const {
     self.peers_.BroadcastLoad(effect);
@@ -399,6 +402,21 @@
   }
 };
 
+void entry_daemon::LogOrderFailure(std::string_view order,
+                                   const std::string& ticket,
+                                   const target_id& target,
+                                   order_result result) {
+  if (result == order_result::kDone) {
+    return;
+  }
+  log_.WriteDecision({forwarding::decision_kind::kOrderFailed,
+                      target.value,
+                      {{"order", std::string(order)},
+                       {"ticket", ticket},
+                       {"result", std::string(ToString(result))}}},
+                     clock_.Now());
+}
+
 void entry_daemon::ExecuteEffects(const forwarding::effects& effects) {
   const effect_executor executor{*this};
   for (const forwarding::effect& effect : effects) {
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -15,6 +15,7 @@
 #include "acaciaferry/entry/dialect.hpp"
 #include "acaciaferry/entry/entry_metrics.hpp"
 #include "acaciaferry/entry/entry_settings.hpp"
+#include "acaciaferry/entry/order_sender.hpp"
 #include "acaciaferry/entry/peer_exchange.hpp"
 #include "acaciaferry/entry/view_keeper.hpp"
 #include "acaciaferry/forwarding/state.hpp"
@@ -69,6 +70,10 @@
   /** @brief Runs an event through the reducer and executes its effects. */
   void Post(const forwarding::event& event);
   void ExecuteEffects(const forwarding::effects& effects);
+  void LogOrderFailure(std::string_view order,
+                       const std::string& ticket,
+                       const target_id& target,
+                       order_result result);
   void ScheduleWake();
   void CheckDrained();
   void ReloadSettings();
--- a/src/acaciaferry/entry/order_sender.hpp
+++ b/src/acaciaferry/entry/order_sender.hpp
@@ -5,24 +5,38 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "acaciaferry/entry/dialect.hpp"
 
 namespace acaciaferry::entry {
 
+/** @brief How an order ended. */
+enum class order_result {
+  /** The target responded with status 200. */
+  kDone,
+  /** The target responded with another status. */
+  kRefused,
+  /** No response arrived: the order may have been carried out, or may be
+   * carried out later. */
+  kUnanswered,
+};
+
+/** @return A static name of the result, for logs. */
+[[nodiscard]] std::string_view ToString(order_result result) noexcept;
+
 /**
  * @brief Sends an order to a target and retries while no response arrives.
  * @param loop The event loop.
  * @param address IP:PORT of the target.
  * @param order The request.
  * @param max_attempts Maximum number of attempts.
- * @param on_done Called once, with whether the target responded with status
- * 200.
+ * @param on_done Called once, with the result.
  */
 void SendOrder(boost::asio::io_context& loop,
                const std::string& address,
                const outgoing_request& order,
                int max_attempts,
-               const std::function<void(bool)>& on_done);
+               const std::function<void(order_result)>& on_done);
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -11,7 +11,8 @@
       "caller_left",    "target_found",     "target_lost",
       "target_leaving", "target_restarted", "target_distrusted",
       "reserved",       "domain_cut_off",   "domain_back",
-      "shed",           "load_corrected"};
+      "shed",           "load_corrected",   "released",
+      "order_failed"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -123,10 +123,12 @@
   kDomainBack,
   kShed,
   kLoadCorrected,
+  kReleased,
+  kOrderFailed,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kLoadCorrected) + 1;
+    static_cast<std::size_t>(decision_kind::kOrderFailed) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -131,6 +131,7 @@
     current.targets.RecordActivity(pending->running_attempt->target, now);
     switch (happened.verdict) {
       case response_verdict::kServed:
+        pending->running_attempt->response_started = true;
         pending->may_have_run = true;
         return;
       case response_verdict::kNotRun:
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -35,6 +35,8 @@
   std::vector<reservation> reservations;
   time_point started{};
   bool sent{};
+  /** Whether the head of a response that serves the request has arrived. */
+  bool response_started{};
   /** When the attempt counts as silent; nothing if only the deadline bounds it.
    */
   std::optional<time_point> progress_due;
