Release tickets again that an order has set aside after their release

Callers saw nothing; engines kept memory for nobody, which other prompts then lacked (STUCK). Cause: each order goes out on a connection of its own, so the release of a ticket may overtake its reservation or a renewal; and an order without an answer may be carried out seconds later. Both set the memory aside anew for a whole lease. Class: an effect is undone before it is known to have happened. Change: each ticket counts its orders without a result; a ticket that is released before they are settled is kept as a closing ticket and is released again when one turns out done, and every 2 s for 15 s after one without an answer. At most 1,024 closing tickets; all are forgotten in the end. Ruled out: waiting with the release until the orders are settled, since a lost answer would keep the memory for the second of the order's timeout. Measured: TicketsSetAsideAfterTheirReleaseAreReleasedAgain and TicketsWithUnansweredOrdersAreReleasedUntilNoneIsLate fail without closing tickets (bound set to 0) and pass with them; ForwardingReduce passes, 24 tests. The events of the two older ticket tests have a new type; their checks are the same.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -9,6 +9,8 @@
 #include <sstream>
 #include <utility>
 
+#include "acaciaferry/entry/order_sender.hpp"
+
 namespace acaciaferry::entry {
 namespace internal {
 
@@ -364,27 +366,23 @@
     self.metrics_.Observe(effect);
   }
   void operator()(const forwarding::reserve_memory& effect) const {
-    SendOrder(self.loop_, effect.address,
-              self.protocol_->BuildReserveRequest(effect), 1,
-              [owner = &self, effect](order_result result) {
-                owner->LogOrderFailure(effect.renewal ? "renew" : "reserve",
-                                       effect.ticket, effect.target, result);
-                if (effect.renewal) {
-                  return;
-                }
-                owner->Post(forwarding::reservation_settled{
-                    effect.id, effect.attempt, effect.ticket,
-                    result == order_result::kDone});
-              });
+    self.SendTicketOrder(self.protocol_->BuildReserveRequest(effect),
+                         effect.address, effect.target,
+                         {effect.id,
+                          effect.attempt,
+                          effect.ticket,
+                          effect.renewal ? forwarding::ticket_order::kRenew
+                                         : forwarding::ticket_order::kReserve,
+                          {}});
   }
   void operator()(const forwarding::release_memory& effect) const {
-    SendOrder(self.loop_, effect.address,
-              self.protocol_->BuildReleaseRequest(effect),
-              internal::kMaxReleaseAttempts,
-              [owner = &self, effect](order_result result) {
-                owner->LogOrderFailure("release", effect.ticket, effect.target,
-                                       result);
-              });
+    self.SendTicketOrder(self.protocol_->BuildReleaseRequest(effect),
+                         effect.address, effect.target,
+                         {effect.id,
+                          effect.attempt,
+                          effect.ticket,
+                          forwarding::ticket_order::kRelease,
+                          {}});
   }
   void operator()(const forwarding::notify_peers& effect) const {
     self.peers_.BroadcastLoad(effect);
@@ -402,19 +400,28 @@
   }
 };
 
-void entry_daemon::LogOrderFailure(std::string_view order,
-                                   const std::string& ticket,
+void entry_daemon::SendTicketOrder(const outgoing_request& request,
+                                   const std::string& address,
                                    const target_id& target,
-                                   order_result result) {
-  if (result == order_result::kDone) {
-    return;
-  }
-  log_.WriteDecision({forwarding::decision_kind::kOrderFailed,
-                      target.value,
-                      {{"order", std::string(order)},
-                       {"ticket", ticket},
-                       {"result", std::string(ToString(result))}}},
-                     clock_.Now());
+                                   forwarding::ticket_order_settled settled) {
+  using forwarding::order_result;
+  const int max_attempts = settled.order == forwarding::ticket_order::kRelease
+                               ? internal::kMaxReleaseAttempts
+                               : 1;
+  SendOrder(loop_, address, request, max_attempts,
+            [this, target, settled](order_result result) mutable {
+              settled.result = result;
+              if (result != order_result::kDone) {
+                log_.WriteDecision(
+                    {forwarding::decision_kind::kOrderFailed,
+                     target.value,
+                     {{"order", std::string(ToString(settled.order))},
+                      {"ticket", settled.ticket},
+                      {"result", std::string(ToString(result))}}},
+                    clock_.Now());
+              }
+              Post(settled);
+            });
 }
 
 void entry_daemon::ExecuteEffects(const forwarding::effects& effects) {
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -15,7 +15,6 @@
 #include "acaciaferry/entry/dialect.hpp"
 #include "acaciaferry/entry/entry_metrics.hpp"
 #include "acaciaferry/entry/entry_settings.hpp"
-#include "acaciaferry/entry/order_sender.hpp"
 #include "acaciaferry/entry/peer_exchange.hpp"
 #include "acaciaferry/entry/view_keeper.hpp"
 #include "acaciaferry/forwarding/state.hpp"
@@ -70,10 +69,11 @@
   /** @brief Runs an event through the reducer and executes its effects. */
   void Post(const forwarding::event& event);
   void ExecuteEffects(const forwarding::effects& effects);
-  void LogOrderFailure(std::string_view order,
-                       const std::string& ticket,
+  /** @brief Sends an order about a ticket and reports its result. */
+  void SendTicketOrder(const outgoing_request& request,
+                       const std::string& address,
                        const target_id& target,
-                       order_result result);
+                       forwarding::ticket_order_settled settled);
   void ScheduleWake();
   void CheckDrained();
   void ReloadSettings();
--- a/src/acaciaferry/entry/order_sender.cpp
+++ b/src/acaciaferry/entry/order_sender.cpp
@@ -19,30 +19,18 @@
 
 }  // namespace internal
 
-std::string_view ToString(order_result result) noexcept {
-  switch (result) {
-    case order_result::kDone:
-      return "done";
-    case order_result::kRefused:
-      return "refused";
-    case order_result::kUnanswered:
-      return "unanswered";
-  }
-  return "unknown";
-}
-
 void SendOrder(boost::asio::io_context& loop,
                const std::string& address,
                const outgoing_request& order,
                int max_attempts,
-               const std::function<void(order_result)>& on_done) {
+               const std::function<void(forwarding::order_result)>& on_done) {
   const auto pending = std::make_shared<internal::pending_order>(
       internal::pending_order{nullptr, boost::asio::steady_timer(loop), 0});
   const auto retry = [&loop, address, order, max_attempts, on_done] {
     if (max_attempts > 1) {
       SendOrder(loop, address, order, max_attempts - 1, on_done);
     } else {
-      on_done(order_result::kUnanswered);
+      on_done(forwarding::order_result::kUnanswered);
     }
   };
   net::exchange_handlers handlers;
@@ -52,8 +40,9 @@
   };
   handlers.on_end = [pending, on_done] {
     pending->timer.cancel();
-    on_done(pending->status == internal::kOk ? order_result::kDone
-                                             : order_result::kRefused);
+    on_done(pending->status == internal::kOk
+                ? forwarding::order_result::kDone
+                : forwarding::order_result::kRefused);
   };
   handlers.on_failure = [pending, retry](net::exchange_failure /*failure*/) {
     pending->timer.cancel();
--- a/src/acaciaferry/entry/order_sender.hpp
+++ b/src/acaciaferry/entry/order_sender.hpp
@@ -5,26 +5,12 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
-#include <string_view>
 
 #include "acaciaferry/entry/dialect.hpp"
+#include "acaciaferry/forwarding/event.hpp"
 
 namespace acaciaferry::entry {
 
-/** @brief How an order ended. */
-enum class order_result {
-  /** The target responded with status 200. */
-  kDone,
-  /** The target responded with another status. */
-  kRefused,
-  /** No response arrived: the order may have been carried out, or may be
-   * carried out later. */
-  kUnanswered,
-};
-
-/** @return A static name of the result, for logs. */
-[[nodiscard]] std::string_view ToString(order_result result) noexcept;
-
 /**
  * @brief Sends an order to a target and retries while no response arrives.
  * @param loop The event loop.
@@ -37,6 +23,6 @@
                const std::string& address,
                const outgoing_request& order,
                int max_attempts,
-               const std::function<void(order_result)>& on_done);
+               const std::function<void(forwarding::order_result)>& on_done);
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -16,4 +16,28 @@
   return kNames[static_cast<std::size_t>(kind)];
 }
 
+std::string_view ToString(ticket_order order) noexcept {
+  switch (order) {
+    case ticket_order::kReserve:
+      return "reserve";
+    case ticket_order::kRenew:
+      return "renew";
+    case ticket_order::kRelease:
+      return "release";
+  }
+  return "unknown";
+}
+
+std::string_view ToString(order_result result) noexcept {
+  switch (result) {
+    case order_result::kDone:
+      return "done";
+    case order_result::kRefused:
+      return "refused";
+    case order_result::kUnanswered:
+      return "unanswered";
+  }
+  return "unknown";
+}
+
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -91,6 +91,8 @@
 };
 
 struct release_memory {
+  call_id id{};
+  std::uint32_t attempt{};
   std::string address;
   target_id target;
   std::string ticket;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -121,12 +122,33 @@
   attempt_failure how{};
 };
 
-/** A reservation request was answered, or timed out. */
-struct reservation_settled {
+/** An order about reserved memory. */
+enum class ticket_order { kReserve, kRenew, kRelease };
+
+/** @return A static name of the order, for logs. */
+[[nodiscard]] std::string_view ToString(ticket_order order) noexcept;
+
+/** How an order to a target ended. */
+enum class order_result {
+  /** The target responded with status 200. */
+  kDone,
+  /** The target responded with another status. */
+  kRefused,
+  /** No response arrived: the order may have been carried out, or may be
+   * carried out later. */
+  kUnanswered,
+};
+
+/** @return A static name of the result, for logs. */
+[[nodiscard]] std::string_view ToString(order_result result) noexcept;
+
+/** An order about a ticket was answered, or timed out. */
+struct ticket_order_settled {
   call_id id{};
   std::uint32_t attempt{};
   std::string ticket;
-  bool held{};
+  ticket_order order{};
+  order_result result{};
 };
 
 struct targets_published {
@@ -178,7 +200,7 @@
                            response_progressed,
                            response_completed,
                            attempt_failed,
-                           reservation_settled,
+                           ticket_order_settled,
                            targets_published,
                            peer_load_update,
                            domains_cut_off,
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -93,24 +93,6 @@
   return now + predicted + pause;
 }
 
-// A reservation request without a response may have been carried out, so every
-// ticket is released.
-void ReleaseReservations(const pending_call& pending,
-                         time_point now,
-                         effects& out) {
-  const attempt& running = *pending.running_attempt;
-  if (running.reservations.empty()) {
-    return;
-  }
-  for (const reservation& each : running.reservations) {
-    out.emplace_back(release_memory{each.address, each.target, each.ticket});
-  }
-  LogDecision(out, decision_kind::kReleased, pending.request.caller_request_id,
-              {{"tickets", std::to_string(running.reservations.size())},
-               {"begun", running.response_started ? "yes" : "no"},
-               {"after_ms", ToMillisText(now - running.started)}});
-}
-
 std::string HelperNames(const std::vector<helper>& helpers) {
   std::string names;
   for (const helper& each : helpers) {
@@ -240,7 +222,7 @@
     out.emplace_back(
         cancel_attempt{pending.request.id, pending.running_attempt->number});
   }
-  ReleaseReservations(pending, now, out);
+  ReleaseReservations(current, pending, now, out);
   pending.running_attempt.reset();
 }
 
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -92,17 +92,32 @@
                  time_point now,
                  effects& out);
 
-/** @brief Processes the result of one reservation: fails the call if it was
- * refused, and sends the attempt once all are held. */
-void SettleReservation(state& current,
-                       pending_call& pending,
-                       const reservation_settled& settled,
+/** Lease time of reserved memory. It is short, so that engines get the memory
+ * back soon after this process has ended without releasing it. */
+inline constexpr duration kLeaseTime = std::chrono::milliseconds(3'000);
+inline constexpr duration kRenewAfter = std::chrono::milliseconds(1'200);
+
+/** @brief Processes the result of an order about a ticket: fails the call if
+ * its reservation was refused, sends the attempt once all are held, and
+ * releases a ticket again whose release the order has overtaken. */
+void SettleTicketOrder(state& current,
+                       const ticket_order_settled& settled,
                        time_point now,
                        effects& out);
 
+/** @brief Releases the tickets of the running attempt. */
+void ReleaseReservations(state& current,
+                         const pending_call& pending,
+                         time_point now,
+                         effects& out);
+
 /** @brief Renews the reservations that are due for renewal. */
 void RenewReservations(pending_call& pending, time_point now, effects& out);
 
+/** @brief Releases closing tickets again while an unanswered order may still
+ * set their memory aside, and forgets the others. */
+void ReleaseClosingTickets(state& current, time_point now, effects& out);
+
 /** @return The fleet-wide id of an attempt's dispatch. */
 [[nodiscard]] dispatch_id DispatchIdOf(const state& current,
                                        call_id id,
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -11,10 +11,6 @@
 constexpr std::size_t kMaxHelpers = 16;
 // Numbers of engines to try for a prompt that no single engine can hold.
 constexpr std::array<std::size_t, 7> kSpanSplits{2, 3, 4, 6, 8, 12, 17};
-// Lease time of reserved memory. It is short, so that engines get the memory
-// back soon after this process has ended without releasing it.
-constexpr duration kLeaseTime = std::chrono::milliseconds(3'000);
-constexpr duration kRenewAfter = std::chrono::milliseconds(1'200);
 // Share of an engine's free memory that a reservation may take.
 constexpr double kReservableMemoryShare = 0.8;
 // Share of the latency budget within which all reservations of a span must be
@@ -142,7 +138,7 @@
       if (tokens > 0 && found != nullptr) {
         plan.decode_target_tokens -= tokens;
         plan.reservations.push_back(
-            {id, found->address, "", tokens, false, now + kRenewAfter});
+            {id, found->address, "", tokens, false, now + kRenewAfter, 1, {}});
       }
     }
     return plan;
@@ -332,44 +328,4 @@
   SendAttempt(current, pending, now, out);
 }
 
-void SettleReservation(state& current,
-                       pending_call& pending,
-                       const reservation_settled& settled,
-                       time_point now,
-                       effects& out) {
-  attempt& running = *pending.running_attempt;
-  bool all_held = true;
-  for (reservation& each : running.reservations) {
-    if (each.ticket == settled.ticket) {
-      each.held = settled.held;
-    }
-    all_held = all_held && each.held;
-  }
-  LogDecision(
-      out, decision_kind::kReserved, pending.request.caller_request_id,
-      {{"ticket", settled.ticket}, {"held", settled.held ? "yes" : "no"}});
-  if (running.sent) {
-    return;
-  }
-  if (!settled.held) {
-    FailCall(current, pending, failure_code::kSpanUnavailable, now, out);
-  } else if (all_held && !running.sent) {
-    SendAttempt(current, pending, now, out);
-  }
-}
-
-void RenewReservations(pending_call& pending, time_point now, effects& out) {
-  if (!pending.running_attempt) {
-    return;
-  }
-  for (reservation& each : pending.running_attempt->reservations) {
-    if (each.held && each.renew_at <= now) {
-      each.renew_at = now + kRenewAfter;
-      out.emplace_back(reserve_memory{
-          pending.request.id, pending.running_attempt->number, each.address,
-          each.target, each.ticket, each.tokens, kLeaseTime, true});
-    }
-  }
-}
-
 }  // namespace acaciaferry::forwarding::internal
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -225,11 +225,8 @@
         out);
   }
 
-  void operator()(const reservation_settled& happened) {
-    if (pending_call* pending =
-            FindRunning(current, happened.id, happened.attempt)) {
-      SettleReservation(current, *pending, happened, now, out);
-    }
+  void operator()(const ticket_order_settled& happened) {
+    SettleTicketOrder(current, happened, now, out);
   }
 
   void operator()(const targets_published& happened) {
@@ -351,6 +348,7 @@
     for (auto& [id, pending] : current.pending_calls) {
       RenewReservations(pending, now, out);
     }
+    ReleaseClosingTickets(current, now, out);
     if (current.next_sweep <= now) {
       current.next_sweep = now + kSweepInterval;
       current.ledger.Expire(now);
@@ -488,6 +486,9 @@
 
 time_point NextWake(const state& current, time_point now) {
   time_point next = now + internal::kIdleWake;
+  for (const auto& [ticket, closing] : current.closing_tickets) {
+    next = std::min(next, closing.release_at);
+  }
   for (const auto& [id, pending] : current.pending_calls) {
     next = std::min(next, pending.deadline);
     if (pending.next_placement_at) {
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -25,6 +25,21 @@
   std::uint64_t tokens{};
   bool held{};
   time_point renew_at{};
+  /** Reservations and renewals without a result. */
+  std::uint32_t unsettled_orders{};
+  /** Until when an unanswered order may still be carried out. */
+  time_point may_be_late_until{};
+};
+
+/**
+ * @brief A released ticket whose earlier orders may still be carried out, which
+ * would set its memory aside again.
+ */
+struct closing_ticket {
+  call_id id{};
+  std::uint32_t attempt{};
+  reservation last;
+  time_point release_at{};
 };
 
 /** A running attempt. */
@@ -90,6 +105,8 @@
   retry_allowance allowance;
   quarantine_state quarantine;
   std::map<call_id, pending_call> pending_calls;
+  /** Released tickets that are released again, by name; at most 1,024. */
+  std::map<std::string, closing_ticket> closing_tickets;
   std::uint64_t vm_count{1};
   std::uint64_t dispatch_prefix{};
   random_engine random;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -36,6 +36,13 @@
   return made;
 }
 
+// The result of a reservation or a renewal.
+ticket_order_settled Settled(const reserve_memory& order, order_result result) {
+  return {order.id, order.attempt, order.ticket,
+          order.renewal ? ticket_order::kRenew : ticket_order::kReserve,
+          result};
+}
+
 // Reducer state with three targets of a plain service and six engines.
 struct fixture {
   fixture()
@@ -318,8 +325,7 @@
     for (const reserve_memory& each : orders) {
       held += each.tokens;
       if (end > 0) {
-        fleet.Post(
-            reservation_settled{each.id, each.attempt, each.ticket, true});
+        fleet.Post(Settled(each, order_result::kDone));
       }
     }
     CHECK_TRUE(held + Engine().memory_tokens >= 401'000);
@@ -328,8 +334,7 @@
     }
     switch (end) {
       case 0:
-        fleet.Post(reservation_settled{orders[0].id, orders[0].attempt,
-                                       orders[0].ticket, false});
+        fleet.Post(Settled(orders[0], order_result::kRefused));
         CHECK_TRUE(fleet.Refusal().result == outcome::kNotRun);
         break;
       case 1:
@@ -346,13 +351,63 @@
   }
 }
 
+// Guards against memory that is set aside for nobody: a reservation that was
+// carried out after the release of its ticket.
+TEST(ForwardingReduce, TicketsSetAsideAfterTheirReleaseAreReleasedAgain) {
+  fixture fleet;
+  fleet.Start(call_kind::kStreaming, kModel, 400'000);
+  const auto orders = fleet.All<reserve_memory>();
+  fleet.Post(Settled(orders[0], order_result::kRefused));
+  fleet.PostAt(5, Settled(orders[1], order_result::kDone));
+  const auto again = fleet.All<release_memory>();
+  LONGS_EQUAL(1, again.size());
+  CHECK_TRUE(orders[1].ticket == again[0].ticket);
+  CHECK_TRUE(orders[1].address == again[0].address);
+  for (std::size_t i = 2; i < orders.size(); ++i) {
+    fleet.Post(Settled(orders[i], order_result::kRefused));
+  }
+  LONGS_EQUAL(0, fleet.current.closing_tickets.size());
+}
+
+// Guards against memory that a late renewal sets aside after its request has
+// ended, and against tickets that are remembered for ever.
+TEST(ForwardingReduce, TicketsWithUnansweredOrdersAreReleasedUntilNoneIsLate) {
+  fixture fleet;
+  fleet.Start(call_kind::kStreaming, kModel, 400'000);
+  const auto orders = fleet.All<reserve_memory>();
+  for (const reserve_memory& each : orders) {
+    fleet.Post(Settled(each, order_result::kDone));
+  }
+  fleet.PostAt(1'200, timer_fired{});
+  const auto renewals = fleet.All<reserve_memory>();
+  fleet.PostAt(2'200, Settled(renewals[0], order_result::kUnanswered));
+  fleet.Post(response_completed{orders[0].id, 1});
+  for (std::size_t i = 1; i < renewals.size(); ++i) {
+    fleet.Post(Settled(renewals[i], order_result::kRefused));
+  }
+  LONGS_EQUAL(1, fleet.current.closing_tickets.size());
+  // A late renewal sets the memory aside for less than its lease time.
+  int ms = 2'200;
+  while (ms < 2'200 + 12'000) {
+    const time_point next = NextWake(fleet.current, fleet.now);
+    CHECK_TRUE(next <= At(ms + 2'000));
+    ms += 2'000;
+    fleet.PostAt(ms, timer_fired{});
+    const auto again = fleet.All<release_memory>();
+    LONGS_EQUAL(1, again.size());
+    CHECK_TRUE(renewals[0].ticket == again[0].ticket);
+  }
+  fleet.PostAt(60'000, timer_fired{});
+  LONGS_EQUAL(0, fleet.current.closing_tickets.size());
+}
+
 // Guards against a lease that expires while its request runs.
 TEST(ForwardingReduce, TicketsInUseAreRenewed) {
   fixture fleet;
   fleet.Start(call_kind::kStreaming, kModel, 400'000);
   const auto orders = fleet.All<reserve_memory>();
   for (const reserve_memory& each : orders) {
-    fleet.Post(reservation_settled{each.id, each.attempt, each.ticket, true});
+    fleet.Post(Settled(each, order_result::kDone));
   }
   fleet.Sent(fleet.All<send_attempt>().front());
   CHECK_TRUE(NextWake(fleet.current, fleet.now) <= At(1'200));
