Give tickets back when no response begins

Cause: tickets were renewed as long as the call was pending. A request that was sent and does not begin, behind a full, slow or mute engine, got its wait extended once, and when it could not be retried only its deadline bounded it: 15 s, where memory may be unused for 9 s. Class: a lease that is renewed by the holder's hope instead of by use. Change: an attempt whose response has not begun gives its tickets back after the bound less a lease and 0.5 s, and is repeated elsewhere or refused. The bound is the platform's max_idle_ms, through [reservations] max_unused_ms.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -95,6 +95,7 @@
       wake_timer_(loop_),
       drain_timer_(loop_) {
   state_.failure_domain = settings_.failure_domain;
+  state_.max_unused_reservation = settings_.max_unused_reservation;
   callers_.SetRefusalHandler([this](int status) {
     metrics_.CountReadRefusal(status);
     log_.WriteEvent("refused_unread", {{"status", std::to_string(status)}});
@@ -162,7 +163,9 @@
   settings_.retries = reloaded.retries;
   settings_.drain_grace = reloaded.drain_grace;
   settings_.seeds = reloaded.seeds;
+  settings_.max_unused_reservation = reloaded.max_unused_reservation;
   state_.allowance.SetBound(reloaded.retries);
+  state_.max_unused_reservation = reloaded.max_unused_reservation;
   peers_.ReloadSeeds();
   if (settings_.log_level != reloaded.log_level) {
     settings_.log_level = reloaded.log_level;
--- a/src/acaciaferry/entry/entry_settings.cpp
+++ b/src/acaciaferry/entry/entry_settings.cpp
@@ -12,8 +12,11 @@
 constexpr std::uint64_t kHourMs = 3'600'000;
 constexpr double kMaxSlack = 1e6;
 constexpr double kMaxWindowS = 3'600;
-constexpr std::array<std::string_view, 7> kSections{
-    "vm", "callers", "readiness", "peers", "configuration", "retries", "logs"};
+constexpr std::uint64_t kDefaultMaxUnusedMs = 9'000;
+constexpr std::uint64_t kMinMaxUnusedMs = 1'000;
+constexpr std::array<std::string_view, 8> kSections{
+    "vm",      "callers",      "readiness", "peers", "configuration",
+    "retries", "reservations", "logs"};
 
 ini_section FindSection(const ini_document& document, std::string_view kind) {
   for (const ini_section& section : document.sections) {
@@ -87,6 +90,11 @@
     settings.retries.window =
         FromSeconds(reader.DecimalOr("window_s", 10, 1, internal::kMaxWindowS));
   });
+  read_section("reservations", [&](ini_reader& reader) {
+    settings.max_unused_reservation =
+        reader.MillisecondsOr("max_unused_ms", internal::kDefaultMaxUnusedMs,
+                              internal::kMinMaxUnusedMs, internal::kHourMs);
+  });
   read_section("logs", [&](ini_reader& reader) {
     settings.log_level = reader.TextOr("level", "info");
   });
@@ -95,7 +103,7 @@
                   section.kind) == internal::kSections.end()) {
       faults.push_back({section.kind, section.label, "",
                         "the sections vm, callers, readiness, peers, "
-                        "configuration, retries and logs"});
+                        "configuration, retries, reservations and logs"});
     }
   }
   return settings;
--- a/src/acaciaferry/entry/entry_settings.hpp
+++ b/src/acaciaferry/entry/entry_settings.hpp
@@ -31,6 +31,8 @@
   /** Address of the configuration service. */
   std::string service_address;
   forwarding::retry_bound retries;
+  /** Longest time that memory may be set aside at a target without use. */
+  duration max_unused_reservation{};
   std::string log_level;
 };
 
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -111,6 +112,12 @@
                          time_point now,
                          effects& out);
 
+/** @return When a running attempt has to give back its tickets because no
+ * response has begun; nothing if it has none, or a response has begun. */
+[[nodiscard]] std::optional<time_point> UnusedReservationsDue(
+    const state& current,
+    const pending_call& pending);
+
 /** @brief Renews the reservations that are due for renewal. */
 void RenewReservations(pending_call& pending, time_point now, effects& out);
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -323,7 +323,8 @@
   void HandleTimeouts() {
     std::vector<call_id> due;
     for (const auto& [id, pending] : current.pending_calls) {
-      if (pending.deadline <= now ||
+      const auto unused_due = UnusedReservationsDue(current, pending);
+      if (pending.deadline <= now || (unused_due && *unused_due <= now) ||
           (pending.next_placement_at && *pending.next_placement_at <= now) ||
           (pending.running_attempt && pending.running_attempt->progress_due &&
            *pending.running_attempt->progress_due <= now)) {
@@ -339,6 +340,12 @@
                      ? failure_code::kDeadlineExceeded
                      : failure_code::kDeadlineTooShort,
                  now, out);
+      } else if (const auto unused_due =
+                     UnusedReservationsDue(current, pending);
+                 unused_due && *unused_due <= now) {
+        RetryOrFail(current, pending, pending.running_attempt->sent,
+                    failure_code::kSpanUnavailable, "unused_reservation", now,
+                    out);
       } else if (pending.next_placement_at) {
         StartAttempt(current, pending, now, out);
       } else {
@@ -497,6 +504,10 @@
     if (pending.running_attempt && pending.running_attempt->progress_due) {
       next = std::min(next, *pending.running_attempt->progress_due);
     }
+    if (const auto unused_due =
+            internal::UnusedReservationsDue(current, pending)) {
+      next = std::min(next, *unused_due);
+    }
     if (pending.running_attempt) {
       for (const reservation& each : pending.running_attempt->reservations) {
         if (each.held) {
--- a/src/acaciaferry/forwarding/reservations.cpp
+++ b/src/acaciaferry/forwarding/reservations.cpp
@@ -12,6 +12,8 @@
 constexpr duration kMaxOrderDelay = std::chrono::seconds(15);
 // A late order sets memory aside for up to this long before it is released.
 constexpr duration kReleaseInterval = std::chrono::seconds(2);
+// For the time that orders take.
+constexpr duration kUnusedMargin = std::chrono::milliseconds(500);
 // The leases bound what tickets beyond this number hold.
 constexpr std::size_t kMaxClosingTickets = 1'024;
 
@@ -132,6 +134,20 @@
                {"after_ms", ToMillisText(now - running.started)}});
 }
 
+std::optional<time_point> UnusedReservationsDue(const state& current,
+                                                const pending_call& pending) {
+  if (!pending.running_attempt ||
+      pending.running_attempt->reservations.empty() ||
+      pending.running_attempt->response_started) {
+    return std::nullopt;
+  }
+  // If the release is lost, the last lease still runs out in time, unless the
+  // bound is hardly longer than a lease.
+  const duration bound = current.max_unused_reservation;
+  return pending.running_attempt->started +
+         std::max(bound - kLeaseTime - kUnusedMargin, bound / 3);
+}
+
 void RenewReservations(pending_call& pending, time_point now, effects& out) {
   if (!pending.running_attempt) {
     return;
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -107,6 +107,8 @@
   std::map<call_id, pending_call> pending_calls;
   /** Released tickets that are released again, by name; at most 1,024. */
   std::map<std::string, closing_ticket> closing_tickets;
+  /** Longest time that memory is set aside without a response that uses it. */
+  duration max_unused_reservation{std::chrono::seconds(9)};
   std::uint64_t vm_count{1};
   std::uint64_t dispatch_prefix{};
   random_engine random;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -401,6 +401,53 @@
   LONGS_EQUAL(0, fleet.current.closing_tickets.size());
 }
 
+// Guards against a request that waits at its engine and keeps the memory that
+// it has set aside at others.
+TEST(ForwardingReduce, TicketsOfARequestThatDoesNotBeginAreReleasedInTime) {
+  fixture fleet;
+  fleet.current.max_unused_reservation = milliseconds(7'000);
+  fleet.Start(call_kind::kStreaming, kModel, 400'000, false);
+  const auto orders = fleet.All<reserve_memory>();
+  for (const reserve_memory& each : orders) {
+    fleet.Post(Settled(each, order_result::kDone));
+  }
+  fleet.Sent(fleet.All<send_attempt>().front());
+  std::size_t released = 0;
+  time_point last_lease_ends = fleet.now;
+  while (fleet.now < At(9'000)) {
+    fleet.now = std::max(NextWake(fleet.current, fleet.now), fleet.now);
+    fleet.Post(timer_fired{});
+    for (const reserve_memory& each : fleet.All<reserve_memory>()) {
+      last_lease_ends = std::max(last_lease_ends, fleet.now + each.lease_time);
+      fleet.Post(Settled(each, order_result::kDone));
+    }
+    const std::size_t now_released = fleet.All<release_memory>().size();
+    CHECK_TRUE(now_released == 0 || fleet.now < At(7'000));
+    released += now_released;
+  }
+  LONGS_EQUAL(orders.size(), released);
+  // The memory is given back in time even if the releases are lost.
+  CHECK_TRUE(last_lease_ends < At(7'000));
+  CHECK_TRUE(fleet.current.pending_calls.empty());
+}
+
+// Guards against cutting off a prompt that is being written.
+TEST(ForwardingReduce, TicketsOfARequestThatHasBegunAreKept) {
+  fixture fleet;
+  fleet.current.max_unused_reservation = milliseconds(7'000);
+  fleet.Start(call_kind::kStreaming, kModel, 400'000, false);
+  const auto orders = fleet.All<reserve_memory>();
+  for (const reserve_memory& each : orders) {
+    fleet.Post(Settled(each, order_result::kDone));
+  }
+  fleet.Sent(fleet.All<send_attempt>().front());
+  fleet.Post(response_started{
+      orders[0].id, 1, response_verdict::kServed, 200, "", {}});
+  fleet.PostAt(7'000, timer_fired{});
+  LONGS_EQUAL(0, fleet.All<release_memory>().size());
+  LONGS_EQUAL(1, fleet.current.pending_calls.size());
+}
+
 // Guards against a lease that expires while its request runs.
 TEST(ForwardingReduce, TicketsInUseAreRenewed) {
   fixture fleet;
