Refuse requests with a part of a prompt that crashes engines

Callers saw streams break off or end with 502, and long waits, since one kind of request ended back ends one after the other for as long as it came. Cause: the quarantine knew a request by a hash of path, caller and whole body. No two requests with such a part are alike, so each was new to it and ended two engines, its repeat included. Class: evidence is kept under a key that is narrower than the cause. Ruled out: late evidence and evidence cleared by others; there was none to be late, since no fingerprint crashed twice. Change: quarantine/prompt_parts judges the parts that requests share. A target that crashes before a request's first event is evidence against the parts of that request; a first event clears its parts at once. The crashes are explained by as few parts as possible; parts that the crashes don't tell apart are refused only together. Crashes within 0.3 s count once, further crashes of one target half; 3 suffice, or 6 for a part with earlier answers. Crashes and answers travel in datagrams of their own kinds, are repeated with heartbeats, and go to VMs that join. At most 256 crashes and 4,096 parts, for 10 minutes. A request that is refused after it ran gets 502, not 503.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -390,6 +390,12 @@
   void operator()(const forwarding::notify_peers& effect) const {
     self.peers_.BroadcastLoad(effect);
   }
+  void operator()(const forwarding::share_part_crashes& effect) const {
+    self.peers_.Broadcast(part_crashes_received{effect.crashes});
+  }
+  void operator()(const forwarding::share_begun_parts& effect) const {
+    self.peers_.Broadcast(begun_parts_received{effect.parts});
+  }
   void operator()(const forwarding::record_decision& effect) const {
     self.log_.WriteDecision(effect, self.clock_.Now());
     if (effect.kind == forwarding::decision_kind::kRepeated ||
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr std::size_t kMaxSuspectsSent = 16;
+// New part crashes are sent with each heartbeat, older ones with every fourth.
+constexpr duration kNewPartCrash = std::chrono::seconds(3);
+constexpr std::uint64_t kOldPartCrashInterval = 4;
 // Per failure domain. The second one covers the time between a failure of the
 // first and its removal from the roster.
 constexpr std::size_t kDesignatedWatchers = 2;
@@ -111,6 +114,24 @@
   }
 }
 
+void peer_exchange::RepeatPartCrashes() {
+  const bool all = ++heartbeats_sent_ % internal::kOldPartCrashInterval == 0;
+  const auto crashes = OwnPartCrashes(
+      state_.parts, state_.self,
+      all ? duration::max() / 2 : internal::kNewPartCrash, clock_.Now());
+  if (!crashes.empty()) {
+    Broadcast(part_crashes_received{crashes});
+  }
+}
+
+void peer_exchange::SendPartCrashes(const std::vector<std::string>& addresses) {
+  if (!state_.parts.crashes.empty()) {
+    Send(
+        mesh::Encode(part_crashes_received{state_.parts.crashes}, clock_.Now()),
+        addresses);
+  }
+}
+
 void peer_exchange::OnHeartbeatInterval() {
   const time_point now = clock_.Now();
   for (const mesh::heartbeat& gone : roster_.Expire(now)) {
@@ -128,6 +149,7 @@
     Broadcast(mesh::load_update{{}, std::exchange(ended_recently_, {}), {}});
   }
   BroadcastSuspects();
+  RepeatPartCrashes();
   if (const mesh::member* newer =
           roster_.FindNewer(handlers_.status().last_change_revision)) {
     handlers_.on_newer_view(newer->last_heartbeat.view_address);
@@ -157,6 +179,9 @@
   if (change.is_new) {
     log_.WriteEvent("peer_found", {{"peer", heartbeat.vm.value}});
   }
+  if (change.is_new || change.replaced_incarnation) {
+    SendPartCrashes({heartbeat.datagram_address});
+  }
   if (change.replaced_incarnation) {
     log_.WriteEvent("peer_replaced", {{"peer", heartbeat.vm.value}});
     handlers_.post(forwarding::peer_lost{*change.replaced_incarnation});
@@ -211,4 +236,12 @@
   handlers_.post(suspects);
 }
 
+void peer_exchange::HandleMessage(const part_crashes_received& crashes) const {
+  handlers_.post(crashes);
+}
+
+void peer_exchange::HandleMessage(const begun_parts_received& begun) const {
+  handlers_.post(begun);
+}
+
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -26,7 +26,7 @@
 
 /**
  * @brief Exchanges datagrams with the other VMs: membership, dispatches and
- * their ends, and suspect requests.
+ * their ends, and requests and parts of prompts that crash targets.
  *
  * Datagrams may be lost, so each VM also sends the keys of its unfinished
  * dispatches. A receiver drops dispatches that are not listed and requests
@@ -76,6 +76,9 @@
    */
   void BroadcastLoad(const forwarding::notify_peers& update);
 
+  /** @brief Sends a message to all live VMs. */
+  void Broadcast(const mesh::message& message);
+
   /**
    * @return Largest number of VMs that were ever live at once; fleet-wide
    * limits, such as the retry slack, are divided by it.
@@ -110,7 +113,11 @@
   void OnHeartbeatInterval();
   void SendHeartbeat(const std::vector<std::string>& addresses);
   void BroadcastSuspects();
-  void Broadcast(const mesh::message& message);
+  /** @brief Repeats this VM's part crashes, since datagrams may be lost and VMs
+   * may be out of reach for a while. */
+  void RepeatPartCrashes();
+  /** @brief Sends all known part crashes to VMs that were not heard before. */
+  void SendPartCrashes(const std::vector<std::string>& addresses);
   void Send(const std::vector<std::string>& datagrams,
             const std::vector<std::string>& addresses);
   void OnDatagram(std::string_view bytes);
@@ -119,6 +126,8 @@
   void HandleMessage(const mesh::live_dispatches& live);
   void HandleMessage(const mesh::dispatch_request& wanted);
   void HandleMessage(const suspect_reports_received& suspects) const;
+  void HandleMessage(const part_crashes_received& crashes) const;
+  void HandleMessage(const begun_parts_received& begun) const;
 
   const entry_settings& settings_;
   std::uint64_t incarnation_;
@@ -131,6 +140,7 @@
   mesh::roster roster_;
   boost::asio::steady_timer heartbeat_timer_;
   std::vector<forwarding::dispatch_id> ended_recently_;
+  std::uint64_t heartbeats_sent_{};
   std::optional<time_point> view_confirmed_at_;
   std::optional<time_point> last_load_received_at_;
 };
--- /dev/null
+++ b/src/acaciaferry/forwarding/crashes.cpp
@@ -0,0 +1,94 @@
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string>
+
+#include "acaciaferry/forwarding/flights.hpp"
+
+namespace acaciaferry::forwarding::internal {
+namespace {
+
+// Any of the calls that run at a crashed target may have caused the crash, so
+// each bears an equal share of the suspicion.
+double CrashWeight(const state& current, const target_id& id) {
+  const auto count =
+      std::count_if(current.pending_calls.begin(), current.pending_calls.end(),
+                    [&](const auto& each) {
+                      return each.second.running_attempt &&
+                             each.second.running_attempt->target == id;
+                    });
+  return 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(count, 1));
+}
+
+// Hashes in hexadecimal, joined by plus signs.
+std::string ToText(const std::vector<prompt_part>& parts) {
+  std::string text;
+  for (const prompt_part part : parts) {
+    std::array<char, 24> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx",
+                  static_cast<unsigned long long>(part));
+    text += (text.empty() ? "" : "+") + std::string(digits.data());
+  }
+  return text;
+}
+
+}  // namespace
+
+bool IsQuarantined(const state& current,
+                   const pending_call& pending,
+                   time_point now) {
+  if (pending.partially_delivered) {
+    return false;
+  }
+  return RemainingQuarantine(current.quarantine, pending.request.fingerprint,
+                             now)
+             .has_value() ||
+         HasRefusedParts(current.parts, pending.request.shared_parts);
+}
+
+void RecordTargetCrash(state& current,
+                       const pending_call& pending,
+                       time_point now,
+                       effects& out) {
+  const call& request = pending.request;
+  const target_id& id = pending.running_attempt->target;
+  RecordCrash(current.quarantine, current.self, request.fingerprint,
+              CrashWeight(current, id), now);
+  if (pending.partially_delivered || request.shared_parts.empty()) {
+    return;
+  }
+  const part_verdicts verdicts = RecordPartCrash(current.parts, current.self,
+                                                 id, request.shared_parts, now);
+  LogDecision(out, decision_kind::kTargetCrashed, request.caller_request_id,
+              {{"target", id.value},
+               {"parts", ToText(request.shared_parts)},
+               {"crashes", std::to_string(current.parts.crashes.size())}});
+  ApplyVerdicts(verdicts, out);
+  if (!current.parts.crashes.empty() &&
+      current.parts.crashes.back().source == current.self &&
+      current.parts.crashes.back().at == now) {
+    out.emplace_back(share_part_crashes{{current.parts.crashes.back()}});
+  }
+}
+
+void RecordAnswer(state& current,
+                  const pending_call& pending,
+                  time_point now,
+                  effects& out) {
+  ApplyVerdicts(
+      RecordAnswerBegun(current.parts, pending.request.shared_parts, now), out);
+}
+
+void ApplyVerdicts(const part_verdicts& verdicts, effects& out) {
+  for (const auto& group : verdicts.added) {
+    LogDecision(out, decision_kind::kPartRefused, ToText(group), {});
+  }
+  for (const auto& group : verdicts.dropped) {
+    LogDecision(out, decision_kind::kPartCleared, ToText(group), {});
+  }
+  if (!verdicts.to_tell.empty()) {
+    out.emplace_back(share_begun_parts{verdicts.to_tell});
+  }
+}
+
+}  // namespace acaciaferry::forwarding::internal
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -12,7 +12,8 @@
       "target_leaving", "target_restarted", "target_distrusted",
       "reserved",       "domain_cut_off",   "domain_back",
       "shed",           "load_corrected",   "released",
-      "order_failed"};
+      "order_failed",   "target_crashed",   "part_refused",
+      "part_cleared"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -106,6 +106,16 @@
   std::vector<peer_distrust> distrusted;
 };
 
+/** Tell the peers of crashes that this process has seen. */
+struct share_part_crashes {
+  std::vector<part_crash> crashes;
+};
+
+/** Tell the peers of parts on which answers have begun. */
+struct share_begun_parts {
+  std::vector<begun_part> parts;
+};
+
 /** Kinds of entries in the decision log. */
 enum class decision_kind {
   kSent,
@@ -127,10 +137,13 @@
   kLoadCorrected,
   kReleased,
   kOrderFailed,
+  kTargetCrashed,
+  kPartRefused,
+  kPartCleared,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kOrderFailed) + 1;
+    static_cast<std::size_t>(decision_kind::kPartCleared) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
@@ -155,6 +168,8 @@
                             reserve_memory,
                             release_memory,
                             notify_peers,
+                            share_part_crashes,
+                            share_begun_parts,
                             record_decision>;
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -13,6 +13,7 @@
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/routing_table.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
+#include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
 
 namespace acaciaferry::forwarding {
@@ -44,6 +45,8 @@
   std::uint64_t output_tokens{};
   /** Hash of path, caller and body. */
   std::uint64_t fingerprint{};
+  /** Parts of the prompt that other requests may share, in order. */
+  std::vector<prompt_part> shared_parts;
   /** Id of the event after which the caller resumes a stream; 0 to start it. */
   std::uint64_t resume_after{};
 };
@@ -208,6 +211,8 @@
                            peer_live_dispatches,
                            vm_count_updated,
                            suspect_reports_received,
+                           part_crashes_received,
+                           begun_parts_received,
                            timer_fired>;
 
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -183,6 +183,10 @@
                   time_point now,
                   effects& out) {
   pending.next_placement_at.reset();
+  if (IsQuarantined(current, pending, now)) {
+    FailCall(current, pending, failure_code::kQuarantined, now, out);
+    return;
+  }
   const auto candidates = Candidates(current, pending, now);
   if (candidates.empty()) {
     FailCall(current, pending, failure_code::kNoLiveTarget, now, out);
@@ -240,7 +244,8 @@
   EndAttempt(current, pending, true, now, out);
   // A 503 promises that the request has not run.
   constexpr int kUnavailable = 503;
-  if (ran && Describe(code).http_status == kUnavailable) {
+  if (ran && (Describe(code).http_status == kUnavailable ||
+              code == failure_code::kQuarantined)) {
     code = failure_code::kTargetLost;
   }
   const failure_description& described = Describe(code);
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -125,6 +125,28 @@
  * set their memory aside, and forgets the others. */
 void ReleaseClosingTickets(state& current, time_point now, effects& out);
 
+/** @return Whether a call is refused because requests like it crash their
+ * targets. A stream that has begun is not. */
+[[nodiscard]] bool IsQuarantined(const state& current,
+                                 const pending_call& pending,
+                                 time_point now);
+
+/** @brief Records that the target of the running attempt crashed, as evidence
+ * against the call. */
+void RecordTargetCrash(state& current,
+                       const pending_call& pending,
+                       time_point now,
+                       effects& out);
+
+/** @brief Records the first event of an answer, which clears the call. */
+void RecordAnswer(state& current,
+                  const pending_call& pending,
+                  time_point now,
+                  effects& out);
+
+/** @brief Logs changed verdicts on parts of prompts and tells the peers. */
+void ApplyVerdicts(const part_verdicts& verdicts, effects& out);
+
 /** @return The fleet-wide id of an attempt's dispatch. */
 [[nodiscard]] dispatch_id DispatchIdOf(const state& current,
                                        call_id id,
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -68,18 +68,6 @@
   return &at->second;
 }
 
-// Any of the calls that run at a crashed target may have caused the crash, so
-// each bears an equal share of the suspicion.
-double CrashWeight(const state& current, const target_id& id) {
-  const auto count =
-      std::count_if(current.pending_calls.begin(), current.pending_calls.end(),
-                    [&](const auto& each) {
-                      return each.second.running_attempt &&
-                             each.second.running_attempt->target == id;
-                    });
-  return 1.0 / static_cast<double>(std::max<std::ptrdiff_t>(count, 1));
-}
-
 struct reducer {
   state& current;
   time_point now;
@@ -93,10 +81,6 @@
     pending.deadline = now + request.time_limit - kDeadlineMargin;
     pending.last_event = request.resume_after;
     current.allowance.CountRequest(request.pool, now);
-    if (RemainingQuarantine(current.quarantine, request.fingerprint, now)) {
-      FailCall(current, pending, failure_code::kQuarantined, now, out);
-      return;
-    }
     StartAttempt(current, pending, now, out);
   }
 
@@ -160,6 +144,7 @@
     }
     if (!pending->first_event_at) {
       pending->first_event_at = now;
+      RecordAnswer(current, *pending, now, out);
     } else {
       pending->longest_gap =
           std::max(pending->longest_gap, now - pending->last_progress);
@@ -214,8 +199,7 @@
                   "not_connected", now, out);
       return;
     }
-    RecordCrash(current.quarantine, current.self, pending->request.fingerprint,
-                CrashWeight(current, id), now);
+    RecordTargetCrash(current, *pending, now, out);
     RecordFailure(id);
     RetryOrFail(
         current, *pending, true,
@@ -316,6 +300,15 @@
     MergeSuspects(current.quarantine, current.self, happened, now);
   }
 
+  void operator()(const part_crashes_received& happened) {
+    ApplyVerdicts(MergePartCrashes(current.parts, current.self, happened, now),
+                  out);
+  }
+
+  void operator()(const begun_parts_received& happened) {
+    ApplyVerdicts(MergeBegunParts(current.parts, happened, now), out);
+  }
+
   void operator()(const timer_fired& /*happened*/) {}
 
   // Fails the calls that are past their deadline, retries deferred placements,
@@ -360,6 +353,7 @@
       current.next_sweep = now + kSweepInterval;
       current.ledger.Expire(now);
       ExpireSuspects(current.quarantine, now);
+      ApplyVerdicts(ExpireParts(current.parts, now), out);
     }
   }
 
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -13,6 +13,7 @@
 #include "acaciaferry/forwarding/placement.hpp"
 #include "acaciaferry/forwarding/retry_allowance.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
+#include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
 
 namespace acaciaferry::forwarding {
@@ -104,6 +105,7 @@
   load_ledger ledger;
   retry_allowance allowance;
   quarantine_state quarantine;
+  part_quarantine parts;
   std::map<call_id, pending_call> pending_calls;
   /** Released tickets that are released again, by name; at most 1,024. */
   std::map<std::string, closing_ticket> closing_tickets;
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -16,12 +16,17 @@
   kLoad = 2,
   kSuspects = 3,
   kLiveDispatches = 4,
-  kDispatchRequest = 5
+  kDispatchRequest = 5,
+  kPartCrashes = 6,
+  kBegunParts = 7
 };
 
 constexpr std::size_t kJobsPerDatagram = 16;
 constexpr std::size_t kKeysPerDatagram = 64;
 constexpr std::size_t kSuspectsPerDatagram = 16;
+// A crash with few parts takes about 90 bytes.
+constexpr std::size_t kPartCrashesPerDatagram = 8;
+constexpr std::size_t kPartsPerDatagram = 64;
 constexpr std::size_t kMaxItems = 1'024;
 // Longer durations in a datagram are cut to this.
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
@@ -113,6 +118,22 @@
                        age_ms)
 };
 
+struct part_crash_wire {
+  std::string vm;
+  std::uint64_t incarnation{};
+  std::uint64_t sequence{};
+  std::string target;
+  std::int64_t age_ms{};
+  std::vector<std::uint64_t> parts;
+  MSGPACK_DEFINE_ARRAY(vm, incarnation, sequence, target, age_ms, parts)
+};
+
+struct begun_part_wire {
+  std::uint64_t part{};
+  std::int64_t age_ms{};
+  MSGPACK_DEFINE_ARRAY(part, age_ms)
+};
+
 std::int64_t ToMillis(duration value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -221,6 +242,48 @@
   return datagrams;
 }
 
+std::vector<std::string> Encode(const part_crashes_received& from,
+                                time_point now) {
+  std::vector<std::string> datagrams;
+  std::vector<part_crash_wire> wire;
+  std::size_t parts = 0;
+  const auto flush = [&] {
+    datagrams.push_back(Pack(kPartCrashes, wire));
+    wire.clear();
+    parts = 0;
+  };
+  for (const part_crash& each : from.crashes) {
+    if (wire.size() == kPartCrashesPerDatagram ||
+        (!wire.empty() && parts + each.parts.size() > kPartsPerDatagram)) {
+      flush();
+    }
+    parts += each.parts.size();
+    wire.push_back({each.source.first.value, each.source.second, each.sequence,
+                    each.target.value, ToMillis(now - each.at), each.parts});
+  }
+  if (!wire.empty()) {
+    flush();
+  }
+  return datagrams;
+}
+
+std::vector<std::string> Encode(const begun_parts_received& from,
+                                time_point /*now*/) {
+  std::vector<std::string> datagrams;
+  std::vector<begun_part_wire> wire;
+  for (const begun_part& each : from.parts) {
+    wire.push_back({each.part, ToMillis(each.age)});
+    if (wire.size() == kPartsPerDatagram) {
+      datagrams.push_back(Pack(kBegunParts, wire));
+      wire.clear();
+    }
+  }
+  if (!wire.empty()) {
+    datagrams.push_back(Pack(kBegunParts, wire));
+  }
+  return datagrams;
+}
+
 // A partial list would make its receiver drop the dispatches that are missing
 // from it.
 std::vector<std::string> Encode(const live_dispatches& from,
@@ -280,6 +343,26 @@
   return heard;
 }
 
+message FromWire(const std::vector<part_crash_wire>& wire, time_point now) {
+  part_crashes_received heard;
+  for (const part_crash_wire& each : wire) {
+    heard.crashes.push_back({{{each.vm}, each.incarnation},
+                             each.sequence,
+                             {each.target},
+                             now - FromMillis(each.age_ms),
+                             each.parts});
+  }
+  return heard;
+}
+
+message FromWire(const std::vector<begun_part_wire>& wire) {
+  begun_parts_received heard;
+  for (const begun_part_wire& each : wire) {
+    heard.parts.push_back({each.part, FromMillis(each.age_ms)});
+  }
+  return heard;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -317,6 +400,12 @@
       case internal::kDispatchRequest:
         return internal::FromWire(
             body.get().as<internal::dispatch_request_wire>());
+      case internal::kPartCrashes:
+        return internal::FromWire(
+            body.get().as<std::vector<internal::part_crash_wire>>(), now);
+      case internal::kBegunParts:
+        return internal::FromWire(
+            body.get().as<std::vector<internal::begun_part_wire>>());
       default:
         return std::nullopt;
     }
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -10,6 +10,7 @@
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/forwarding/event.hpp"
+#include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
 
 namespace acaciaferry::mesh {
@@ -72,7 +73,9 @@
                              load_update,
                              suspect_reports_received,
                              live_dispatches,
-                             dispatch_request>;
+                             dispatch_request,
+                             part_crashes_received,
+                             begun_parts_received>;
 
 /** Largest datagram that is sent, in bytes. The network would fragment larger
  * ones, and the loss of one fragment loses the datagram. */
--- a/src/acaciaferry/quarantine/fwd.hpp
+++ b/src/acaciaferry/quarantine/fwd.hpp
@@ -2,6 +2,12 @@
 
 namespace acaciaferry {
 
+struct begun_part;
+struct begun_parts_received;
+struct part_crash;
+struct part_crashes_received;
+struct part_quarantine;
+struct part_verdicts;
 struct quarantine_state;
 struct suspect_report;
 struct suspect_reports_received;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -100,6 +100,7 @@
     what.prompt_tokens = tokens;
     what.output_tokens = tokens == 0 ? 0 : 1'000;
     what.fingerprint = id;
+    what.shared_parts = next_parts;
     Post(call_arrived{what});
     const auto sent = All<send_attempt>();
     return sent.empty() ? send_attempt{} : sent.front();
@@ -115,6 +116,8 @@
   state current;
   effects last;
   call_id id{};
+  /** Shared parts of the next call's prompt. */
+  std::vector<prompt_part> next_parts;
 };
 
 }  // namespace
@@ -465,6 +468,70 @@
   CHECK_TRUE(renewed[0].lease_time > milliseconds(1'200));
 }
 
+// Guards against a part of prompts that crashes one target after the other in
+// requests no two of which are alike.
+TEST(ForwardingReduce, RequestsWithAPartThatCrashesTargetsAreRefused) {
+  fixture fleet;
+  int sent = 0;
+  for (int round = 0; round < 10; ++round) {
+    fleet.now = At(round * 5'000);
+    fleet.next_parts = {100U + static_cast<prompt_part>(round), 0xD};
+    send_attempt attempt = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+    while (!attempt.address.empty()) {
+      ++sent;
+      fleet.Sent(attempt);
+      fleet.now += milliseconds(400);
+      fleet.Post(attempt_failed{attempt.id, attempt.attempt,
+                                attempt_failure::kBroken});
+      const auto again = fleet.All<send_attempt>();
+      attempt = again.empty() ? send_attempt{} : again.front();
+    }
+  }
+  CHECK_TRUE(sent <= 5);
+  CHECK_TRUE(fleet.Refusal().code == failure_code::kQuarantined);
+  CHECK_TRUE(fleet.Refusal().result == outcome::kNotRun);
+  // A sound request that shares the other part goes on.
+  fleet.next_parts = {100};
+  CHECK_FALSE(
+      fleet.Start(call_kind::kStreaming, kModel, 5'000).address.empty());
+}
+
+// Guards against a promise that a request has not run which has crashed a
+// target.
+TEST(ForwardingReduce, RequestsThatAreRefusedAfterTheyRanAreUnknown) {
+  fixture fleet;
+  fleet.next_parts = {0xD};
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  std::vector<part_crash> crashes;
+  for (int i = 0; i < 3; ++i) {
+    crashes.push_back({{{"peer"}, 1},
+                       static_cast<std::uint64_t>(i),
+                       {"x" + std::to_string(i)},
+                       At(300 * i),
+                       {0xD}});
+  }
+  fleet.PostAt(700, part_crashes_received{crashes});
+  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  CHECK_TRUE(fleet.Refusal().result == outcome::kUnknown);
+  LONGS_EQUAL(502, Describe(fleet.Refusal().code).http_status);
+}
+
+// Guards against blaming a stream that was being written when its target
+// crashed.
+TEST(ForwardingReduce, CrashesAfterTheFirstEventAreNoEvidence) {
+  fixture fleet;
+  fleet.next_parts = {0xF};
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(response_progressed{first.id, 1, 1});
+  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
+  LONGS_EQUAL(1, fleet.All<send_attempt>().size());
+  CHECK_TRUE(fleet.current.parts.crashes.empty());
+  CHECK_TRUE(fleet.All<share_part_crashes>().empty());
+}
+
 // Guards against a request that crashes one target after the other.
 TEST(ForwardingReduce, CrashingRequestsAreQuarantined) {
   fixture fleet;
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -104,3 +104,40 @@
     CHECK_FALSE(Decode(whole.substr(0, size), At(0)).has_value());
   }
 }
+
+// Guards against evidence on prompt parts that is lost or fragmented on its
+// way.
+TEST(MeshMessage, PartCrashesSurviveARoundTripInSmallDatagrams) {
+  part_crashes_received sent;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    sent.crashes.push_back({{{"front-tx-a-1"}, ~i},
+                            ~i,
+                            {"i-0123456789"},
+                            At(static_cast<int>(100 * i)),
+                            std::vector<prompt_part>(i % 33, ~i)});
+  }
+  part_crashes_received got;
+  for (const std::string& each : Encode(sent, At(60'000))) {
+    CHECK_TRUE(each.size() <= kMaxDatagramBytes);
+    const auto part =
+        std::get<part_crashes_received>(*Decode(each, At(60'000)));
+    got.crashes.insert(got.crashes.end(), part.crashes.begin(),
+                       part.crashes.end());
+  }
+  CHECK_TRUE(got.crashes == sent.crashes);
+}
+
+// Guards against answers on suspected parts that peers don't hear of.
+TEST(MeshMessage, BegunPartsSurviveARoundTripInSmallDatagrams) {
+  begun_parts_received sent;
+  for (std::uint64_t i = 0; i < 100; ++i) {
+    sent.parts.push_back({~i, milliseconds(i)});
+  }
+  begun_parts_received got;
+  for (const std::string& each : Encode(sent, At(0))) {
+    CHECK_TRUE(each.size() <= kMaxDatagramBytes);
+    const auto part = std::get<begun_parts_received>(*Decode(each, At(0)));
+    got.parts.insert(got.parts.end(), part.parts.begin(), part.parts.end());
+  }
+  CHECK_TRUE(got.parts == sent.parts);
+}
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -218,3 +218,21 @@
   CHECK_TRUE(failure_of(503, "") == request_failure::kRefused);
   CHECK_TRUE(failure_of(200, "{") == request_failure::kSilent);
 }
+
+// Guards against blaming the part that belongs to one request alone, and
+// against not recognizing a part among others.
+TEST(PlatformDialect, SharedPartsOfAPromptAreAllButTheLast) {
+  fixture platform;
+  const auto parts_of = [&](const std::string& prefix) {
+    auto fields = ValidFields();
+    fields.push_back({"Acaciaferry-Prompt-Prefix", prefix});
+    return std::get<parsed_request>(platform.Parse(Request(fields)))
+        .call.shared_parts;
+  };
+  const auto parts = parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  LONGS_EQUAL(2, parts.size());
+  CHECK_TRUE(parts[1] == parts_of("91bd3f06:9, 12ab:1").at(0));
+  LONGS_EQUAL(0, parts_of("5c1e07a2:800").size());
+  LONGS_EQUAL(0, parts_of("").size());
+  LONGS_EQUAL(3, parts_of(",:,x,").size());
+}
