Abort a stream whose resumed run fails

Callers got a 200 whose stream was framed as complete and was not (ORDER). Cause: an error response that can't be retried is passed on as it is; when a part of another run had been passed on before, its end was taken for the end of the stream. Class: an end is judged by the last attempt alone. Change: a failed response after a partial one aborts the caller's connection.

--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -125,9 +125,12 @@
         return;
       case response_verdict::kFailed:
         RecordFailure(pending->running_attempt->target);
-        // If it can't be retried, the target's own error response is passed on.
-        static_cast<void>(
-            TryRetry(current, *pending, true, "target_failed", now, out));
+        // If it can't be retried, the target's own error response is passed on,
+        // unless the caller has got a part of another response already.
+        if (!TryRetry(current, *pending, true, "target_failed", now, out) &&
+            pending->partially_delivered) {
+          FailCall(current, *pending, failure_code::kTargetLost, now, out);
+        }
         return;
       case response_verdict::kUnusable:
         RecordFailure(pending->running_attempt->target);
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -216,6 +216,25 @@
   LONGS_EQUAL(4, again[0].resume_after);
 }
 
+// Guards against a stream that is framed as complete although its resumed run
+// failed.
+TEST(ForwardingReduce, StreamsWhoseResumedRunFailsAreAborted) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(
+      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
+  fleet.Post(response_progressed{first.id, 1, 4});
+  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
+  fleet.Sent(fleet.All<send_attempt>().front());
+  fleet.Post(
+      response_started{first.id, 2, response_verdict::kFailed, 500, "", {}});
+  LONGS_EQUAL(1, fleet.All<abort_response>().size());
+  fleet.Post(response_completed{first.id, 2});
+  LONGS_EQUAL(0, fleet.All<finish_stream>().size());
+  LONGS_EQUAL(0, fleet.All<deliver_response>().size());
+}
+
 // Guards against a stream that mixes two runs: one that is not resumable is
 // aborted.
 TEST(ForwardingReduce, NonResumableStreamsAreAborted) {
