Test refused parts now and then on one VM

A part that was blamed for other failures would have been refused for ten minutes, since no VM ran it any more; and one that crashes targets would have cost a new series of crashes after them. Change: of the VMs that saw the crashes, the first by name lets one request through after three minutes, with one attempt. An answer clears the part on all VMs, a crash prolongs the quarantine.

--- a/src/acaciaferry/forwarding/crashes.cpp
+++ b/src/acaciaferry/forwarding/crashes.cpp
@@ -34,16 +34,22 @@
 
 }  // namespace
 
-bool IsQuarantined(const state& current,
-                   const pending_call& pending,
-                   time_point now) {
+bool IsQuarantined(state& current, pending_call& pending, time_point now) {
+  const call& request = pending.request;
   if (pending.partially_delivered) {
     return false;
   }
-  return RemainingQuarantine(current.quarantine, pending.request.fingerprint,
-                             now)
-             .has_value() ||
-         HasRefusedParts(current.parts, pending.request.shared_parts);
+  if (RemainingQuarantine(current.quarantine, request.fingerprint, now)) {
+    return true;
+  }
+  if (!HasRefusedParts(current.parts, request.shared_parts)) {
+    return false;
+  }
+  pending.tests_refused_parts =
+      pending.attempts == 0 &&
+      (pending.tests_refused_parts ||
+       TryTestParts(current.parts, current.self, request.shared_parts, now));
+  return !pending.tests_refused_parts;
 }
 
 void RecordTargetCrash(state& current,
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -126,9 +126,10 @@
 void ReleaseClosingTickets(state& current, time_point now, effects& out);
 
 /** @return Whether a call is refused because requests like it crash their
- * targets. A stream that has begun is not. */
-[[nodiscard]] bool IsQuarantined(const state& current,
-                                 const pending_call& pending,
+ * targets. A stream that has begun is not, nor is the first attempt of a call
+ * that tests a refused part. */
+[[nodiscard]] bool IsQuarantined(state& current,
+                                 pending_call& pending,
                                  time_point now);
 
 /** @brief Records that the target of the running attempt crashed, as evidence
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -82,6 +82,8 @@
   bool may_have_run{};
   /** Whether a part of the response was passed on to the caller. */
   bool partially_delivered{};
+  /** Whether it runs to test parts that are refused otherwise. */
+  bool tests_refused_parts{};
   std::uint64_t last_event{};
   std::optional<time_point> first_event_at;
   time_point last_progress{};
--- a/src/acaciaferry/quarantine/prompt_parts.cpp
+++ b/src/acaciaferry/quarantine/prompt_parts.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t kMinCrashes = 3;
 // The same for a part on which answers have begun before, but none since.
 constexpr std::size_t kMinCrashesAfterAnswers = 6;
+// Three crashed tests fall into one quarantine and so prolong it.
+constexpr duration kTestInterval = std::chrono::minutes(3);
 constexpr duration kTellInterval = std::chrono::seconds(1);
 
 // Indices of crashes.
@@ -299,6 +301,33 @@
                      });
 }
 
+bool TryTestParts(part_quarantine& state,
+                  const evidence_source& self,
+                  std::span<const prompt_part> parts,
+                  time_point now) {
+  const part_crash* first_source = nullptr;
+  time_point last = state.tested_at;
+  for (const part_crash& crash : state.crashes) {
+    const bool shares_refused = std::any_of(
+        state.refused.begin(), state.refused.end(), [&](const auto& group) {
+          return internal::ContainsAll(parts, group) &&
+                 internal::ContainsAll(crash.parts, group);
+        });
+    if (shares_refused) {
+      last = std::max(last, crash.at);
+      if (first_source == nullptr || crash.source < first_source->source) {
+        first_source = &crash;
+      }
+    }
+  }
+  if (first_source == nullptr || first_source->source != self ||
+      last + internal::kTestInterval > now) {
+    return false;
+  }
+  state.tested_at = now;
+  return true;
+}
+
 std::vector<part_crash> OwnPartCrashes(const part_quarantine& state,
                                        const evidence_source& self,
                                        duration max_age,
--- a/src/acaciaferry/quarantine/prompt_parts.hpp
+++ b/src/acaciaferry/quarantine/prompt_parts.hpp
@@ -70,6 +70,8 @@
    * refused. Several parts form a group if the crashes don't tell them apart.
    */
   std::vector<std::vector<prompt_part>> refused;
+  /** When a request with a refused part was last let through as a test. */
+  time_point tested_at{};
   std::uint64_t next_sequence{1};
   time_point next_expiry{};
 };
@@ -119,6 +121,17 @@
 [[nodiscard]] bool HasRefusedParts(const part_quarantine& state,
                                    std::span<const prompt_part> parts);
 
+/**
+ * @brief Decides whether a request with refused parts runs as a test. One of
+ * the VMs that saw the crashes lets one through every three minutes, so that a
+ * part which was blamed for other failures comes back into use.
+ * @return Whether the request runs.
+ */
+[[nodiscard]] bool TryTestParts(part_quarantine& state,
+                                const evidence_source& self,
+                                std::span<const prompt_part> parts,
+                                time_point now);
+
 /** @return Crashes that this process has seen itself, younger than `max_age`.
  */
 [[nodiscard]] std::vector<part_crash> OwnPartCrashes(
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -537,6 +537,28 @@
   LONGS_EQUAL(502, Describe(fleet.Refusal().code).http_status);
 }
 
+// Guards against a refused part that is never tried again, and against a test
+// that crashes more than one target.
+TEST(ForwardingReduce, RefusedPartsAreTestedWithOneAttempt) {
+  fixture fleet;
+  fleet.next_parts = {0xD};
+  for (int i = 0; i < 3; ++i) {
+    static_cast<void>(RecordPartCrash(fleet.current.parts, fleet.current.self,
+                                      {"x" + std::to_string(i)},
+                                      fleet.next_parts, At(500 * i)));
+  }
+  fleet.now = At(100'000);
+  CHECK_TRUE(fleet.Start(call_kind::kStreaming, kModel, 5'000).address.empty());
+  fleet.now = At(200'000);
+  const auto test = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  CHECK_FALSE(test.address.empty());
+  CHECK_TRUE(fleet.Start(call_kind::kStreaming, kModel, 5'000).address.empty());
+  fleet.Sent(test);
+  fleet.Post(attempt_failed{test.id, 1, attempt_failure::kBroken});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  LONGS_EQUAL(1, fleet.All<refuse_call>().size());
+}
+
 // Guards against blaming a stream that was being written when its target
 // crashed.
 TEST(ForwardingReduce, CrashesAfterTheFirstEventAreNoEvidence) {
--- a/test/acaciaferry/quarantine/prompt_parts_test.cpp
+++ b/test/acaciaferry/quarantine/prompt_parts_test.cpp
@@ -199,6 +199,31 @@
   LONGS_EQUAL(1, heard(3, 2'200).to_tell.size());
 }
 
+// Guards against a wrongly refused part that no VM ever tries again, and
+// against tests by every VM.
+TEST(PromptParts, OneVmTestsARefusedPartNowAndThen) {
+  part_quarantine state;
+  const std::vector<prompt_part> parts{kDeadly};
+  static_cast<void>(
+      MergePartCrashes(state, Vm(0),
+                       {{Crash(1, 1, 1, 0, parts), Crash(2, 1, 2, 500, parts),
+                         Crash(2, 2, 3, 1'000, parts)}},
+                       At(1'100)));
+  CHECK_TRUE(Refuses(state, parts));
+  CHECK_FALSE(TryTestParts(state, Vm(1), parts, At(180'000)));
+  CHECK_FALSE(TryTestParts(state, Vm(2), parts, At(182'000)));
+  CHECK_FALSE(TryTestParts(state, Vm(0), parts, At(182'000)));
+  CHECK_TRUE(TryTestParts(state, Vm(1), parts, At(182'000)));
+  CHECK_FALSE(TryTestParts(state, Vm(1), parts, At(183'000)));
+  // Crashed tests prolong the quarantine.
+  for (int minute = 3; minute < 30; minute += 3) {
+    static_cast<void>(RecordPartCrash(state, Vm(1), Target(minute % 5), parts,
+                                      At(60'000 * minute + 5'000)));
+    static_cast<void>(ExpireParts(state, At(60'000 * minute + 6'000)));
+    CHECK_TRUE(Refuses(state, parts));
+  }
+}
+
 // Guards against state that grows without bound, and against a flood of other
 // crashes that pushes out why a part is refused.
 TEST(PromptParts, StateIsBoundedAndForgotten) {
