Refuse requests whose chunk headers have no end

Cause: Beast limits heads and bodies, but not a chunk header or a trailer, and what the parser could not use yet was kept without bound until the head's timeout. Change: more than a head and 64 KiB of unparsed bytes is refused with 431. Measured: RejectsChunkHeadersWithoutEnd fails before and passes after.

--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -81,6 +81,13 @@
   if (!current_exchange_) {
     Parse();
   }
+  // The parser does not limit what it needs to read of a chunk's header or of a
+  // trailer before it can go on.
+  if (!closed_ && !current_exchange_ && !close_after_write_ &&
+      unparsed_.size() >
+          internal::kMaxReadAhead + server_->limits_.head_bytes) {
+    RejectRequest(internal::kHeadTooLarge);
+  }
   if (!closed_ &&
       (!current_exchange_ || unparsed_.size() < internal::kMaxReadAhead)) {
     Read();
--- a/test/acaciaferry/net/loopback.hpp
+++ b/test/acaciaferry/net/loopback.hpp
@@ -43,6 +43,13 @@
     boost::asio::write(socket_, boost::asio::buffer(bytes));
   }
 
+  /** @return Whether the peer still took the bytes. */
+  bool TrySend(const std::string& bytes) {
+    boost::system::error_code error;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), error);
+    return !error;
+  }
+
   /** @return All bytes received so far. */
   const std::string& Received() {
     std::array<char, 65'536> chunk{};
--- a/test/acaciaferry/net/server_test.cpp
+++ b/test/acaciaferry/net/server_test.cpp
@@ -78,6 +78,21 @@
   }
 }
 
+// A chunk header without end must not fill the memory.
+TEST(NetServer, RejectsChunkHeadersWithoutEnd) {
+  server_fixture fixture;
+  auto client = fixture.Connect();
+  client.Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;");
+  for (int i = 0; i < 64 && !client.Has("HTTP/1.1 431"); ++i) {
+    static_cast<void>(client.TrySend(std::string(16'384, 'a')));
+    fixture.loop.restart();
+    fixture.loop.run_for(std::chrono::milliseconds(2));
+  }
+  CHECK_TRUE(client.Has("HTTP/1.1 431"));
+  CHECK_TRUE(fixture.exchanges.empty());
+}
+
 // An incomplete head or an idle client must not hold a connection open.
 TEST(NetServer, ClosesSlowAndIdleConnections) {
   server_fixture fixture;
