End exchanges with targets whose bytes have no end

Cause: heads are limited to 64 KiB, but a chunk header, a trailer, an event without end and responses that are skipped were not: they were kept or read until the request's deadline, and several at once could fill 160 MB. Change: an exchange fails with over 128 KiB of unparsed bytes or over 16 skipped responses; an attempt fails with an event over 256 KiB. Measured: EndsExchangesWhoseBytesHaveNoEnd and DetectsEventsWithoutEnd fail before (no failure, not too large) and pass after.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -113,6 +113,10 @@
 
 void call_relay::ForwardEvents(std::uint32_t attempt, std::string_view bytes) {
   const std::string events = stream_.Feed(bytes);
+  if (stream_.IsTooLarge()) {
+    FailAttempt(attempt, forwarding::attempt_failure::kBroken);
+    return;
+  }
   if (events.empty()) {
     return;
   }
--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -13,6 +13,11 @@
 
 constexpr std::uint32_t kMaxHeadBytes = 64 * 1024;
 constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20;
+// The parser does not limit what it needs to read of a chunk's header or of a
+// trailer before it can go on.
+constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+// Interim responses and those to other requests.
+constexpr std::uint32_t kMaxSkippedResponses = 16;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 
@@ -139,11 +144,16 @@
     return;
   }
   if (!error) {
-    bytes_received_ = true;
     unparsed_.append(read_buffer_.data(), bytes);
-    if (Parse()) {
-      Read();
+    if (!Parse()) {
+      return;
+    }
+    if (unparsed_.size() > internal::kMaxUnparsedBytes) {
+      Fail(head_seen_ ? exchange_failure::kBroken
+                      : exchange_failure::kMalformed);
+      return;
     }
+    Read();
     return;
   }
   // A body delimited by the end of the connection is complete only after an
@@ -206,6 +216,10 @@
         End();
         return false;
       }
+      if (++skipped_responses_ > internal::kMaxSkippedResponses) {
+        Fail(exchange_failure::kMalformed);
+        return false;
+      }
       ResetParser();
     } else if (error || (used == 0 && had_head)) {
       return true;
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -97,7 +98,7 @@
   bool reading_{};
   bool head_seen_{};
   bool skipping_{};
-  bool bytes_received_{};
+  std::uint32_t skipped_responses_{};
 };
 
 }  // namespace acaciaferry::net
--- a/src/acaciaferry/net/event_stream.hpp
+++ b/src/acaciaferry/net/event_stream.hpp
@@ -1,11 +1,15 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace acaciaferry::net {
 
+/** Longest event that is waited for. */
+inline constexpr std::size_t kMaxEventBytes = 256U << 10U;
+
 /**
  * @brief Splits a text/event-stream into complete events, so that an
  * interrupted stream can be resumed at another target after the last complete
@@ -27,6 +31,10 @@
   [[nodiscard]] bool HasPartialEvent() const noexcept {
     return !partial_.empty();
   }
+  /** @return Whether the incomplete event is longer than any event may be. */
+  [[nodiscard]] bool IsTooLarge() const noexcept {
+    return partial_.size() > kMaxEventBytes;
+  }
   /** @brief Discards the incomplete event of an interrupted stream. */
   void DiscardPartialEvent() { partial_.clear(); }
   /** @return Whether event ids were skipped. */
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -136,6 +136,41 @@
   CHECK_TRUE(*fixture.failure == exchange_failure::kMalformed);
 }
 
+// Bytes that are no response may come without end. They must neither fill the
+// memory nor keep the exchange open until its caller gives up.
+TEST(NetClient, EndsExchangesWhoseBytesHaveNoEnd) {
+  const std::string filler(16'384, 'a');
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string skipped;
+  for (int i = 0; i < 100; ++i) {
+    skipped += "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n";
+  }
+  struct endless_case {
+    std::string begin;
+    std::string repeated;
+  };
+  const std::vector<endless_case> cases{
+      {"HTTP/1.1 200 OK\r\nX: ", filler},
+      {"", filler},
+      {chunked + "1;", filler},
+      {chunked + "0\r\nX: ", filler},
+      {"", skipped},
+      {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}};
+  for (const endless_case& each : cases) {
+    client_fixture fixture;
+    auto server = fixture.Connect();
+    server.Send(each.begin);
+    for (int i = 0; i < 64 && !fixture.failure; ++i) {
+      static_cast<void>(server.TrySend(each.repeated));
+      fixture.loop.restart();
+      fixture.loop.run_for(std::chrono::milliseconds(2));
+    }
+    CHECK_TRUE(fixture.failure.has_value());
+    CHECK_FALSE(fixture.ended);
+  }
+}
+
 // A response sent before the server has read the whole request must not be
 // lost.
 TEST(NetClient, AcceptsEarlyResponses) {
--- a/test/acaciaferry/net/event_stream_test.cpp
+++ b/test/acaciaferry/net/event_stream_test.cpp
@@ -46,3 +46,14 @@
   static_cast<void>(stream.Feed(Event(1) + Event(3)));
   CHECK_TRUE(stream.HasGap());
 }
+
+// An event without end must not fill the memory.
+TEST(EventStream, DetectsEventsWithoutEnd) {
+  event_stream stream;
+  for (int i = 0; i < 1'000 && !stream.IsTooLarge(); ++i) {
+    static_cast<void>(stream.Feed(std::string(16'384, 'a')));
+  }
+  CHECK_TRUE(stream.IsTooLarge());
+  stream.DiscardPartialEvent();
+  CHECK_FALSE(stream.IsTooLarge());
+}
