Forget a gap when a stream is resumed after it

Callers of streams with a lost event got an aborted response although another target could go on. Cause: the mark of a gap stayed set for the whole call, so that the resumed run failed at its first event, whatever it sent. Change: setting the event to resume after clears the mark. Measured: ResumedStreamsHaveNoGap fails before and passes after.

--- a/src/acaciaferry/net/event_stream.hpp
+++ b/src/acaciaferry/net/event_stream.hpp
@@ -41,7 +41,10 @@
   [[nodiscard]] bool HasGap() const noexcept { return has_gap_; }
 
   /** @brief Sets the id of the event after which the stream resumes. */
-  void SetLastId(std::uint64_t id) noexcept { last_id_ = id; }
+  void SetLastId(std::uint64_t id) noexcept {
+    last_id_ = id;
+    has_gap_ = false;
+  }
 
  private:
   [[nodiscard]] bool Accept(std::string_view event);
--- a/test/acaciaferry/net/event_stream_test.cpp
+++ b/test/acaciaferry/net/event_stream_test.cpp
@@ -57,3 +57,14 @@
   stream.DiscardPartialEvent();
   CHECK_FALSE(stream.IsTooLarge());
 }
+
+// A stream that is resumed after a gap must not be taken for one with a gap.
+TEST(EventStream, ResumedStreamsHaveNoGap) {
+  event_stream stream;
+  static_cast<void>(stream.Feed(Event(1) + Event(3)));
+  CHECK_TRUE(stream.HasGap());
+  stream.DiscardPartialEvent();
+  stream.SetLastId(1);
+  STRCMP_EQUAL(Event(2).c_str(), stream.Feed(Event(2)).c_str());
+  CHECK_FALSE(stream.HasGap());
+}
