Let engines answer the reservations of late prompts

Callers of a long prompt whose first engine failed were refused although engines had room; memory was set aside for nobody meanwhile. Cause: reservations may take half of what is left of the latency objective. Once it is missed that is nothing, so the tickets were given back at the next timer, before any engine could answer. Change: reservations have at least 300 ms. Measured: LatePromptsWaitForTheirReservations fails before (no attempt sent) and passes after.

--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -16,6 +16,8 @@
 // Share of the latency budget within which all reservations of a span must be
 // held.
 constexpr double kReservationTimeShare = 0.5;
+// Time for engines to answer reservations of a prompt that is late already.
+constexpr duration kMinReservationTime = std::chrono::milliseconds(300);
 // Price, in weights of very short requests, of one second of a saturated
 // engine. Short prompts have many times that weight per second, the longest
 // ones less.
@@ -221,8 +223,9 @@
       [](const helper& each) { return !each.ticket.empty(); });
   RecordDispatch(current, std::move(jobs), now, out);
   started.progress_due =
-      now + std::chrono::duration_cast<duration>(
-                RemainingLatency(pending, now) * kReservationTimeShare);
+      now + std::max(kMinReservationTime, std::chrono::duration_cast<duration>(
+                                              RemainingLatency(pending, now) *
+                                              kReservationTimeShare));
   for (const reservation& each : started.reservations) {
     out.emplace_back(reserve_memory{pending.request.id, started.number,
                                     each.address, each.target, each.ticket,
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -423,6 +423,26 @@
   LONGS_EQUAL(0, fleet.current.closing_tickets.size());
 }
 
+// Guards against a late prompt that gives its tickets back before any engine
+// can have answered, so that it sets memory aside in vain.
+TEST(ForwardingReduce, LatePromptsWaitForTheirReservations) {
+  fixture fleet;
+  fleet.Start(call_kind::kStreaming, kModel, 400'000);
+  for (const reserve_memory& each : fleet.All<reserve_memory>()) {
+    fleet.Post(Settled(each, order_result::kDone));
+  }
+  const auto sent = fleet.All<send_attempt>().front();
+  fleet.Sent(sent);
+  fleet.PostAt(900, attempt_failed{sent.id, 1, attempt_failure::kBroken});
+  const auto orders = fleet.All<reserve_memory>();
+  CHECK_FALSE(orders.empty());
+  fleet.PostAt(905, timer_fired{});
+  for (const reserve_memory& each : orders) {
+    fleet.Post(Settled(each, order_result::kDone));
+  }
+  LONGS_EQUAL(1, fleet.All<send_attempt>().size());
+}
+
 // Guards against a request that waits at its engine and keeps the memory that
 // it has set aside at others.
 TEST(ForwardingReduce, TicketsOfARequestThatDoesNotBeginAreReleasedInTime) {
