Keep the timeout of silent streams in one place

Change: ProgressTimeout serves both; RecordResponse moves to flights.cpp. Measured: no behaviour changes; ForwardingReduce passes, 32 tests.

--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -87,10 +87,15 @@
   if (!pending.request.resumable) {
     return std::nullopt;
   }
-  const duration pause =
-      std::max(kMinProgressTimeout,
-               pending.request.gap_objective * kProgressTimeoutGaps);
-  return now + predicted + pause;
+  return now + predicted + ProgressTimeout(pending.request);
+}
+
+// "running/waiting/slots", as reported by the target.
+std::string LoadText(const std::optional<reported_load>& load) {
+  return load ? std::to_string(load->running) + "/" +
+                    std::to_string(load->waiting) + "/" +
+                    std::to_string(load->slots)
+              : "";
 }
 
 std::string HelperNames(const std::vector<helper>& helpers) {
@@ -103,6 +108,34 @@
 
 }  // namespace
 
+duration ProgressTimeout(const call& request) {
+  return std::max(kMinProgressTimeout,
+                  request.gap_objective * kProgressTimeoutGaps);
+}
+
+void RecordResponse(const pending_call& pending, time_point now, effects& out) {
+  const duration first = pending.first_event_at
+                             ? *pending.first_event_at - pending.arrived
+                             : now - pending.arrived;
+  out.emplace_back(record_latency{
+      pending.request, pending.first_attempt_at.value_or(now) - pending.arrived,
+      first, pending.longest_gap, now - pending.arrived});
+  LogDecision(out, decision_kind::kAnswered, pending.request.caller_request_id,
+              {{"route", pending.request.route_name},
+               {"kind", std::string(ToString(pending.request.kind))},
+               {"target", pending.running_attempt->target.value},
+               {"attempts", std::to_string(pending.attempts)},
+               {"prompt_tokens", std::to_string(pending.request.prompt_tokens)},
+               {"first_ms", ToMillisText(first)},
+               {"aim_ms", ToMillisText(pending.request.latency_objective)},
+               {"predicted_ms",
+                ToMillisText(pending.running_attempt->predicted_first_event)},
+               {"load", LoadText(pending.running_attempt->load)},
+               {"gap_ms", ToMillisText(pending.longest_gap)},
+               {"gap_aim_ms", ToMillisText(pending.request.gap_objective)},
+               {"whole_ms", ToMillisText(now - pending.arrived)}});
+}
+
 duration RemainingLatency(const pending_call& pending, time_point now) {
   return std::max(pending.arrived + pending.request.latency_objective - now,
                   duration{1});
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -34,6 +34,12 @@
                     const target_id& chosen,
                     time_point now);
 
+/** @return Time without an event after which a stream is silent. */
+[[nodiscard]] duration ProgressTimeout(const call& request);
+
+/** @brief Logs a complete response and records its latencies. */
+void RecordResponse(const pending_call& pending, time_point now, effects& out);
+
 /** @brief Sends the running attempt to its target. */
 void SendAttempt(state& current,
                  pending_call& pending,
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -17,14 +17,6 @@
 constexpr duration kRecentActivity = std::chrono::milliseconds(400);
 constexpr duration kIdleWake = std::chrono::seconds(1);
 
-// "running/waiting/slots", as reported by the target.
-std::string LoadText(const std::optional<reported_load>& load) {
-  return load ? std::to_string(load->running) + "/" +
-                    std::to_string(load->waiting) + "/" +
-                    std::to_string(load->slots)
-              : "";
-}
-
 void SetEngines(state& current) {
   for (const auto& [pool, engine] : current.pools) {
     if (engine) {
@@ -160,11 +152,8 @@
     pending->may_have_run = true;
     pending->last_event = happened.last_event;
     if (pending->running_attempt->progress_due) {
-      constexpr duration kMinProgressTimeout = std::chrono::milliseconds(1'000);
-      constexpr int kProgressTimeoutGaps = 4;
       pending->running_attempt->progress_due =
-          now + std::max(kMinProgressTimeout,
-                         pending->request.gap_objective * kProgressTimeoutGaps);
+          now + ProgressTimeout(pending->request);
     }
   }
 
@@ -178,7 +167,7 @@
       RecordCompletion(current.quarantine, current.self,
                        pending->request.fingerprint, now);
     }
-    RecordResponse(*pending);
+    RecordResponse(*pending, now, out);
     const std::uint32_t number = pending->running_attempt->number;
     const bool stream = pending->partially_delivered;
     EndAttempt(current, *pending, false, now, out);
@@ -427,31 +416,6 @@
       Distrust(current, own, distrust_reason::kBroken, now, out);
     }
   }
-
-  void RecordResponse(const pending_call& pending) {
-    const duration first = pending.first_event_at
-                               ? *pending.first_event_at - pending.arrived
-                               : now - pending.arrived;
-    out.emplace_back(
-        record_latency{pending.request,
-                       pending.first_attempt_at.value_or(now) - pending.arrived,
-                       first, pending.longest_gap, now - pending.arrived});
-    LogDecision(
-        out, decision_kind::kAnswered, pending.request.caller_request_id,
-        {{"route", pending.request.route_name},
-         {"kind", std::string(ToString(pending.request.kind))},
-         {"target", pending.running_attempt->target.value},
-         {"attempts", std::to_string(pending.attempts)},
-         {"prompt_tokens", std::to_string(pending.request.prompt_tokens)},
-         {"first_ms", ToMillisText(first)},
-         {"aim_ms", ToMillisText(pending.request.latency_objective)},
-         {"predicted_ms",
-          ToMillisText(pending.running_attempt->predicted_first_event)},
-         {"load", LoadText(pending.running_attempt->load)},
-         {"gap_ms", ToMillisText(pending.longest_gap)},
-         {"gap_aim_ms", ToMillisText(pending.request.gap_objective)},
-         {"whole_ms", ToMillisText(now - pending.arrived)}});
-  }
 };
 
 }  // namespace
