Share the start of prompts with tickets among the tests

Cause: five tests of tickets began with the same lines; the linter asked for an explicit width in a constant of the client. Change: fixture::StartWithTickets; the constant is shifted.

--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -15,7 +15,7 @@
 constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20;
 // The parser does not limit what it needs to read of a chunk's header or of a
 // trailer before it can go on.
-constexpr std::size_t kMaxUnparsedBytes = 128 * 1024;
+constexpr std::size_t kMaxUnparsedBytes = 128U << 10U;
 // Interim responses and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
 constexpr int kSwitchingProtocols = 101;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -106,6 +106,17 @@
     return sent.empty() ? send_attempt{} : sent.front();
   }
 
+  // Starts a prompt on several engines, all of which set memory aside, and
+  // returns their orders.
+  std::vector<reserve_memory> StartWithTickets(bool resumable = true) {
+    Start(call_kind::kStreaming, kModel, 400'000, resumable);
+    const auto orders = All<reserve_memory>();
+    for (const reserve_memory& each : orders) {
+      Post(Settled(each, order_result::kDone));
+    }
+    return orders;
+  }
+
   void Sent(const send_attempt& attempt) {
     Post(attempt_sent{attempt.id, attempt.attempt});
   }
@@ -395,11 +406,7 @@
 // ended, and against tickets that are remembered for ever.
 TEST(ForwardingReduce, TicketsWithUnansweredOrdersAreReleasedUntilNoneIsLate) {
   fixture fleet;
-  fleet.Start(call_kind::kStreaming, kModel, 400'000);
-  const auto orders = fleet.All<reserve_memory>();
-  for (const reserve_memory& each : orders) {
-    fleet.Post(Settled(each, order_result::kDone));
-  }
+  const auto orders = fleet.StartWithTickets();
   fleet.PostAt(1'200, timer_fired{});
   const auto renewals = fleet.All<reserve_memory>();
   fleet.PostAt(2'200, Settled(renewals[0], order_result::kUnanswered));
@@ -427,10 +434,7 @@
 // can have answered, so that it sets memory aside in vain.
 TEST(ForwardingReduce, LatePromptsWaitForTheirReservations) {
   fixture fleet;
-  fleet.Start(call_kind::kStreaming, kModel, 400'000);
-  for (const reserve_memory& each : fleet.All<reserve_memory>()) {
-    fleet.Post(Settled(each, order_result::kDone));
-  }
+  static_cast<void>(fleet.StartWithTickets());
   const auto sent = fleet.All<send_attempt>().front();
   fleet.Sent(sent);
   fleet.PostAt(900, attempt_failed{sent.id, 1, attempt_failure::kBroken});
@@ -448,11 +452,7 @@
 TEST(ForwardingReduce, TicketsOfARequestThatDoesNotBeginAreReleasedInTime) {
   fixture fleet;
   fleet.current.max_unused_reservation = milliseconds(7'000);
-  fleet.Start(call_kind::kStreaming, kModel, 400'000, false);
-  const auto orders = fleet.All<reserve_memory>();
-  for (const reserve_memory& each : orders) {
-    fleet.Post(Settled(each, order_result::kDone));
-  }
+  const auto orders = fleet.StartWithTickets(false);
   fleet.Sent(fleet.All<send_attempt>().front());
   std::size_t released = 0;
   time_point last_lease_ends = fleet.now;
@@ -477,11 +477,7 @@
 TEST(ForwardingReduce, TicketsOfARequestThatHasBegunAreKept) {
   fixture fleet;
   fleet.current.max_unused_reservation = milliseconds(7'000);
-  fleet.Start(call_kind::kStreaming, kModel, 400'000, false);
-  const auto orders = fleet.All<reserve_memory>();
-  for (const reserve_memory& each : orders) {
-    fleet.Post(Settled(each, order_result::kDone));
-  }
+  const auto orders = fleet.StartWithTickets(false);
   fleet.Sent(fleet.All<send_attempt>().front());
   fleet.Post(response_started{
       orders[0].id, 1, response_verdict::kServed, 200, "", {}});
@@ -493,11 +489,7 @@
 // Guards against a lease that expires while its request runs.
 TEST(ForwardingReduce, TicketsInUseAreRenewed) {
   fixture fleet;
-  fleet.Start(call_kind::kStreaming, kModel, 400'000);
-  const auto orders = fleet.All<reserve_memory>();
-  for (const reserve_memory& each : orders) {
-    fleet.Post(Settled(each, order_result::kDone));
-  }
+  const auto orders = fleet.StartWithTickets();
   fleet.Sent(fleet.All<send_attempt>().front());
   CHECK_TRUE(NextWake(fleet.current, fleet.now) <= At(1'200));
   fleet.PostAt(1'200, timer_fired{});
