Count unused tickets from the predicted first event

Callers of the longest prompts had them cut off while engines read them. Change: the bound counts from the predicted first event.

--- a/src/acaciaferry/forwarding/reservations.cpp
+++ b/src/acaciaferry/forwarding/reservations.cpp
@@ -141,10 +141,12 @@
       pending.running_attempt->response_started) {
     return std::nullopt;
   }
-  // If the release is lost, the last lease still runs out in time, unless the
-  // bound is hardly longer than a lease.
+  // The engines use the memory while they read the prompt, which takes until
+  // the predicted first event. If the release is lost, the last lease still
+  // runs out in time, unless the bound is hardly longer than a lease.
   const duration bound = current.max_unused_reservation;
   return pending.running_attempt->started +
+         pending.running_attempt->predicted_first_event +
          std::max(bound - kLeaseTime - kUnusedMargin, bound / 3);
 }
 
