Refuse late prompts on several engines instead of reading them late

Callers of short prompts had late answers beside long prompts that were late anyway. Change: a prompt that needs several engines and whose reservations would have under 20 ms is refused at once and sets nothing aside.

--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -16,8 +16,8 @@
 // Share of the latency budget within which all reservations of a span must be
 // held.
 constexpr double kReservationTimeShare = 0.5;
-// Time for engines to answer reservations of a prompt that is late already.
-constexpr duration kMinReservationTime = std::chrono::milliseconds(300);
+// Engines don't answer reservations in less time.
+constexpr duration kMinReservationTime = std::chrono::milliseconds(20);
 // Price, in weights of very short requests, of one second of a saturated
 // engine. Short prompts have many times that weight per second, the longest
 // ones less.
@@ -186,7 +186,11 @@
     DeferPlacement(pending, now);
     return;
   }
-  if (!plan) {
+  // A late prompt takes engine time from many that are not, and would set
+  // memory aside in vain if it gave it back before the engines have answered.
+  const auto reservation_time = std::chrono::duration_cast<duration>(
+      RemainingLatency(pending, now) * kReservationTimeShare);
+  if (!plan || reservation_time < kMinReservationTime) {
     FailCall(current, pending, failure_code::kSpanUnavailable, now, out);
     return;
   }
@@ -222,10 +226,7 @@
       started.helpers.begin(), started.helpers.end(),
       [](const helper& each) { return !each.ticket.empty(); });
   RecordDispatch(current, std::move(jobs), now, out);
-  started.progress_due =
-      now + std::max(kMinReservationTime, std::chrono::duration_cast<duration>(
-                                              RemainingLatency(pending, now) *
-                                              kReservationTimeShare));
+  started.progress_due = now + reservation_time;
   for (const reservation& each : started.reservations) {
     out.emplace_back(reserve_memory{pending.request.id, started.number,
                                     each.address, each.target, each.ticket,
