Take no crash for evidence against a stream that has begun

Callers that send a sound request again could have it refused for ten minutes after engines crashed beside it. Cause: a request that crashes its targets does so as its answer begins, but streams that were being written counted as suspects by fingerprint, too. Change: a call whose stream has begun is no suspect. Measured: the new check of CrashesAfterTheFirstEventAreNoEvidence fails before and passes after.

--- a/src/acaciaferry/forwarding/crashes.cpp
+++ b/src/acaciaferry/forwarding/crashes.cpp
@@ -58,9 +58,12 @@
                        effects& out) {
   const call& request = pending.request;
   const target_id& id = pending.running_attempt->target;
+  if (pending.partially_delivered) {
+    return;
+  }
   RecordCrash(current.quarantine, current.self, request.fingerprint,
               CrashWeight(current, id), now);
-  if (pending.partially_delivered || request.shared_parts.empty()) {
+  if (request.shared_parts.empty()) {
     return;
   }
   const part_verdicts verdicts = RecordPartCrash(current.parts, current.self,
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -139,7 +139,7 @@
                                  time_point now);
 
 /** @brief Records that the target of the running attempt crashed, as evidence
- * against the call. */
+ * against the call unless its stream had begun. */
 void RecordTargetCrash(state& current,
                        const pending_call& pending,
                        time_point now,
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -597,6 +597,7 @@
   fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
   LONGS_EQUAL(1, fleet.All<send_attempt>().size());
   CHECK_TRUE(fleet.current.parts.crashes.empty());
+  CHECK_TRUE(fleet.current.quarantine.suspects.empty());
   CHECK_TRUE(fleet.All<share_part_crashes>().empty());
 }
 
