Clear parts of prompts by answers that are no streams, too

A part used only by requests without streams could have been refused after three crashes of engines for other reasons, although its requests were served. Cause: only the first event of a stream counted as an answer. Change: a complete answer counts as well; an error response does not. Measured: CompleteAnswersClearTheirParts fails before (no part cleared) and passes after.

--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -145,7 +145,8 @@
                        time_point now,
                        effects& out);
 
-/** @brief Records the first event of an answer, which clears the call. */
+/** @brief Records that an answer began, or is complete if it has no events,
+ * which clears the call's parts. */
 void RecordAnswer(state& current,
                   const pending_call& pending,
                   time_point now,
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -167,6 +167,10 @@
       RecordCompletion(current.quarantine, current.self,
                        pending->request.fingerprint, now);
     }
+    if (!pending->partially_delivered &&
+        pending->running_attempt->response_started) {
+      RecordAnswer(current, *pending, now, out);
+    }
     RecordResponse(*pending, now, out);
     const std::uint32_t number = pending->running_attempt->number;
     const bool stream = pending->partially_delivered;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -564,6 +564,26 @@
   LONGS_EQUAL(502, Describe(fleet.Refusal().code).http_status);
 }
 
+// Guards against refusing parts of prompts whose answers are no streams.
+TEST(ForwardingReduce, CompleteAnswersClearTheirParts) {
+  fixture fleet;
+  fleet.next_parts = {0xF};
+  const auto first = fleet.Start(call_kind::kIdempotent, kModel, 5'000);
+  fleet.Sent(first);
+  fleet.Post(
+      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
+  fleet.Post(response_completed{first.id, 1});
+  LONGS_EQUAL(1, fleet.current.parts.begun.size());
+  // An error response is no answer.
+  fleet.next_parts = {0xD};
+  const auto failing = fleet.Start(call_kind::kNonIdempotent, kModel, 5'000);
+  fleet.Sent(failing);
+  fleet.Post(
+      response_started{failing.id, 1, response_verdict::kFailed, 500, "", {}});
+  fleet.Post(response_completed{failing.id, 1});
+  LONGS_EQUAL(1, fleet.current.parts.begun.size());
+}
+
 // Guards against a refused part that is never tried again, and against a test
 // that crashes more than one target.
 TEST(ForwardingReduce, RefusedPartsAreTestedWithOneAttempt) {
