Let the verdict name the crash that peers have to hear of

Cause: the reducer guessed from the last crash in the table whether its own crash had been kept, and a heartbeat asked for crashes of half of all time. Change: part_verdicts has crashes_to_tell; the oldest crash has a constant.

--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t kMaxSuspectsSent = 16;
 // New part crashes are sent with each heartbeat, older ones with every fourth.
 constexpr duration kNewPartCrash = std::chrono::seconds(3);
+constexpr duration kOldestPartCrash = std::chrono::hours(1);
 constexpr std::uint64_t kOldPartCrashInterval = 4;
 // Per failure domain. The second one covers the time between a failure of the
 // first and its removal from the roster.
@@ -118,7 +119,7 @@
   const bool all = ++heartbeats_sent_ % internal::kOldPartCrashInterval == 0;
   const auto crashes = OwnPartCrashes(
       state_.parts, state_.self,
-      all ? duration::max() / 2 : internal::kNewPartCrash, clock_.Now());
+      all ? internal::kOldestPartCrash : internal::kNewPartCrash, clock_.Now());
   if (!crashes.empty()) {
     Broadcast(part_crashes_received{crashes});
   }
--- a/src/acaciaferry/forwarding/crashes.cpp
+++ b/src/acaciaferry/forwarding/crashes.cpp
@@ -73,11 +73,6 @@
                {"parts", ToText(request.shared_parts)},
                {"crashes", std::to_string(current.parts.crashes.size())}});
   ApplyVerdicts(verdicts, out);
-  if (!current.parts.crashes.empty() &&
-      current.parts.crashes.back().source == current.self &&
-      current.parts.crashes.back().at == now) {
-    out.emplace_back(share_part_crashes{{current.parts.crashes.back()}});
-  }
 }
 
 void RecordAnswer(state& current,
@@ -95,6 +90,9 @@
   for (const auto& group : verdicts.dropped) {
     LogDecision(out, decision_kind::kPartCleared, ToText(group), {});
   }
+  if (!verdicts.crashes_to_tell.empty()) {
+    out.emplace_back(share_part_crashes{verdicts.crashes_to_tell});
+  }
   if (!verdicts.to_tell.empty()) {
     out.emplace_back(share_begun_parts{verdicts.to_tell});
   }
--- a/src/acaciaferry/quarantine/prompt_parts.cpp
+++ b/src/acaciaferry/quarantine/prompt_parts.cpp
@@ -234,9 +234,14 @@
     return {};
   }
   internal::EvictCrash(state);
-  state.crashes.push_back(
-      {self, state.next_sequence++, target, now, {parts.begin(), parts.end()}});
-  return internal::Judge(state);
+  const part_crash crash{
+      self, state.next_sequence++, target, now, {parts.begin(), parts.end()}};
+  state.crashes.push_back(crash);
+  part_verdicts verdicts = internal::Judge(state);
+  if (internal::IsKnown(state, crash)) {
+    verdicts.crashes_to_tell.push_back(crash);
+  }
+  return verdicts;
 }
 
 part_verdicts RecordAnswerBegun(part_quarantine& state,
--- a/src/acaciaferry/quarantine/prompt_parts.hpp
+++ b/src/acaciaferry/quarantine/prompt_parts.hpp
@@ -85,6 +85,8 @@
   /** Parts of received crashes on which this VM's own requests have begun; the
    * peers need to know. */
   std::vector<begun_part> to_tell;
+  /** Own crashes that the peers need to know. */
+  std::vector<part_crash> crashes_to_tell;
 };
 
 /**
