Bound the crashes of prompt parts that one message round carries

Cause: a VM sent all its crashes, up to 256, to all peers every two seconds, and all that it knew to each VM that joined. At 81 VMs that is up to 0.9 MB/s out of a link of 2.5 MB/s, and 2.9 MB into a VM that has just started (by arithmetic of 90 bytes each). Change: at most 16 at a time, those that explain a refusal first, then the latest: 0.06 MB/s and 0.1 MB.

--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -126,10 +126,9 @@
 }
 
 void peer_exchange::SendPartCrashes(const std::vector<std::string>& addresses) {
-  if (!state_.parts.crashes.empty()) {
-    Send(
-        mesh::Encode(part_crashes_received{state_.parts.crashes}, clock_.Now()),
-        addresses);
+  const auto crashes = PartCrashesToTell(state_.parts);
+  if (!crashes.empty()) {
+    Send(mesh::Encode(part_crashes_received{crashes}, clock_.Now()), addresses);
   }
 }
 
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -116,7 +116,8 @@
   /** @brief Repeats this VM's part crashes, since datagrams may be lost and VMs
    * may be out of reach for a while. */
   void RepeatPartCrashes();
-  /** @brief Sends all known part crashes to VMs that were not heard before. */
+  /** @brief Sends the most important part crashes to VMs that were not heard
+   * before. */
   void SendPartCrashes(const std::vector<std::string>& addresses);
   void Send(const std::vector<std::string>& datagrams,
             const std::vector<std::string>& addresses);
--- a/src/acaciaferry/quarantine/prompt_parts.cpp
+++ b/src/acaciaferry/quarantine/prompt_parts.cpp
@@ -132,18 +132,36 @@
   });
 }
 
-// Makes room for a crash. Those that explain a refusal are kept.
+// Whether crash `a` matters less than crash `b`: those that explain a refusal
+// matter most, then the latest.
+bool MattersLess(const part_quarantine& state,
+                 const part_crash& a,
+                 const part_crash& b) {
+  const bool a_explains = HasRefusedParts(state, a.parts);
+  const bool b_explains = HasRefusedParts(state, b.parts);
+  return a_explains != b_explains ? b_explains : a.at < b.at;
+}
+
+std::vector<part_crash> MostImportant(const part_quarantine& state,
+                                      std::vector<part_crash> crashes) {
+  std::sort(crashes.begin(), crashes.end(),
+            [&](const part_crash& a, const part_crash& b) {
+              return MattersLess(state, b, a);
+            });
+  crashes.resize(std::min(crashes.size(), kMaxPartCrashesSent));
+  return crashes;
+}
+
+// Makes room for a crash.
 void EvictCrash(part_quarantine& state) {
   if (state.crashes.size() < kMaxCrashes) {
     return;
   }
-  const auto older = [&](const part_crash& a, const part_crash& b) {
-    const bool a_kept = HasRefusedParts(state, a.parts);
-    const bool b_kept = HasRefusedParts(state, b.parts);
-    return a_kept != b_kept ? !a_kept : a.at < b.at;
-  };
   state.crashes.erase(
-      std::min_element(state.crashes.begin(), state.crashes.end(), older));
+      std::min_element(state.crashes.begin(), state.crashes.end(),
+                       [&](const part_crash& a, const part_crash& b) {
+                         return MattersLess(state, a, b);
+                       }));
 }
 
 void EvictBegunPart(part_quarantine& state) {
@@ -333,6 +351,10 @@
   return true;
 }
 
+std::vector<part_crash> PartCrashesToTell(const part_quarantine& state) {
+  return internal::MostImportant(state, state.crashes);
+}
+
 std::vector<part_crash> OwnPartCrashes(const part_quarantine& state,
                                        const evidence_source& self,
                                        duration max_age,
@@ -343,7 +365,7 @@
       own.push_back(crash);
     }
   }
-  return own;
+  return internal::MostImportant(state, std::move(own));
 }
 
 part_verdicts ExpireParts(part_quarantine& state, time_point now) {
--- a/src/acaciaferry/quarantine/prompt_parts.hpp
+++ b/src/acaciaferry/quarantine/prompt_parts.hpp
@@ -134,8 +134,16 @@
                                 std::span<const prompt_part> parts,
                                 time_point now);
 
-/** @return Crashes that this process has seen itself, younger than `max_age`.
- */
+/** The most crashes that are sent at a time; two datagrams of short parts. */
+inline constexpr std::size_t kMaxPartCrashesSent = 16;
+
+/** @return Crashes to tell a VM that joins: first those that explain a refusal,
+ * then the latest; at most kMaxPartCrashesSent. */
+[[nodiscard]] std::vector<part_crash> PartCrashesToTell(
+    const part_quarantine& state);
+
+/** @return The same of the crashes that this process has seen itself and that
+ * are younger than `max_age`. */
 [[nodiscard]] std::vector<part_crash> OwnPartCrashes(
     const part_quarantine& state,
     const evidence_source& self,
--- a/test/acaciaferry/quarantine/prompt_parts_test.cpp
+++ b/test/acaciaferry/quarantine/prompt_parts_test.cpp
@@ -224,6 +224,25 @@
   }
 }
 
+// Guards against messages that grow with the number of crashes, and against VMs
+// that join and don't hear why a part is refused.
+TEST(PromptParts, MessagesAreBoundedAndExplainRefusalsFirst) {
+  part_quarantine state;
+  RecordCrashes(state, 3, 0, {kDeadly});
+  for (prompt_part part = 1'000; part < 1'200; ++part) {
+    static_cast<void>(RecordPartCrash(
+        state, Vm(0), Target(7), std::vector<prompt_part>{part}, At(2'000)));
+  }
+  for (const auto& sent :
+       {PartCrashesToTell(state),
+        OwnPartCrashes(state, Vm(0), std::chrono::hours(1), At(3'000))}) {
+    LONGS_EQUAL(kMaxPartCrashesSent, sent.size());
+    part_quarantine joined;
+    static_cast<void>(MergePartCrashes(joined, Vm(1), {sent}, At(3'000)));
+    CHECK_TRUE(Refuses(joined, {kDeadly}));
+  }
+}
+
 // Guards against state that grows without bound, and against a flood of other
 // crashes that pushes out why a part is refused.
 TEST(PromptParts, StateIsBoundedAndForgotten) {
