Read and log the limits that targets name

Cause: no line or metric shows that a target named a limit, so the incident's logs can't tell a limit that is not read from one that each VM keeps alone. Change: the adapter reads Server-Limit, the reducer records it and writes target_limited and target_unlimited; a gauge counts the targets. A response that may come from another process, or that is no response of an engine, says nothing. Nothing is decided by it yet. Result: PlatformDialect, ReadsLimitsOfTargets passes; malformed limits are ignored.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -94,9 +94,9 @@
     response_head_ = head;
   }
   const auto self = shared_from_this();
-  report_(forwarding::response_started{request_.call.id, attempt,
-                                       classified.verdict, head.status,
-                                       classified.at_fault, classified.load});
+  report_(forwarding::response_started{
+      request_.call.id, attempt, classified.verdict, head.status,
+      classified.at_fault, classified.load, classified.limit});
   return true;
 }
 
--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -44,6 +44,8 @@
    */
   std::string at_fault;
   std::optional<forwarding::reported_load> load;
+  /** What the response says of the target's limit, if it says anything. */
+  std::optional<forwarding::limit_statement> limit;
   /**
    * False when the response carries the id of another request; such a response
    * is skipped.
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -209,6 +209,7 @@
     const entry_gauges gauges{relays_.size(),
                               state_.ledger.JobCount(),
                               state_.targets.size(),
+                              state_.limits.Count(),
                               callers_.ConnectionCount(),
                               peers_.PeakVmCount(),
                               table_ ? table_->version : 0,
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -157,6 +157,7 @@
   gauge("acaciaferry_calls_in_flight", std::to_string(gauges.calls_in_flight));
   gauge("acaciaferry_jobs", std::to_string(gauges.jobs));
   gauge("acaciaferry_targets", std::to_string(gauges.targets));
+  gauge("acaciaferry_limited_targets", std::to_string(gauges.limited_targets));
   gauge("acaciaferry_connections", std::to_string(gauges.connections));
   gauge("acaciaferry_vms", std::to_string(gauges.vms));
   gauge("acaciaferry_configuration_version",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -21,6 +21,8 @@
   std::size_t calls_in_flight{};
   std::size_t jobs{};
   std::size_t targets{};
+  /** Targets that have named a limit. */
+  std::size_t limited_targets{};
   std::size_t connections{};
   std::uint64_t vms{};
   std::uint64_t configuration_version{};
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -13,7 +13,7 @@
       "reserved",       "domain_cut_off",   "domain_back",
       "shed",           "load_corrected",   "released",
       "order_failed",   "target_crashed",   "part_refused",
-      "part_cleared"};
+      "part_cleared",   "target_limited",   "target_unlimited"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -140,10 +140,12 @@
   kTargetCrashed,
   kPartRefused,
   kPartCleared,
+  kTargetLimited,
+  kTargetUnlimited,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kPartCleared) + 1;
+    static_cast<std::size_t>(decision_kind::kTargetUnlimited) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -86,6 +86,13 @@
   std::uint32_t slots{};
 };
 
+/** What a response says of the limit of its target. */
+struct limit_statement {
+  /** Requests a second that the target takes from all VMs together, finite and
+   * not negative; nothing if it names no limit. */
+  std::optional<double> requests_per_s;
+};
+
 struct response_started {
   call_id id{};
   std::uint32_t attempt{};
@@ -94,6 +101,8 @@
   /** Address of the target at fault if it is another one; may be empty. */
   std::string at_fault;
   std::optional<reported_load> load;
+  /** Nothing if the response is not known to come from the target. */
+  std::optional<limit_statement> limit{};
 };
 
 /** One or more complete events of a stream were passed on to the caller. */
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -152,6 +152,12 @@
                   time_point now,
                   effects& out);
 
+/** @brief Records what a response says of its target's limit. */
+void RecordLimit(state& current,
+                 const target_id& id,
+                 const limit_statement& stated,
+                 effects& out);
+
 /** @brief Logs changed verdicts on parts of prompts and tells the peers. */
 void ApplyVerdicts(const part_verdicts& verdicts, effects& out);
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -104,6 +104,10 @@
       return;
     }
     pending->running_attempt->load = happened.load;
+    if (happened.limit) {
+      RecordLimit(current, pending->running_attempt->target, *happened.limit,
+                  out);
+    }
     current.targets.RecordActivity(pending->running_attempt->target, now);
     switch (happened.verdict) {
       case response_verdict::kServed:
@@ -219,6 +223,7 @@
           break;
         case type::kLost:
           current.ledger.RemoveTarget(change.id);
+          current.limits.Forget(change.id);
           LogTargetChange(out, decision_kind::kTargetLost, change.id,
                           "no_longer_published");
           break;
@@ -228,6 +233,7 @@
           break;
         case type::kRestarted:
           current.ledger.RemoveTarget(change.id);
+          current.limits.Forget(change.id);
           LogTargetChange(out, decision_kind::kTargetRestarted, change.id,
                           "new_incarnation");
           break;
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -12,6 +12,7 @@
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/placement.hpp"
 #include "acaciaferry/forwarding/retry_allowance.hpp"
+#include "acaciaferry/forwarding/target_limits.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
 #include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -106,6 +107,7 @@
   std::vector<failure_domain_id> cut_off;
   load_ledger ledger;
   retry_allowance allowance;
+  target_limits limits;
   quarantine_state quarantine;
   part_quarantine parts;
   std::map<call_id, pending_call> pending_calls;
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -181,6 +181,31 @@
                   .load.has_value());
 }
 
+// Guards against a limit that is not read, or that ends with a response that
+// says nothing of it.
+TEST(PlatformDialect, ReadsLimitsOfTargets) {
+  const fixture platform;
+  const auto parsed =
+      std::get<parsed_request>(platform.Parse(Request(ValidFields())));
+  const auto limit_of = [&](int status, net::header_fields fields) {
+    return platform.protocol
+        ->ClassifyResponse(parsed, {status, std::move(fields)})
+        .limit;
+  };
+  const net::header_field stamp{"Acaciaferry-Engine-Stamp", "s"};
+  const net::header_field not_run{"Acaciaferry-Not-Executed", "1"};
+  DOUBLES_EQUAL(
+      1.9, *limit_of(200, {stamp, {"Server-Limit", "1.9"}})->requests_per_s, 0);
+  DOUBLES_EQUAL(
+      0, *limit_of(503, {not_run, {"server-limit", "0"}})->requests_per_s, 0);
+  CHECK_FALSE(limit_of(200, {stamp})->requests_per_s.has_value());
+  CHECK_FALSE(limit_of(503, {not_run}).has_value());
+  CHECK_FALSE(limit_of(421, {{"Server-Limit", "1"}}).has_value());
+  for (const char* text : {"-1", "nan", "inf", "1e999", "1,5", "many"}) {
+    CHECK_FALSE(limit_of(200, {stamp, {"Server-Limit", text}}).has_value());
+  }
+}
+
 // A quarantined request must not get a 4xx status, and Retry-After must be in
 // seconds.
 TEST(PlatformDialect, BuildsLocalReplies) {
