--- /dev/null
+++ b/test/acaciaferry/forwarding/limited_fleet.cpp
@@ -0,0 +1,191 @@
+#include "acaciaferry/forwarding/limited_fleet.hpp"
+
+#include <algorithm>
+
+namespace acaciaferry::forwarding {
+namespace {
+
+constexpr duration kStep = std::chrono::milliseconds(1);
+constexpr duration kPeerDelay = std::chrono::milliseconds(2);
+constexpr duration kResponseDelay = std::chrono::milliseconds(20);
+constexpr duration kResponseLength = std::chrono::milliseconds(60);
+
+engine_properties Engine() {
+  engine_properties engine;
+  engine.slots = 16;
+  engine.memory_tokens = 232'000;
+  engine.steps_per_pass = 43;
+  engine.step_ms = 1.02;
+  engine.prefill_tokens_per_ms = 206;
+  engine.prefill_ms_per_m_pairs = 0.138;
+  engine.mean_prompt_tokens = 12'000;
+  return engine;
+}
+
+target_id TargetId(std::size_t index) {
+  return {"t" + std::to_string(index)};
+}
+
+}  // namespace
+
+limited_fleet::limited_fleet(std::size_t vms,
+                             std::size_t targets,
+                             bool are_engines)
+    : groups_(vms, 0) {
+  routing_table table;
+  table.pools = {{pool_, are_engines ? std::optional(Engine()) : std::nullopt}};
+  std::vector<target> published;
+  for (std::size_t index = 0; index < targets; ++index) {
+    target made;
+    made.id = TargetId(index);
+    made.pool = pool_;
+    made.address = made.id.value + ":1";
+    made.slots = 16;
+    published.push_back(made);
+  }
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    constexpr unsigned kRandomBits = 16;
+    const std::uint64_t incarnation = (vm + 1) << kRandomBits;
+    vms_.push_back(state({{"vm" + std::to_string(vm)}, incarnation},
+                         {0.2, std::chrono::seconds(10), 50}, vm + 1));
+    SetPools(vms_.back(), table);
+    Post(vm, targets_published{published});
+  }
+  SetGroups(groups_);
+}
+
+void limited_fleet::SetLimit(std::size_t target,
+                             std::optional<double> requests_per_s) {
+  limits_[TargetId(target)] = requests_per_s;
+}
+
+void limited_fleet::SetGroups(std::vector<std::size_t> groups) {
+  groups_ = std::move(groups);
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    Post(vm, vm_count_updated{vms_.size()});
+  }
+}
+
+void limited_fleet::Run(duration length,
+                        duration interval,
+                        std::uint64_t prompt_tokens) {
+  const time_point end = now_ + length;
+  time_point next_call = now_;
+  for (; now_ < end; now_ += kStep) {
+    HandleDue();
+    for (; next_call <= now_; next_call += interval) {
+      StartCall(prompt_tokens);
+    }
+  }
+}
+
+void limited_fleet::StartCall(std::uint64_t prompt_tokens) {
+  call what;
+  what.id = next_call_++;
+  what.caller_request_id = "c" + std::to_string(what.id);
+  what.pool = pool_;
+  what.kind =
+      prompt_tokens > 0 ? call_kind::kStreaming : call_kind::kIdempotent;
+  what.resumable = true;
+  what.max_attempts = 2;
+  what.time_limit = std::chrono::seconds(10);
+  what.latency_objective =
+      std::chrono::milliseconds(prompt_tokens > 20'000 ? 3'000 : 300);
+  what.gap_objective = std::chrono::milliseconds(prompt_tokens > 0 ? 250 : 0);
+  what.prompt_tokens = prompt_tokens;
+  what.output_tokens = prompt_tokens > 0 ? 300 : 0;
+  what.fingerprint = what.id;
+  Post(DrawBelow(random_, vms_.size()), call_arrived{what});
+}
+
+void limited_fleet::HandleDue() {
+  while (!pending_.empty() && pending_.begin()->first <= now_) {
+    const auto [vm, happened] = pending_.begin()->second;
+    pending_.erase(pending_.begin());
+    Post(vm, happened);
+  }
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    if (NextWake(vms_[vm], now_) <= now_) {
+      Post(vm, timer_fired{});
+    }
+  }
+}
+
+void limited_fleet::Post(std::size_t vm, const event& happened) {
+  for (const effect& each : Reduce(vms_[vm], happened, now_)) {
+    Carry(vm, each);
+  }
+}
+
+void limited_fleet::Tell(std::size_t from, const event& news) {
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    if (vm != from && groups_[vm] == groups_[from]) {
+      pending_.emplace(now_ + kPeerDelay, std::pair(vm, news));
+    }
+  }
+}
+
+void limited_fleet::Arrive(const target_id& id) {
+  arrivals_[id].push_back(now_);
+}
+
+void limited_fleet::Carry(std::size_t vm, const effect& caused) {
+  if (const auto* sent = std::get_if<send_attempt>(&caused)) {
+    Arrive(sent->target);
+    for (const helper& each : sent->helpers) {
+      Arrive(each.target);
+    }
+    const auto reach = [&](duration after, const event& happened) {
+      pending_.emplace(now_ + after, std::pair(vm, happened));
+    };
+    reach(kStep, attempt_sent{sent->id, sent->attempt});
+    const auto limit = limits_.find(sent->target);
+    reach(kResponseDelay,
+          response_started{
+              sent->id,
+              sent->attempt,
+              response_verdict::kServed,
+              200,
+              "",
+              {},
+              limit_statement{limit == limits_.end() ? std::nullopt
+                                                     : limit->second}});
+    reach(kResponseLength, response_completed{sent->id, sent->attempt});
+  } else if (const auto* news = std::get_if<notify_peers>(&caused)) {
+    Tell(vm, peer_load_update{news->jobs, news->ended, news->distrusted});
+  } else if (const auto* refused = std::get_if<refuse_call>(&caused)) {
+    refusals_.push_back(*refused);
+  }
+}
+
+std::size_t limited_fleet::MostArrivals(std::size_t target,
+                                        time_point since,
+                                        duration window) const {
+  const auto at = arrivals_.find(TargetId(target));
+  std::size_t most = 0;
+  if (at == arrivals_.end()) {
+    return most;
+  }
+  for (auto first =
+           std::lower_bound(at->second.begin(), at->second.end(), since);
+       first != at->second.end(); ++first) {
+    const auto last =
+        std::lower_bound(first, at->second.end(), *first + window);
+    most = std::max(most, static_cast<std::size_t>(last - first));
+  }
+  return most;
+}
+
+std::size_t limited_fleet::Arrivals(std::size_t target,
+                                    time_point since,
+                                    time_point until) const {
+  const auto at = arrivals_.find(TargetId(target));
+  return at == arrivals_.end() ? 0
+                               : static_cast<std::size_t>(
+                                     std::lower_bound(at->second.begin(),
+                                                      at->second.end(), until) -
+                                     std::lower_bound(at->second.begin(),
+                                                      at->second.end(), since));
+}
+
+}  // namespace acaciaferry::forwarding
--- /dev/null
+++ b/test/acaciaferry/forwarding/limited_fleet.hpp
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "acaciaferry/forwarding/state.hpp"
+
+namespace acaciaferry::forwarding {
+
+/**
+ * @brief Several VMs before targets that may name a limit, in virtual time.
+ *
+ * What a VM tells its peers arrives 2 ms later. A target responds 20 ms after a
+ * request has arrived, and the response is complete 60 ms later.
+ */
+class limited_fleet {
+ public:
+  limited_fleet(std::size_t vms, std::size_t targets, bool are_engines);
+
+  /** @brief Sets what a target names in its responses; nothing to end it. */
+  void SetLimit(std::size_t target, std::optional<double> requests_per_s);
+
+  /** @brief Cuts VMs off from those of other groups; one group for each VM. */
+  void SetGroups(std::vector<std::size_t> groups);
+
+  /** @brief Lets callers start one call every `interval`, each at a random VM,
+   * until the fleet's time has advanced by `length`. */
+  void Run(duration length, duration interval, std::uint64_t prompt_tokens);
+
+  /** @return Largest number of requests that a target got in any time of this
+   * length that began at `since` or later. */
+  [[nodiscard]] std::size_t MostArrivals(std::size_t target,
+                                         time_point since,
+                                         duration window) const;
+  [[nodiscard]] std::size_t Arrivals(std::size_t target,
+                                     time_point since,
+                                     time_point until) const;
+  [[nodiscard]] time_point Now() const noexcept { return now_; }
+  [[nodiscard]] const std::vector<refuse_call>& Refusals() const noexcept {
+    return refusals_;
+  }
+  [[nodiscard]] std::uint64_t Calls() const noexcept { return next_call_ - 1; }
+
+ private:
+  void Post(std::size_t vm, const event& happened);
+  void Carry(std::size_t vm, const effect& caused);
+  void Arrive(const target_id& id);
+  void Tell(std::size_t from, const event& news);
+  void StartCall(std::uint64_t prompt_tokens);
+  void HandleDue();
+
+  std::vector<state> vms_;
+  std::vector<std::size_t> groups_;
+  pool_id pool_{"pool"};
+  std::map<target_id, std::optional<double>> limits_;
+  std::map<target_id, std::vector<time_point>> arrivals_;
+  /** Events by the time at which they reach a VM. */
+  std::multimap<time_point, std::pair<std::size_t, event>> pending_;
+  std::vector<refuse_call> refusals_;
+  random_engine random_{5};
+  time_point now_{};
+  call_id next_call_{1};
+};
+
+}  // namespace acaciaferry::forwarding
