Keep the limits that targets name, over all VMs together

Class: a bound that all VMs share, without anybody who counts for all. Change: VMs already tell each other every dispatch as they make it. Each counts what it hears for a limited target as a debt that time reduces at the rate of the limit, and sends only when there is room. A share for each VM would be no whole request with 81 VMs and one request a second. A VM that hears a part of the fleet reduces the debt by that part of the rate. Each part of a prompt counts; prompts are split over targets without a limit if there are any. Calls of a pool without room are refused at once, with the time at which there is room; what may have run waits for room as long as a caller waits for an event. Weighed: shares for each VM (idle or saved up), an owner for each target (waits for it, two owners in a partition), slots by the time of day (clocks jump).

--- a/src/acaciaferry/administration/log_walk.cpp
+++ b/src/acaciaferry/administration/log_walk.cpp
@@ -16,12 +16,14 @@
 
 // Explains to an operator the codes that a request ends with, and names what to
 // look at next.
-constexpr std::array<outcome_explanation, 9> kOutcomeExplanations{{
+constexpr std::array<outcome_explanation, 10> kOutcomeExplanations{{
     {"shed",
      "The engines' time was short and the prompt would have kept more from "
      "others than it is worth, or would have been late. See `busy`."},
     {"span_unavailable",
      "No engines had the memory for the prompt within half of its aim."},
+    {"target_limit",
+     "The targets of the pool had said how much they take, and got as much."},
     {"no_live_target", "No target of the pool could be reached."},
     {"target_rejected", "The targets refused the request before it ran."},
     {"target_lost", "The connection ended while the request may have run."},
--- a/src/acaciaferry/core/failure.cpp
+++ b/src/acaciaferry/core/failure.cpp
@@ -32,6 +32,8 @@
      "The workspace has used up its limit."},
     {"no_live_target", 503, StatusCode::kUnavailable, true,
      "No target of the pool is live."},
+    {"target_limit", 503, StatusCode::kResourceExhausted, true,
+     "The targets of the pool take no more requests for now."},
     {"span_unavailable", 503, StatusCode::kUnavailable, true,
      "The engines that the prompt needs could not be reserved in time."},
     {"draining", 503, StatusCode::kUnavailable, true,
--- a/src/acaciaferry/core/failure.hpp
+++ b/src/acaciaferry/core/failure.hpp
@@ -32,6 +32,7 @@
   kShed,
   kWorkspaceLimit,
   kNoLiveTarget,
+  kTargetLimit,
   kSpanUnavailable,
   kDraining,
   kNoConfiguration,
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -397,6 +397,9 @@
   void operator()(const forwarding::share_begun_parts& effect) const {
     self.peers_.Broadcast(begun_parts_received{effect.parts});
   }
+  void operator()(const forwarding::share_limits& effect) const {
+    self.peers_.Broadcast(forwarding::limit_reports_received{effect.reports});
+  }
   void operator()(const forwarding::record_decision& effect) const {
     self.log_.WriteDecision(effect, self.clock_.Now());
     if (effect.kind == forwarding::decision_kind::kRepeated ||
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -132,6 +132,15 @@
   }
 }
 
+void peer_exchange::SendLimits(const std::vector<std::string>& addresses) {
+  const time_point now = clock_.Now();
+  const auto reports = state_.limits.Reports(now);
+  if (!reports.empty()) {
+    Send(mesh::Encode(forwarding::limit_reports_received{reports}, now),
+         addresses);
+  }
+}
+
 void peer_exchange::OnHeartbeatInterval() {
   const time_point now = clock_.Now();
   for (const mesh::heartbeat& gone : roster_.Expire(now)) {
@@ -142,7 +151,9 @@
   if (cut_off != state_.cut_off) {
     handlers_.post(forwarding::domains_cut_off{cut_off});
   }
-  SendHeartbeat(roster_.HeartbeatRecipients());
+  const auto recipients = roster_.HeartbeatRecipients();
+  SendHeartbeat(recipients);
+  SendLimits(recipients);
   // A lost end message would leave a finished dispatch in a peer's ledger, so
   // ends are sent a second time.
   if (!ended_recently_.empty()) {
@@ -154,7 +165,8 @@
           roster_.FindNewer(handlers_.status().last_change_revision)) {
     handlers_.on_newer_view(newer->last_heartbeat.view_address);
   }
-  handlers_.post(forwarding::vm_count_updated{roster_.PeakVmCount()});
+  handlers_.post(forwarding::vm_count_updated{roster_.PeakVmCount(),
+                                              roster_.HeardVmCount(now)});
   handlers_.on_heartbeat_interval();
   heartbeat_timer_.expires_after(mesh::kHeartbeatInterval);
   heartbeat_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -181,6 +193,7 @@
   }
   if (change.is_new || change.replaced_incarnation) {
     SendPartCrashes({heartbeat.datagram_address});
+    SendLimits({heartbeat.datagram_address});
   }
   if (change.replaced_incarnation) {
     log_.WriteEvent("peer_replaced", {{"peer", heartbeat.vm.value}});
@@ -244,4 +257,9 @@
   handlers_.post(begun);
 }
 
+void peer_exchange::HandleMessage(
+    const forwarding::limit_reports_received& limits) const {
+  handlers_.post(limits);
+}
+
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -119,6 +119,8 @@
   /** @brief Sends the most important part crashes to VMs that were not heard
    * before. */
   void SendPartCrashes(const std::vector<std::string>& addresses);
+  /** @brief Sends the known limits of targets. */
+  void SendLimits(const std::vector<std::string>& addresses);
   void Send(const std::vector<std::string>& datagrams,
             const std::vector<std::string>& addresses);
   void OnDatagram(std::string_view bytes);
@@ -129,6 +131,7 @@
   void HandleMessage(const suspect_reports_received& suspects) const;
   void HandleMessage(const part_crashes_received& crashes) const;
   void HandleMessage(const begun_parts_received& begun) const;
+  void HandleMessage(const forwarding::limit_reports_received& limits) const;
 
   const entry_settings& settings_;
   std::uint64_t incarnation_;
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -116,6 +116,11 @@
   std::vector<begun_part> parts;
 };
 
+/** Tell the peers of limits that have changed. */
+struct share_limits {
+  std::vector<limit_report> reports;
+};
+
 /** Kinds of entries in the decision log. */
 enum class decision_kind {
   kSent,
@@ -172,6 +177,7 @@
                             notify_peers,
                             share_part_crashes,
                             share_begun_parts,
+                            share_limits,
                             record_decision>;
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -12,6 +12,7 @@
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/routing_table.hpp"
+#include "acaciaferry/forwarding/target_limits.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
 #include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -197,9 +198,12 @@
   std::vector<dispatch_id> dispatches;
 };
 
-/** Number of VMs that share the limits on retries, this one included. */
+/** Number of VMs that share the limits of the fleet. */
 struct vm_count_updated {
+  /** All of them, this one included. */
   std::uint64_t vm_count{1};
+  /** Those that are heard now, this one included. */
+  std::uint64_t heard_vm_count{1};
 };
 
 /** The timer for NextWake fired. */
@@ -219,6 +223,7 @@
                            peer_lost,
                            peer_live_dispatches,
                            vm_count_updated,
+                           limit_reports_received,
                            suspect_reports_received,
                            part_crashes_received,
                            begun_parts_received,
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -20,21 +20,23 @@
 // together from returning together.
 constexpr duration kMinRetryAfter = std::chrono::milliseconds(250);
 constexpr std::uint64_t kRetryAfterJitterMs = 250;
+// Keeps calls that wait at several VMs for the same target from taking its room
+// at the same time, before the VMs have heard of each other's requests.
+constexpr std::uint64_t kRoomJitterMs = 100;
 // Calls with a higher latency objective are less urgent.
 constexpr duration kRelaxedLatency = std::chrono::milliseconds(1'000);
 constexpr std::uint32_t kMaxUrgency = 9;
 
-duration RetryAfter(state& current) {
-  return kMinRetryAfter + std::chrono::milliseconds(
-                              DrawBelow(current.random, kRetryAfterJitterMs));
-}
-
 std::uint32_t Urgency(const call& request) {
   const std::uint32_t by_latency =
       request.latency_objective > kRelaxedLatency ? 2 : 0;
   return std::min(kMaxUrgency, request.priority * 2 + by_latency);
 }
 
+duration DrawDelay(state& current, std::uint64_t below_ms) {
+  return std::chrono::milliseconds(DrawBelow(current.random, below_ms));
+}
+
 const engine_properties* EngineOf(const state& current, const pool_id& pool) {
   const auto at = current.pools.find(pool);
   return at == current.pools.end() || !at->second ? nullptr : &*at->second;
@@ -52,10 +54,9 @@
 
 // Falls back to distrusted targets when there are no others: an attempt may
 // still succeed, while a refusal is certain to fail the call.
-std::vector<const target*> Candidates(const state& current,
-                                      const pending_call& pending,
-                                      time_point now) {
-  const pool_id& pool = pending.request.pool;
+std::vector<const target*> ReachableTargets(const state& current,
+                                            const pool_id& pool,
+                                            time_point now) {
   auto usable = current.targets.Usable(pool, now);
   if (usable.empty()) {
     usable = current.targets.NotLeaving(pool);
@@ -64,6 +65,16 @@
     return std::find(current.cut_off.begin(), current.cut_off.end(),
                      each->failure_domain) == current.cut_off.end();
   });
+  return usable;
+}
+
+std::vector<const target*> Candidates(const state& current,
+                                      const pending_call& pending,
+                                      time_point now) {
+  auto usable = ReachableTargets(current, pending.request.pool, now);
+  std::erase_if(usable, [&](const target* each) {
+    return !HasRoom(current, each->id, now);
+  });
   Prefer(usable, [&](const target* each) {
     return std::find(pending.tried_targets.begin(), pending.tried_targets.end(),
                      each->id) == pending.tried_targets.end();
@@ -71,6 +82,25 @@
   return usable;
 }
 
+// A call that may have run can't be refused as not run, so it waits for room at
+// a target as long as a caller waits for the next event.
+bool CanWaitForRoom(const pending_call& pending,
+                    time_point room,
+                    time_point now) {
+  return room - now <= ProgressTimeout(pending.request) &&
+         room + kMinTimeLeft < pending.deadline;
+}
+
+// A call of a pool without room is told when there is some.
+duration RetryAfter(state& current,
+                    const pending_call& pending,
+                    time_point now) {
+  const duration shortest =
+      kMinRetryAfter + DrawDelay(current, kRetryAfterJitterMs);
+  const auto targets = ReachableTargets(current, pending.request.pool, now);
+  return std::max(shortest, WaitForRoom(current, pending, targets, now));
+}
+
 std::optional<time_point> ProgressDeadline(const pending_call& pending,
                                            duration predicted,
                                            time_point now) {
@@ -90,6 +120,22 @@
   return now + predicted + ProgressTimeout(pending.request);
 }
 
+// Called when no target takes a call now.
+void WaitOrRefuse(state& current,
+                  pending_call& pending,
+                  time_point now,
+                  effects& out) {
+  const auto room = NextRoom(
+      current, ReachableTargets(current, pending.request.pool, now), now);
+  if (!room) {
+    FailCall(current, pending, failure_code::kNoLiveTarget, now, out);
+  } else if (pending.may_have_run && CanWaitForRoom(pending, *room, now)) {
+    pending.next_placement_at = *room + DrawDelay(current, kRoomJitterMs);
+  } else {
+    FailCall(current, pending, failure_code::kTargetLimit, now, out);
+  }
+}
+
 // "running/waiting/slots", as reported by the target.
 std::string LoadText(const std::optional<reported_load>& load) {
   return load ? std::to_string(load->running) + "/" +
@@ -148,6 +194,7 @@
   for (const job& each : jobs) {
     current.ledger.Add(each, now);
   }
+  CountAgainstLimits(current, jobs, now);
   out.emplace_back(notify_peers{std::move(jobs), {}, {}});
 }
 
@@ -222,7 +269,7 @@
   }
   const auto candidates = Candidates(current, pending, now);
   if (candidates.empty()) {
-    FailCall(current, pending, failure_code::kNoLiveTarget, now, out);
+    WaitOrRefuse(current, pending, now, out);
     return;
   }
   const engine_properties* engine = EngineOf(current, pending.request.pool);
@@ -284,7 +331,7 @@
   const failure_description& described = Describe(code);
   failure why{code, ran ? outcome::kUnknown : outcome::kNotRun, {}};
   if (!ran && described.retryable) {
-    why.retry_after = RetryAfter(current);
+    why.retry_after = RetryAfter(current, pending, now);
   }
   LogDecision(out,
               pending.partially_delivered ? decision_kind::kFailed
@@ -321,7 +368,12 @@
       now + kMinTimeLeft < pending.deadline;
   const bool was_sent =
       pending.running_attempt && pending.running_attempt->sent;
-  if (!retryable || !allowed ||
+  const auto room = NextRoom(
+      current, ReachableTargets(current, pending.request.pool, now), now);
+  const bool has_room =
+      !room || *room <= now ||
+      ((ran || pending.may_have_run) && CanWaitForRoom(pending, *room, now));
+  if (!retryable || !allowed || !has_room ||
       (was_sent && !current.allowance.TryTake(pending.request.pool,
                                               current.vm_count, now))) {
     return false;
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -152,12 +153,52 @@
                   time_point now,
                   effects& out);
 
-/** @brief Records what a response says of its target's limit. */
+/** @brief Records what a response says of its target's limit, and tells the
+ * peers of a change. */
 void RecordLimit(state& current,
                  const target_id& id,
                  const limit_statement& stated,
+                 time_point now,
                  effects& out);
 
+/** @brief Applies what a peer knows of limits. */
+void MergeLimits(state& current,
+                 const limit_reports_received& received,
+                 time_point now,
+                 effects& out);
+
+/** @brief Counts the requests of some jobs against the limits of their
+ * targets. */
+void CountAgainstLimits(state& current,
+                        std::span<const job> jobs,
+                        time_point now);
+
+/** @return Whether the limit of a target leaves room for a request now. */
+[[nodiscard]] bool HasRoom(const state& current,
+                           const target_id& id,
+                           time_point now);
+
+/** @return When any of some targets has room for a request: `now` or later;
+ * nothing if there are no targets. */
+[[nodiscard]] std::optional<time_point> NextRoom(
+    const state& current,
+    std::span<const target* const> targets,
+    time_point now);
+
+/** @return Those of some targets that have named a limit, unless all of them
+ * have. Parts of prompts are read elsewhere: each would use up one of the
+ * requests that the target takes. */
+[[nodiscard]] std::vector<target_id> LimitedAmong(
+    const state& current,
+    std::span<const target* const> targets);
+
+/** @return How long a refused caller should wait until a pool without room
+ * takes its call. */
+[[nodiscard]] duration WaitForRoom(state& current,
+                                   const pending_call& pending,
+                                   std::span<const target* const> targets,
+                                   time_point now);
+
 /** @brief Logs changed verdicts on parts of prompts and tells the peers. */
 void ApplyVerdicts(const part_verdicts& verdicts, effects& out);
 
--- a/src/acaciaferry/forwarding/limits.cpp
+++ b/src/acaciaferry/forwarding/limits.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -28,9 +29,91 @@
 void RecordLimit(state& current,
                  const target_id& id,
                  const limit_statement& stated,
+                 time_point now,
                  effects& out) {
-  LogLimitChange(current, id, current.limits.Record(id, stated.requests_per_s),
-                 "response", out);
+  using change = target_limits::change;
+  const target* responding = current.targets.Find(id);
+  if (responding == nullptr) {
+    return;
+  }
+  const change changed = current.limits.Record(id, responding->incarnation,
+                                               stated.requests_per_s, now);
+  LogLimitChange(current, id, changed, "response", out);
+  if (changed == change::kNone || changed == change::kMinor) {
+    return;
+  }
+  auto reports = current.limits.Reports(now);
+  std::erase_if(reports,
+                [&](const limit_report& each) { return each.target != id; });
+  out.emplace_back(share_limits{std::move(reports)});
+}
+
+void MergeLimits(state& current,
+                 const limit_reports_received& received,
+                 time_point now,
+                 effects& out) {
+  for (const limit_report& each : received.reports) {
+    LogLimitChange(current, each.target, current.limits.Merge(each, now),
+                   "peer", out);
+  }
+}
+
+void CountAgainstLimits(state& current,
+                        std::span<const job> jobs,
+                        time_point now) {
+  for (const job& each : jobs) {
+    current.limits.CountRequest(each.target, each.key, now);
+  }
+}
+
+bool HasRoom(const state& current, const target_id& id, time_point now) {
+  return current.limits.NextRequestAt(id, now) <= now;
+}
+
+std::optional<time_point> NextRoom(const state& current,
+                                   std::span<const target* const> targets,
+                                   time_point now) {
+  std::optional<time_point> next;
+  for (const target* each : targets) {
+    const time_point room = current.limits.NextRequestAt(each->id, now);
+    next = next ? std::min(*next, room) : room;
+  }
+  return next;
+}
+
+std::vector<target_id> LimitedAmong(const state& current,
+                                    std::span<const target* const> targets) {
+  std::vector<target_id> limited;
+  for (const target* each : targets) {
+    if (current.limits.IsLimited(each->id)) {
+      limited.push_back(each->id);
+    }
+  }
+  if (limited.size() == targets.size()) {
+    limited.clear();
+  }
+  return limited;
+}
+
+duration WaitForRoom(state& current,
+                     const pending_call& pending,
+                     std::span<const target* const> targets,
+                     time_point now) {
+  const auto next_room = NextRoom(current, targets, now);
+  if (!next_room || *next_room <= now) {
+    return {};
+  }
+  double requests_per_s = 0;
+  for (const target* each : targets) {
+    requests_per_s += current.limits.LimitOf(each->id).value_or(0);
+  }
+  constexpr double kMinRequestsPerS = 0.1;
+  const duration vm_spacing =
+      FromSeconds(static_cast<double>(current.vm_count) /
+                  std::max(requests_per_s, kMinRequestsPerS));
+  return current.limits.PromiseRoom(pending.request.pool, *next_room,
+                                    vm_spacing, pending.deadline) -
+         now;
 }
 
 }  // namespace acaciaferry::forwarding::internal
--- a/src/acaciaferry/forwarding/placement.cpp
+++ b/src/acaciaferry/forwarding/placement.cpp
@@ -41,6 +41,7 @@
   duration queued_prefill{};
   double cost{};
   duration prefill_done{};
+  bool may_help{true};
 };
 
 double Seconds(duration value) {
@@ -170,6 +171,9 @@
   options.reserve(candidates.size());
   for (const target* each : candidates) {
     option one{each, ledger.Load(each->id, now), {}, {}, 0, {}};
+    one.may_help =
+        std::find(wanted.not_as_helpers.begin(), wanted.not_as_helpers.end(),
+                  each->id) == wanted.not_as_helpers.end();
     one.queued_prefill = one.load.QueuedPrefill();
     one.pass_time = PassTime(engine, one.load.decodes + 1,
                              one.load.context_tokens + wanted.prompt_tokens);
@@ -242,7 +246,7 @@
   }
   std::vector<const option*> helpers;
   for (std::size_t index = 0; index < options.size(); ++index) {
-    if (index != decode_index) {
+    if (index != decode_index && options[index].may_help) {
       helpers.push_back(&options[index]);
     }
   }
@@ -305,6 +309,14 @@
     if (!decode_index) {
       return std::nullopt;
     }
+    const auto helpers = static_cast<std::size_t>(
+        std::count_if(
+            options.begin(), options.end(),
+            [](const internal::option& each) { return each.may_help; }) -
+        (options[*decode_index].may_help ? 1 : 0));
+    if (parts > helpers + 1) {
+      break;
+    }
     const auto split = internal::EvaluateSplit(options, *decode_index, parts,
                                                whole, weight, wanted, now);
     if (!best || split.cost < best->cost) {
@@ -324,6 +336,8 @@
                    best->interference};
   std::swap(options[best->decode_index], options.back());
   options.pop_back();
+  std::erase_if(options,
+                [](const internal::option& each) { return !each.may_help; });
   std::partial_sort(
       options.begin(),
       options.begin() + static_cast<std::ptrdiff_t>(best->parts - 1),
--- a/src/acaciaferry/forwarding/placement.hpp
+++ b/src/acaciaferry/forwarding/placement.hpp
@@ -27,6 +27,9 @@
   duration latency_budget{};
   /** Longest acceptable gap between two events; 0 for no limit. */
   duration gap_objective{};
+  /** Targets that may generate the response, but prefill no part of a prompt
+   * for another one. */
+  std::vector<target_id> not_as_helpers{};
 };
 
 /**
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -79,11 +79,17 @@
   return jobs;
 }
 
-placement_request MakePlacementRequest(const pending_call& pending,
-                                       time_point now) {
+placement_request MakePlacementRequest(
+    const state& current,
+    const pending_call& pending,
+    const std::vector<const target*>& candidates,
+    time_point now) {
   return {pending.request.prompt_tokens,
-          pending.request.prompt_tokens + pending.request.output_tokens, 1,
-          RemainingLatency(pending, now), pending.request.gap_objective};
+          pending.request.prompt_tokens + pending.request.output_tokens,
+          1,
+          RemainingLatency(pending, now),
+          pending.request.gap_objective,
+          LimitedAmong(current, candidates)};
 }
 
 struct span_plan {
@@ -176,8 +182,9 @@
                const std::vector<const target*>& candidates,
                time_point now,
                effects& out) {
-  auto plan = PlanSpan(current, engine, candidates,
-                       MakePlacementRequest(pending, now), now);
+  auto plan =
+      PlanSpan(current, engine, candidates,
+               MakePlacementRequest(current, pending, candidates, now), now);
   const bool wait = !plan || IsWorthDeferring(plan->chosen);
   if (wait &&
       CanWait(pending,
@@ -292,7 +299,8 @@
     StartSpan(current, pending, engine, candidates, now, out);
     return;
   }
-  placement_request wanted = MakePlacementRequest(pending, now);
+  placement_request wanted =
+      MakePlacementRequest(current, pending, candidates, now);
   auto chosen =
       PlacePrompt(engine, candidates, current.ledger, wanted, kMaxHelpers, now);
   if (!chosen &&
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -106,7 +106,7 @@
     pending->running_attempt->load = happened.load;
     if (happened.limit) {
       RecordLimit(current, pending->running_attempt->target, *happened.limit,
-                  out);
+                  now, out);
     }
     current.targets.RecordActivity(pending->running_attempt->target, now);
     switch (happened.verdict) {
@@ -223,7 +223,6 @@
           break;
         case type::kLost:
           current.ledger.RemoveTarget(change.id);
-          current.limits.Forget(change.id);
           LogTargetChange(out, decision_kind::kTargetLost, change.id,
                           "no_longer_published");
           break;
@@ -246,6 +245,7 @@
     for (const job& each : happened.jobs) {
       current.ledger.Add(each, now);
     }
+    CountAgainstLimits(current, happened.jobs, now);
     for (const dispatch_id key : happened.ended) {
       current.ledger.End(key, now);
     }
@@ -296,6 +296,15 @@
 
   void operator()(const vm_count_updated& happened) {
     current.vm_count = std::max<std::uint64_t>(happened.vm_count, 1);
+    const std::uint64_t heard =
+        std::clamp<std::uint64_t>(happened.heard_vm_count, 1, current.vm_count);
+    current.limits.SetShare(
+        static_cast<double>(heard) / static_cast<double>(current.vm_count),
+        now);
+  }
+
+  void operator()(const limit_reports_received& happened) {
+    MergeLimits(current, happened, now, out);
   }
 
   void operator()(const suspect_reports_received& happened) {
@@ -356,6 +365,7 @@
       current.ledger.Expire(now);
       ExpireSuspects(current.quarantine, now);
       ApplyVerdicts(ExpireParts(current.parts, now), out);
+      current.limits.Expire(now);
     }
   }
 
@@ -434,7 +444,7 @@
 state::state(evidence_source process,
              const retry_bound& bound,
              std::uint64_t seed)
-    : self(std::move(process)), allowance(bound), random(seed) {
+    : self(std::move(process)), allowance(bound), random(seed), limits(seed) {
   dispatch_prefix = ProcessPrefix(self.second);
 }
 
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -107,7 +107,6 @@
   std::vector<failure_domain_id> cut_off;
   load_ledger ledger;
   retry_allowance allowance;
-  target_limits limits;
   quarantine_state quarantine;
   part_quarantine parts;
   std::map<call_id, pending_call> pending_calls;
@@ -118,6 +117,7 @@
   std::uint64_t vm_count{1};
   std::uint64_t dispatch_prefix{};
   random_engine random;
+  target_limits limits;
   time_point next_sweep{};
 };
 
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/mesh/message.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <msgpack.hpp>
 
 namespace acaciaferry::mesh {
@@ -18,7 +19,8 @@
   kLiveDispatches = 4,
   kDispatchRequest = 5,
   kPartCrashes = 6,
-  kBegunParts = 7
+  kBegunParts = 7,
+  kLimits = 8
 };
 
 constexpr std::size_t kJobsPerDatagram = 16;
@@ -27,6 +29,10 @@
 // A crash with few parts takes about 90 bytes.
 constexpr std::size_t kPartCrashesPerDatagram = 8;
 constexpr std::size_t kPartsPerDatagram = 64;
+// A report takes about 60 bytes.
+constexpr std::size_t kLimitsPerDatagram = 16;
+// Stands for a target that names no limit any more.
+constexpr double kNoLimit = -1;
 constexpr std::size_t kMaxItems = 1'024;
 // Longer durations in a datagram are cut to this.
 constexpr std::int64_t kMaxDurationMs = 3'600'000;
@@ -134,6 +140,15 @@
   MSGPACK_DEFINE_ARRAY(part, age_ms)
 };
 
+struct limit_wire {
+  std::string target;
+  std::uint64_t incarnation{};
+  double requests_per_s{};
+  std::int64_t age_ms{};
+  double debt{};
+  MSGPACK_DEFINE_ARRAY(target, incarnation, requests_per_s, age_ms, debt)
+};
+
 std::int64_t ToMillis(duration value) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
 }
@@ -284,6 +299,25 @@
   return datagrams;
 }
 
+std::vector<std::string> Encode(const forwarding::limit_reports_received& from,
+                                time_point /*now*/) {
+  std::vector<std::string> datagrams;
+  std::vector<limit_wire> wire;
+  for (const forwarding::limit_report& each : from.reports) {
+    wire.push_back({each.target.value, each.incarnation,
+                    each.requests_per_s.value_or(kNoLimit), ToMillis(each.age),
+                    each.debt});
+    if (wire.size() == kLimitsPerDatagram) {
+      datagrams.push_back(Pack(kLimits, wire));
+      wire.clear();
+    }
+  }
+  if (!wire.empty()) {
+    datagrams.push_back(Pack(kLimits, wire));
+  }
+  return datagrams;
+}
+
 // A partial list would make its receiver drop the dispatches that are missing
 // from it.
 std::vector<std::string> Encode(const live_dispatches& from,
@@ -363,6 +397,23 @@
   return heard;
 }
 
+message FromWire(const std::vector<limit_wire>& wire) {
+  forwarding::limit_reports_received received;
+  for (const limit_wire& each : wire) {
+    if (!std::isfinite(each.requests_per_s) || !std::isfinite(each.debt)) {
+      continue;
+    }
+    received.reports.push_back({{each.target},
+                                each.incarnation,
+                                each.requests_per_s < 0
+                                    ? std::nullopt
+                                    : std::optional(each.requests_per_s),
+                                FromMillis(each.age_ms),
+                                each.debt});
+  }
+  return received;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -406,6 +457,9 @@
       case internal::kBegunParts:
         return internal::FromWire(
             body.get().as<std::vector<internal::begun_part_wire>>());
+      case internal::kLimits:
+        return internal::FromWire(
+            body.get().as<std::vector<internal::limit_wire>>());
       default:
         return std::nullopt;
     }
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -75,7 +75,8 @@
                              live_dispatches,
                              dispatch_request,
                              part_crashes_received,
-                             begun_parts_received>;
+                             begun_parts_received,
+                             forwarding::limit_reports_received>;
 
 /** Largest datagram that is sent, in bytes. The network would fragment larger
  * ones, and the loss of one fragment loses the datagram. */
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -11,6 +11,7 @@
 constexpr duration kLivenessTimeout = std::chrono::milliseconds(4'000);
 // Slightly more than two heartbeat intervals.
 constexpr duration kSilenceTimeout = std::chrono::milliseconds(1'150);
+constexpr duration kHeartbeatDelay = std::chrono::milliseconds(150);
 // Length of silence up to which a domain counts as cut off.
 constexpr duration kMaxCutOffTime = std::chrono::seconds(10);
 // Limits the messages of one VM in a large fleet.
@@ -132,12 +133,23 @@
   }
 }
 
-std::vector<failure_domain_id> roster::CutOffDomains(time_point now) const {
-  // In a large fleet a VM needs several rounds to send a heartbeat to every
-  // other.
-  const auto rounds = static_cast<std::int64_t>(
+std::int64_t roster::Rounds() const noexcept {
+  return static_cast<std::int64_t>(
       1 + members_.size() / (internal::kMaxHeartbeatRecipients + 1));
-  const duration silent_after = internal::kSilenceTimeout * rounds;
+}
+
+std::uint64_t roster::HeardVmCount(time_point now) const {
+  // One interval more than all VMs need, since datagrams take their time.
+  const duration silent_after =
+      kHeartbeatInterval * (Rounds() + 1) + internal::kHeartbeatDelay;
+  return 1 + static_cast<std::uint64_t>(std::count_if(
+                 members_.begin(), members_.end(), [&](const auto& each) {
+                   return each.second.heard_at + silent_after >= now;
+                 }));
+}
+
+std::vector<failure_domain_id> roster::CutOffDomains(time_point now) const {
+  const duration silent_after = internal::kSilenceTimeout * Rounds();
   const bool any_heard =
       std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
         return each.second.heard_at + silent_after >= now;
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -81,6 +81,10 @@
    */
   [[nodiscard]] std::uint64_t PeakVmCount() const noexcept;
 
+  /** @return Number of VMs that are heard as often as live ones are, this one
+   * included. */
+  [[nodiscard]] std::uint64_t HeardVmCount(time_point now) const;
+
   /**
    * @brief Detects the failure domains that are cut off from this VM.
    *
@@ -107,6 +111,9 @@
 
  private:
   void UpdateDomain(const heartbeat& heard, time_point now);
+  /** @return Number of heartbeat intervals in which this VM sends one to every
+   * other; the others need as many. */
+  [[nodiscard]] std::int64_t Rounds() const noexcept;
 
   std::string self_;
   failure_domain_id domain_;
--- a/test/acaciaferry/forwarding/limited_fleet.cpp
+++ b/test/acaciaferry/forwarding/limited_fleet.cpp
@@ -59,10 +59,19 @@
   limits_[TargetId(target)] = requests_per_s;
 }
 
+void limited_fleet::SetFailing(std::size_t target, bool fails) {
+  if (fails) {
+    failing_.insert(TargetId(target));
+  } else {
+    failing_.erase(TargetId(target));
+  }
+}
+
 void limited_fleet::SetGroups(std::vector<std::size_t> groups) {
   groups_ = std::move(groups);
   for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
-    Post(vm, vm_count_updated{vms_.size()});
+    const auto heard = std::count(groups_.begin(), groups_.end(), groups_[vm]);
+    Post(vm, vm_count_updated{vms_.size(), static_cast<std::uint64_t>(heard)});
   }
 }
 
@@ -140,12 +149,13 @@
     };
     reach(kStep, attempt_sent{sent->id, sent->attempt});
     const auto limit = limits_.find(sent->target);
+    const bool fails = failing_.contains(sent->target);
     reach(kResponseDelay,
           response_started{
               sent->id,
               sent->attempt,
-              response_verdict::kServed,
-              200,
+              fails ? response_verdict::kFailed : response_verdict::kServed,
+              fails ? 500 : 200,
               "",
               {},
               limit_statement{limit == limits_.end() ? std::nullopt
@@ -153,6 +163,8 @@
     reach(kResponseLength, response_completed{sent->id, sent->attempt});
   } else if (const auto* news = std::get_if<notify_peers>(&caused)) {
     Tell(vm, peer_load_update{news->jobs, news->ended, news->distrusted});
+  } else if (const auto* limits = std::get_if<share_limits>(&caused)) {
+    Tell(vm, limit_reports_received{limits->reports});
   } else if (const auto* refused = std::get_if<refuse_call>(&caused)) {
     refusals_.push_back(*refused);
   }
--- a/test/acaciaferry/forwarding/limited_fleet.hpp
+++ b/test/acaciaferry/forwarding/limited_fleet.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,6 +25,9 @@
   /** @brief Sets what a target names in its responses; nothing to end it. */
   void SetLimit(std::size_t target, std::optional<double> requests_per_s);
 
+  /** @brief Lets a target fail every request after it ran. */
+  void SetFailing(std::size_t target, bool fails);
+
   /** @brief Cuts VMs off from those of other groups; one group for each VM. */
   void SetGroups(std::vector<std::size_t> groups);
 
@@ -57,6 +61,7 @@
   std::vector<std::size_t> groups_;
   pool_id pool_{"pool"};
   std::map<target_id, std::optional<double>> limits_;
+  std::set<target_id> failing_;
   std::map<target_id, std::vector<time_point>> arrivals_;
   /** Events by the time at which they reach a VM. */
   std::multimap<time_point, std::pair<std::size_t, event>> pending_;
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -2,6 +2,8 @@
 
 #include <rapidcheck.h>
 
+#include <cmath>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace acaciaferry;
@@ -88,6 +90,34 @@
                  *Decode(Encode(wanted, At(0))[0], At(0))) == wanted);
 }
 
+// Guards against limits of targets that peers don't learn, and against reports
+// that no limit can have.
+TEST(MeshMessage, LimitReportsSurviveARoundTrip) {
+  forwarding::limit_reports_received sent;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    sent.reports.push_back({{"i-0123456789"},
+                            i,
+                            i == 3 ? std::nullopt : std::optional(0.5 * i),
+                            milliseconds(i),
+                            0.25 * i});
+  }
+  std::vector<forwarding::limit_report> received;
+  for (const std::string& each : Encode(sent, At(0))) {
+    CHECK_TRUE(each.size() <= kMaxDatagramBytes);
+    for (const auto& report :
+         std::get<forwarding::limit_reports_received>(*Decode(each, At(0)))
+             .reports) {
+      received.push_back(report);
+    }
+  }
+  CHECK_TRUE(received == sent.reports);
+  sent.reports = {{{"t"}, 1, std::nan(""), {}, 0},
+                  {{"t"}, 1, 1.0, {}, std::nan("")}};
+  CHECK_TRUE(std::get<forwarding::limit_reports_received>(
+                 *Decode(Encode(sent, At(0))[0], At(0)))
+                 .reports.empty());
+}
+
 // Guards against a crash on arbitrary bytes from the network.
 TEST(MeshMessage, AnyBytesAreDecodedOrRejected) {
   CHECK_FALSE(Decode("", At(0)).has_value());
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -36,6 +36,17 @@
 
 TEST_GROUP(Roster){};
 
+// Guards against a part of a partitioned fleet that takes itself for the whole.
+TEST(Roster, CountsTheVmsThatAreHeard) {
+  roster made("self:1", {"s"}, {}, 7);
+  made.OnHeartbeat(From("a"), At(0));
+  made.OnHeartbeat(From("b"), At(0));
+  LONGS_EQUAL(3, made.HeardVmCount(At(500)));
+  made.OnHeartbeat(From("a"), At(1'000));
+  LONGS_EQUAL(2, made.HeardVmCount(At(1'500)));
+  LONGS_EQUAL(3, made.PeakVmCount());
+}
+
 // Guards against VMs that never discover each other: the seeds are contacted
 // first, then the VMs that they know.
 TEST(Roster, FindsVmsThroughSeeds) {
