--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -104,11 +104,10 @@
   std::vector<forwarding::limit_report> received;
   for (const std::string& each : Encode(sent, At(0))) {
     CHECK_TRUE(each.size() <= kMaxDatagramBytes);
-    for (const auto& report :
-         std::get<forwarding::limit_reports_received>(*Decode(each, At(0)))
-             .reports) {
-      received.push_back(report);
-    }
+    const auto decoded = Decode(each, At(0));
+    const auto& reports =
+        std::get<forwarding::limit_reports_received>(*decoded).reports;
+    received.insert(received.end(), reports.begin(), reports.end());
   }
   CHECK_TRUE(received == sent.reports);
   sent.reports = {{{"t"}, 1, std::nan(""), {}, 0},
