Send heartbeats to the VMs of a large fleet in turn

Cause: with more than 24 peers each heartbeat went to a random part of them, so of 81 VMs each took about one in seventeen for lost at any time (0.7^8 for 4 s) and sent them no dispatches: what all VMs count together was too low there. Change: the recipients are taken in turn. Result: EveryVmOfALargeFleetGetsHeartbeatsInTime failed before, passes now.

--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -30,7 +30,7 @@
     : self_(std::move(datagram_address)),
       domain_(std::move(domain)),
       seeds_(std::move(seeds)),
-      random_(seed) {}
+      next_recipient_(seed) {}
 
 roster::heartbeat_result roster::OnHeartbeat(const heartbeat& heard,
                                              time_point now) {
@@ -93,11 +93,17 @@
 
 std::vector<std::string> roster::HeartbeatRecipients() {
   std::vector<std::string> recipients = LiveAddresses();
-  for (std::size_t index = recipients.size(); index > 1; --index) {
-    std::swap(recipients[index - 1], recipients[DrawBelow(random_, index)]);
+  // Taken in turn, so that each VM is reached in a bounded number of rounds.
+  if (!recipients.empty()) {
+    next_recipient_ %= recipients.size();
+    std::rotate(
+        recipients.begin(),
+        recipients.begin() + static_cast<std::ptrdiff_t>(next_recipient_),
+        recipients.end());
   }
   recipients.resize(
       std::min(recipients.size(), internal::kMaxHeartbeatRecipients));
+  next_recipient_ += recipients.size();
   const auto add = [&](const std::string& address) {
     if (address != self_ && std::find(recipients.begin(), recipients.end(),
                                       address) == recipients.end()) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -6,7 +6,6 @@
 #include <string>
 #include <vector>
 
-#include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/mesh/message.hpp"
 
@@ -30,7 +29,7 @@
    * @param datagram_address This VM's datagram address.
    * @param domain This VM's failure domain.
    * @param seeds Datagram addresses to contact first; they may be stale.
-   * @param seed For the random choice of heartbeat recipients.
+   * @param seed Decides which VMs get the first heartbeats.
    */
   roster(std::string datagram_address,
          failure_domain_id domain,
@@ -62,8 +61,8 @@
   std::vector<heartbeat> Expire(time_point now);
 
   /** @return Addresses to send the next heartbeat to: live VMs, addresses that
-   * other VMs reported, and seeds. In a large fleet only a random part of the
-   * live VMs is among them. */
+   * other VMs reported, and seeds. In a large fleet a part of the live VMs
+   * is among them, each in its turn. */
   [[nodiscard]] std::vector<std::string> HeartbeatRecipients();
 
   /** @return Whether a live VM has this datagram address. */
@@ -118,7 +117,8 @@
   std::string self_;
   failure_domain_id domain_;
   std::vector<std::string> seeds_;
-  random_engine random_;
+  /** Position in the list of live VMs at which the next round begins. */
+  std::size_t next_recipient_{};
   std::map<vm_id, member> members_;
   /** Addresses that other VMs reported and that were not heard yet, with the
    * number of attempts to contact them. */
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -47,6 +47,28 @@
   LONGS_EQUAL(3, made.PeakVmCount());
 }
 
+// Guards against live VMs of a large fleet that take each other for lost, and
+// then don't hear of each other's dispatches.
+TEST(Roster, EveryVmOfALargeFleetGetsHeartbeatsInTime) {
+  roster made("self:1", {"s"}, {}, 7);
+  for (int i = 0; i < 80; ++i) {
+    made.OnHeartbeat(From(("vm" + std::to_string(i)).c_str()), At(0));
+  }
+  constexpr auto kLivenessTimeout = milliseconds(4'000);
+  std::map<std::string, duration> unheard;
+  for (int round = 0; round < 200; ++round) {
+    for (const std::string& each : made.LiveAddresses()) {
+      unheard[each] += kHeartbeatInterval;
+    }
+    for (const std::string& each : made.HeartbeatRecipients()) {
+      unheard[each] = {};
+    }
+    for (const auto& [address, time] : unheard) {
+      CHECK_TRUE(time < kLivenessTimeout);
+    }
+  }
+}
+
 // Guards against VMs that never discover each other: the seeds are contacted
 // first, then the VMs that they know.
 TEST(Roster, FindsVmsThroughSeeds) {
