Tell peers how many VMs there are

What all VMs share is divided by the number of VMs that a process has known. A VM that restarts inside a partition knows only its side, so each side of it may use up the slack of retries and the limits of targets. Change: heartbeats carry the largest number of VMs that the process itself has known; peers divide by the largest that they were told. Numbers that a process was only told are not passed on, so that a fleet that has become smaller for good is known as such once its processes have been replaced. Older VMs ignore the added field and send none. Result: RestartedVmsLearnTheSizeOfTheFleet needs the new field (the old code answers 2 of 81 there); HeartbeatsOfOtherReleasesAreUnderstood passes for one field less and one more.

--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -99,7 +99,8 @@
                                   settings_.control_address,
                                   status.last_change_revision,
                                   status.leaving,
-                                  roster_.LiveAddresses()};
+                                  roster_.LiveAddresses(),
+                                  roster_.OwnPeakVmCount()};
   Send(mesh::Encode(heartbeat, clock_.Now()), addresses);
   const mesh::live_dispatches live{
       incarnation_, settings_.datagram_address,
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -46,6 +46,8 @@
   std::uint64_t last_change_revision{};
   bool leaving{};
   std::vector<std::string> known_peers;
+  // Not sent by older VMs.
+  std::uint64_t peak_vm_count{};
   MSGPACK_DEFINE_ARRAY(vm,
                        failure_domain,
                        incarnation,
@@ -53,7 +55,8 @@
                        view_address,
                        last_change_revision,
                        leaving,
-                       known_peers)
+                       known_peers,
+                       peak_vm_count)
 };
 
 struct job_wire {
@@ -202,7 +205,8 @@
   heartbeat_wire wire{from.vm.value,     from.failure_domain.value,
                       from.incarnation,  from.datagram_address,
                       from.view_address, from.last_change_revision,
-                      from.leaving,      from.known_peers};
+                      from.leaving,      from.known_peers,
+                      from.peak_vm_count};
   wire.known_peers.resize(std::min(wire.known_peers.size(), kMaxKnownPeers));
   return {Pack(kHeartbeat, wire)};
 }
@@ -349,7 +353,8 @@
   return heartbeat{{wire.vm},         {wire.failure_domain},
                    wire.incarnation,  wire.datagram_address,
                    wire.view_address, wire.last_change_revision,
-                   wire.leaving,      wire.known_peers};
+                   wire.leaving,      wire.known_peers,
+                   wire.peak_vm_count};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -33,6 +33,9 @@
   bool leaving{};
   /** Datagram addresses of other VMs, at most kMaxKnownPeers. */
   std::vector<std::string> known_peers;
+  /** Largest number of VMs, itself included, that its process has known to be
+   * live at once; 0 if it does not say. */
+  std::uint64_t peak_vm_count{};
 
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t kMaxUnconfirmed = 1'024;
 // Assumed number of VMs until another one is heard.
 constexpr std::uint64_t kAssumedVmCount = 16;
+// Bounds what a forged datagram can do to the shares of this VM.
+constexpr std::uint64_t kMaxVmCount = 4'096;
 
 }  // namespace internal
 
@@ -52,6 +54,8 @@
   }
   known = {heard, now};
   peak_live_ = std::max(peak_live_, members_.size());
+  peak_of_peers_ = std::max(
+      peak_of_peers_, std::min(heard.peak_vm_count, internal::kMaxVmCount));
   UpdateDomain(heard, now);
   for (const std::string& address : heard.known_peers) {
     if (!IsLive(address) && address != self_ &&
@@ -122,7 +126,8 @@
 }
 
 std::uint64_t roster::PeakVmCount() const noexcept {
-  return peak_live_ == 0 ? internal::kAssumedVmCount : peak_live_ + 1;
+  return peak_live_ == 0 ? internal::kAssumedVmCount
+                         : std::max(OwnPeakVmCount(), peak_of_peers_);
 }
 
 void roster::UpdateDomain(const heartbeat& heard, time_point now) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -75,11 +75,18 @@
    * @brief The number of VMs among which shared limits are divided.
    *
    * This is the largest number of VMs that were ever live at once, so that a VM
-   * that is cut off doesn't use up the shares of the others. It is an assumed
-   * number until another VM is heard.
+   * that is cut off doesn't use up the shares of the others; a process that has
+   * just started learns it from its peers. It is an assumed number until
+   * another VM is heard.
    */
   [[nodiscard]] std::uint64_t PeakVmCount() const noexcept;
 
+  /** @return Largest number of VMs, this one included, that this process has
+   * known to be live at once. */
+  [[nodiscard]] std::uint64_t OwnPeakVmCount() const noexcept {
+    return peak_live_ + 1;
+  }
+
   /** @return Number of VMs that are heard as often as live ones are, this one
    * included. */
   [[nodiscard]] std::uint64_t HeardVmCount(time_point now) const;
@@ -126,6 +133,8 @@
   /** When a VM of each failure domain was last heard. */
   std::map<failure_domain_id, time_point> domains_heard_at_;
   std::size_t peak_live_{};
+  /** Largest number of VMs that a peer has known to be live at once. */
+  std::uint64_t peak_of_peers_{};
 };
 
 }  // namespace acaciaferry::mesh
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include <cmath>
+#include <msgpack.hpp>
 
 #include <CppUTest/TestHarness.h>
 
@@ -72,6 +73,30 @@
              sent);
 }
 
+// Guards against VMs of two releases that don't understand each other's
+// heartbeats: an older one sends fewer fields, a later one more.
+TEST(MeshMessage, HeartbeatsOfOtherReleasesAreUnderstood) {
+  const std::vector<std::string> peers{"a"};
+  for (const std::uint32_t fields : {8U, 10U}) {
+    msgpack::sbuffer buffer;
+    buffer.write("\x01", 1);
+    msgpack::packer packer(buffer);
+    packer.pack(1U);
+    packer.pack_array(fields);
+    packer.pack("vm").pack("a").pack(5U).pack("10.0.0.1:1").pack("10.0.0.1:2");
+    packer.pack(9U).pack(true).pack(peers);
+    if (fields > 8) {
+      packer.pack(81U).pack("later");
+    }
+    const auto decoded =
+        Decode(std::string_view(buffer.data(), buffer.size()), At(0));
+    CHECK_TRUE(decoded.has_value());
+    const auto& read = std::get<heartbeat>(*decoded);
+    LONGS_EQUAL(9, read.last_change_revision);
+    LONGS_EQUAL(fields > 8 ? 81 : 0, read.peak_vm_count);
+  }
+}
+
 // Guards against a receiver that drops live dispatches because it received a
 // partial list.
 TEST(MeshMessage, LiveDispatchesAreSentCompletelyOrNotAtAll) {
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -69,6 +69,20 @@
   }
 }
 
+// Guards against a VM that restarts in a partition and takes the VMs that it
+// hears for the whole fleet: each part would use up what all VMs share.
+TEST(Roster, RestartedVmsLearnTheSizeOfTheFleet) {
+  roster made("self:1", {"s"}, {}, 7);
+  heartbeat peer = From("a");
+  peer.peak_vm_count = 81;
+  made.OnHeartbeat(peer, At(0));
+  LONGS_EQUAL(81, made.PeakVmCount());
+  LONGS_EQUAL(2, made.HeardVmCount(At(100)));
+  LONGS_EQUAL(2, made.OwnPeakVmCount());
+  made.Expire(At(60'000));
+  LONGS_EQUAL(81, made.PeakVmCount());
+}
+
 // Guards against VMs that never discover each other: the seeds are contacted
 // first, then the VMs that they know.
 TEST(Roster, FindsVmsThroughSeeds) {
