Read and log the era of the configuration service

Cause: log lines name revisions without the era that they belong to, so they can't tell revisions that are compared across the return of the service from watches that go on at an old one. Change: the adapter reads Store-Era from each response; era_changed and a gauge tell of it; listings and changes carry it. Nothing is decided by it yet. Result: PlatformDialect, ReadsTheEraOfTheService passes.

--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -142,6 +142,14 @@
   /** @brief Builds a long poll for changes. */
   [[nodiscard]] virtual net::request_head BuildWatchRequest(
       const publication::watch_request& call) const = 0;
+  /**
+   * @brief Reads the era of the service from the head of its response. The era
+   * rises when the service comes back from an older copy; revisions of
+   * different eras don't compare.
+   * @return 0 if the response names none.
+   */
+  [[nodiscard]] virtual std::uint64_t ServiceEra(
+      const net::response_head& head) const = 0;
   /** @brief Decodes the response to a listing. */
   [[nodiscard]] virtual std::variant<publication::page,
                                      publication::request_failure>
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -214,6 +214,7 @@
                               peers_.PeakVmCount(),
                               table_ ? table_->version : 0,
                               age ? ToSeconds(*age) : -1,
+                              views_.ServiceEra(),
                               views_.ServiceCalls(),
                               age_of(table_accepted_at_),
                               age_of(peers_.LastLoadReceivedAt()),
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -163,6 +163,7 @@
   gauge("acaciaferry_configuration_version",
         std::to_string(gauges.configuration_version));
   gauge("acaciaferry_view_age_seconds", std::to_string(gauges.view_age_s));
+  gauge("acaciaferry_service_era", std::to_string(gauges.service_era));
   gauge("acaciaferry_configuration_age_seconds",
         std::to_string(gauges.configuration_age_s));
   gauge("acaciaferry_load_news_age_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -28,6 +28,8 @@
   std::uint64_t configuration_version{};
   /** Time since the configuration service last responded. */
   double view_age_s{};
+  /** Era of the configuration service; 0 while unknown. */
+  std::uint64_t service_era{};
   /** Number of calls made to the configuration service. */
   std::uint64_t service_calls{};
   /** Time since the configuration was accepted. */
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -109,9 +109,10 @@
     ScheduleNextCall(wait->until);
   } else if (const auto* list = std::get_if<publication::list_request>(&next)) {
     Call(protocol_.BuildListRequest(*list), internal::kListTimeout,
-         [this](int status, std::string_view body) {
-           const auto decoded = protocol_.DecodePage(status, body);
-           if (const auto* page = std::get_if<publication::page>(&decoded)) {
+         [this](const service_response& response) {
+           auto decoded = protocol_.DecodePage(response.status, response.body);
+           if (auto* page = std::get_if<publication::page>(&decoded)) {
+             page->era = response.era;
              OnResponse(reader_.HandleResult(*page, clock_.Now()));
            } else {
              OnCallFailed(std::get<publication::request_failure>(decoded));
@@ -120,10 +121,11 @@
   } else if (const auto* watch =
                  std::get_if<publication::watch_request>(&next)) {
     Call(protocol_.BuildWatchRequest(*watch), watch->wait + watch->grace,
-         [this](int status, std::string_view body) {
-           const auto decoded = protocol_.DecodeChanges(status, body);
-           if (const auto* changes =
-                   std::get_if<publication::changes>(&decoded)) {
+         [this](const service_response& response) {
+           auto decoded =
+               protocol_.DecodeChanges(response.status, response.body);
+           if (auto* changes = std::get_if<publication::changes>(&decoded)) {
+             changes->era = response.era;
              OnResponse(reader_.HandleResult(*changes, clock_.Now()));
            } else {
              OnCallFailed(std::get<publication::request_failure>(decoded));
@@ -134,16 +136,13 @@
 
 void view_keeper::Call(const net::request_head& head,
                        duration timeout,
-                       std::function<void(int, std::string_view)> on_response) {
-  struct collected_response {
-    int status{};
-    std::string body;
-  };
+                       response_handler on_response) {
   ++service_calls_;
-  const auto collected = std::make_shared<collected_response>();
+  const auto collected = std::make_shared<service_response>();
   net::exchange_handlers handlers;
-  handlers.on_head = [collected](const net::response_head& response) {
+  handlers.on_head = [this, collected](const net::response_head& response) {
     collected->status = response.status;
+    collected->era = protocol_.ServiceEra(response);
     return true;
   };
   handlers.on_body = [collected](std::string_view bytes) {
@@ -153,7 +152,8 @@
   };
   handlers.on_end = [this, collected, on_response = std::move(on_response)] {
     call_timer_.cancel();
-    on_response(collected->status, collected->body);
+    LogEra(collected->era);
+    on_response(*collected);
   };
   handlers.on_failure = [this](net::exchange_failure /*failure*/) {
     call_timer_.cancel();
@@ -172,6 +172,16 @@
   call_->Start(service_, net::Serialize(request, 0), internal::kConnectTimeout);
 }
 
+void view_keeper::LogEra(std::uint64_t era) {
+  if (era > 0 && era != service_era_) {
+    log_.WriteEvent("era_changed",
+                    {{"before", std::to_string(service_era_)},
+                     {"era", std::to_string(era)},
+                     {"revision", std::to_string(reader_.View().revision)}});
+    service_era_ = era;
+  }
+}
+
 void view_keeper::OnResponse(bool changed) {
   if (service_lost_) {
     service_lost_ = false;
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -58,6 +58,10 @@
    * response.
    */
   [[nodiscard]] std::optional<duration> ServiceResponseAge() const;
+  /** @return Era of the service; 0 before the first response that names one. */
+  [[nodiscard]] std::uint64_t ServiceEra() const noexcept {
+    return service_era_;
+  }
   /** @return Number of calls made to the configuration service. */
   [[nodiscard]] std::uint64_t ServiceCalls() const noexcept {
     return service_calls_;
@@ -69,10 +73,19 @@
   void FetchFrom(const std::string& address);
 
  private:
+  struct service_response {
+    int status{};
+    /** 0 if the response names none. */
+    std::uint64_t era{};
+    std::string body;
+  };
+  using response_handler = std::function<void(const service_response&)>;
+
   void MakeNextCall();
   void Call(const net::request_head& head,
             duration timeout,
-            std::function<void(int, std::string_view)> on_response);
+            response_handler on_response);
+  void LogEra(std::uint64_t era);
   void OnResponse(bool changed);
   void OnCallFailed(publication::request_failure failure);
   void ScheduleNextCall(time_point time);
@@ -91,6 +104,8 @@
   std::shared_ptr<net::client_exchange> call_;
   std::shared_ptr<net::client_exchange> fetch_;
   std::uint64_t service_calls_{};
+  /** As the last response named it. */
+  std::uint64_t service_era_{};
   bool service_lost_{};
 };
 
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -65,6 +65,8 @@
   std::vector<std::pair<std::string, item>> items;
   bool has_more{};
   std::uint64_t revision{};
+  /** Era of the service that responded; 0 if it names none. */
+  std::uint64_t era{};
 };
 
 /** A change to an item: its new value, or none if it was removed. */
@@ -77,6 +79,8 @@
 struct changes {
   std::vector<change> events;
   std::uint64_t revision{};
+  /** Era of the service that responded; 0 if it names none. */
+  std::uint64_t era{};
 };
 
 /** Why a request failed. */
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -261,3 +261,12 @@
   LONGS_EQUAL(0, parts_of("").size());
   LONGS_EQUAL(3, parts_of(",:,x,").size());
 }
+
+// Guards against revisions that are compared although the service has come back
+// from an older copy.
+TEST(PlatformDialect, ReadsTheEraOfTheService) {
+  const fixture platform;
+  LONGS_EQUAL(3, platform.protocol->ServiceEra({410, {{"store-era", "3"}}}));
+  LONGS_EQUAL(0, platform.protocol->ServiceEra({200, {}}));
+  LONGS_EQUAL(0, platform.protocol->ServiceEra({200, {{"Store-Era", "x"}}}));
+}
