--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -152,3 +152,18 @@
   CHECK_FALSE(made.Adopt(peer, At(200)));
   LONGS_EQUAL(41, std::get<watch_request>(made.Next(At(900))).after);
 }
+
+// Guards against changes that are taken for older because the service came back
+// from an older copy and gives out its revisions again.
+TEST(PublicationReader, ChangesAfterTheServiceWentBackAreTaken) {
+  reader made({"t/", "c"}, 7);
+  made.HandleResult(page{{{"t/1", {"x", 3}}}, false, 30, 1}, At(0));
+  made.HandleResult(page{{{"c", {"v1", 29}}}, false, 30, 1}, At(1));
+  made.HandleResult(request_failure::kSilent, At(1'000));
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  made.HandleResult(page{{{"t/1", {"x", 3}}}, false, 20, 2}, At(3'100));
+  made.HandleResult(page{{{"c", {"v1", 18}}}, false, 20, 2}, At(3'200));
+  LONGS_EQUAL(20, std::get<watch_request>(made.Next(At(4'000))).after);
+  CHECK_TRUE(made.HandleResult(changes{{{"c", "v2", 21}}, 21, 2}, At(4'100)));
+  STRCMP_EQUAL("v2", made.View().items.at("c").value.c_str());
+}
