Compare revisions within an era of the configuration service only

Revisions order listings, changes, removals and the views of peers, and after the return they begin again at a lower one: all VMs list, drop the listing as older (service_regained names revision 31, the service is below 25), and go on watching from there. Class: an order is taken from numbers whose giver may begin again. Change: a view, its items and what peers tell have the era of their revisions. A later era goes first, whatever its numbers; answers of an earlier one are dropped; a listing or a watch that crosses the return leads to a new listing. Across eras documents compare by what their writer states: a configuration by its version, a target by its start and by its leaving. So what was confirmed stays in force, what left stays left, and what the copy lacks comes from peers. VMs with long watches list at random times within 0.4 s. Weighed: taking the copy as it is (reverts), ignoring it until its numbers have passed those of before (today), versions alone (targets have none).

--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -159,6 +159,9 @@
                                      publication::request_failure>
   DecodeChanges(int status, std::string_view body) const = 0;
 
+  /** @return How versions of published documents compare. */
+  [[nodiscard]] virtual publication::document_ranks DocumentRanks() const = 0;
+
   /** @brief Decodes the published documents. */
   [[nodiscard]] virtual decoded_view DecodeDocuments(
       const publication::view& view) const = 0;
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -83,8 +83,10 @@
              clock_,
              {[this](const forwarding::event& event) { Post(event); },
               [this] {
-                return local_status{views_.View().last_change_revision,
-                                    draining_since_.has_value()};
+                return local_status{
+                    {views_.View().era, views_.View().last_change_revision,
+                     table_ ? table_->version : 0},
+                    draining_since_.has_value()};
               },
               [this](const std::string& address) { views_.FetchFrom(address); },
               [this] {
--- a/src/acaciaferry/entry/peer_exchange.cpp
+++ b/src/acaciaferry/entry/peer_exchange.cpp
@@ -97,10 +97,12 @@
                                   incarnation_,
                                   settings_.datagram_address,
                                   settings_.control_address,
-                                  status.last_change_revision,
+                                  status.view.last_change_revision,
                                   status.leaving,
                                   roster_.LiveAddresses(),
-                                  roster_.OwnPeakVmCount()};
+                                  roster_.OwnPeakVmCount(),
+                                  status.view.era,
+                                  status.view.configuration_version};
   Send(mesh::Encode(heartbeat, clock_.Now()), addresses);
   const mesh::live_dispatches live{
       incarnation_, settings_.datagram_address,
@@ -162,8 +164,7 @@
   }
   BroadcastSuspects();
   RepeatPartCrashes();
-  if (const mesh::member* newer =
-          roster_.FindNewer(handlers_.status().last_change_revision)) {
+  if (const mesh::member* newer = roster_.FindNewer(handlers_.status().view)) {
     handlers_.on_newer_view(newer->last_heartbeat.view_address);
   }
   handlers_.post(forwarding::vm_count_updated{roster_.PeakVmCount(),
@@ -203,8 +204,10 @@
   if (!change.addresses_to_greet.empty()) {
     SendHeartbeat(change.addresses_to_greet);
   }
-  if (heartbeat.last_change_revision <=
-      handlers_.status().last_change_revision) {
+  // A VM that is behind by an era has not seen what was published since.
+  const mesh::view_position own = handlers_.status().view;
+  const mesh::view_position other = mesh::PositionOf(heartbeat);
+  if (other.era == own.era && !mesh::IsNewer(other, own)) {
     view_confirmed_at_ = now;
   }
 }
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -19,8 +19,7 @@
 
 /** What this VM tells its peers about itself, apart from its load. */
 struct local_status {
-  /** Revision of the newest published change in its view. */
-  std::uint64_t last_change_revision{};
+  mesh::view_position view;
   bool leaving{};
 };
 
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -16,19 +16,28 @@
 /** Value, revision, and the missing flag. */
 using wire_item = std::tuple<std::string, std::uint64_t, bool>;
 using wire_items = std::map<std::string, wire_item>;
+/** Eras of the items that are not of the view's era. */
+using wire_eras = std::map<std::string, std::uint64_t>;
 
 }  // namespace internal
 
 std::string EncodeView(const publication::view& view) {
   internal::wire_items items;
+  internal::wire_eras eras;
   for (const auto& [key, item] : view.items) {
     items.emplace(key,
                   internal::wire_item(item.value, item.revision, item.missing));
+    if (item.era != view.era) {
+      eras.emplace(key, item.era);
+    }
   }
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, view.revision);
   msgpack::pack(buffer, view.last_change_revision);
   msgpack::pack(buffer, items);
+  // VMs of older releases do not read on.
+  msgpack::pack(buffer, view.era);
+  msgpack::pack(buffer, eras);
   return {buffer.data(), buffer.size()};
 }
 
@@ -43,7 +52,19 @@
     view.last_change_revision = next().get().as<std::uint64_t>();
     for (auto& [key, item] : next().get().as<internal::wire_items>()) {
       auto& [value, revision, missing] = item;
-      view.items[key] = {std::move(value), revision, missing};
+      view.items[key] = {std::move(value), revision, missing, 0};
+    }
+    if (offset == bytes.size()) {
+      return view;
+    }
+    view.era = next().get().as<std::uint64_t>();
+    for (auto& [key, item] : view.items) {
+      item.era = view.era;
+    }
+    for (const auto& [key, era] : next().get().as<internal::wire_eras>()) {
+      if (const auto at = view.items.find(key); at != view.items.end()) {
+        at->second.era = era;
+      }
     }
     return view;
   } catch (const std::exception&) {
@@ -66,7 +87,7 @@
       log_(log),
       clock_(clock),
       on_changed_(std::move(on_changed)),
-      reader_(protocol.DocumentPrefixes(), seed),
+      reader_(protocol.DocumentPrefixes(), seed, protocol.DocumentRanks()),
       next_call_timer_(loop),
       call_timer_(loop),
       fetch_timer_(loop),
@@ -188,6 +209,15 @@
     log_.WriteEvent("service_regained",
                     {{"revision", std::to_string(reader_.View().revision)}});
   }
+  OnViewUpdated(changed);
+  MakeNextCall();
+}
+
+void view_keeper::OnViewUpdated(bool changed) {
+  for (const std::string& key : reader_.TakeOutrankedKeys()) {
+    log_.WriteEvent("document_refused",
+                    {{"key", key}, {"why", "a later one is known"}});
+  }
   if (const auto expiry = reader_.NextExpiry()) {
     expiry_timer_.expires_at(*expiry);
     expiry_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -199,7 +229,6 @@
   if (changed) {
     on_changed_();
   }
-  MakeNextCall();
 }
 
 void view_keeper::OnCallFailed(publication::request_failure failure) {
@@ -239,10 +268,9 @@
         "view_from_peer",
         {{"peer", address},
          {"taken", changed ? "yes" : "no"},
+         {"era", std::to_string(reader_.View().era)},
          {"changed_at", std::to_string(reader_.View().last_change_revision)}});
-    if (changed) {
-      on_changed_();
-    }
+    OnViewUpdated(changed);
   };
   handlers.on_failure = [this](net::exchange_failure /*failure*/) {
     fetch_timer_.cancel();
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -87,6 +87,7 @@
             response_handler on_response);
   void LogEra(std::uint64_t era);
   void OnResponse(bool changed);
+  void OnViewUpdated(bool changed);
   void OnCallFailed(publication::request_failure failure);
   void ScheduleNextCall(time_point time);
 
--- a/src/acaciaferry/mesh/message.cpp
+++ b/src/acaciaferry/mesh/message.cpp
@@ -48,6 +48,8 @@
   std::vector<std::string> known_peers;
   // Not sent by older VMs.
   std::uint64_t peak_vm_count{};
+  std::uint64_t view_era{};
+  std::uint64_t configuration_version{};
   MSGPACK_DEFINE_ARRAY(vm,
                        failure_domain,
                        incarnation,
@@ -56,7 +58,9 @@
                        last_change_revision,
                        leaving,
                        known_peers,
-                       peak_vm_count)
+                       peak_vm_count,
+                       view_era,
+                       configuration_version)
 };
 
 struct job_wire {
@@ -202,11 +206,17 @@
 }
 
 std::vector<std::string> Encode(const heartbeat& from, time_point /*now*/) {
-  heartbeat_wire wire{from.vm.value,     from.failure_domain.value,
-                      from.incarnation,  from.datagram_address,
-                      from.view_address, from.last_change_revision,
-                      from.leaving,      from.known_peers,
-                      from.peak_vm_count};
+  heartbeat_wire wire{from.vm.value,
+                      from.failure_domain.value,
+                      from.incarnation,
+                      from.datagram_address,
+                      from.view_address,
+                      from.last_change_revision,
+                      from.leaving,
+                      from.known_peers,
+                      from.peak_vm_count,
+                      from.view_era,
+                      from.configuration_version};
   wire.known_peers.resize(std::min(wire.known_peers.size(), kMaxKnownPeers));
   return {Pack(kHeartbeat, wire)};
 }
@@ -350,11 +360,17 @@
 }
 
 message FromWire(const heartbeat_wire& wire) {
-  return heartbeat{{wire.vm},         {wire.failure_domain},
-                   wire.incarnation,  wire.datagram_address,
-                   wire.view_address, wire.last_change_revision,
-                   wire.leaving,      wire.known_peers,
-                   wire.peak_vm_count};
+  return heartbeat{{wire.vm},
+                   {wire.failure_domain},
+                   wire.incarnation,
+                   wire.datagram_address,
+                   wire.view_address,
+                   wire.last_change_revision,
+                   wire.leaving,
+                   wire.known_peers,
+                   wire.peak_vm_count,
+                   wire.view_era,
+                   wire.configuration_version};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
@@ -422,6 +438,20 @@
 }  // namespace
 }  // namespace internal
 
+view_position PositionOf(const heartbeat& heard) noexcept {
+  return {heard.view_era, heard.last_change_revision,
+          heard.configuration_version};
+}
+
+bool IsNewer(const view_position& view, const view_position& other) noexcept {
+  if (view.configuration_version > other.configuration_version) {
+    return true;
+  }
+  return view.era == other.era
+             ? view.last_change_revision > other.last_change_revision
+             : view.era > other.era;
+}
+
 std::vector<std::string> Encode(const message& value, time_point now) {
   return std::visit(
       [now](const auto& each) { return internal::Encode(each, now); }, value);
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -36,12 +36,38 @@
   /** Largest number of VMs, itself included, that its process has known to be
    * live at once; 0 if it does not say. */
   std::uint64_t peak_vm_count{};
+  /** Era of last_change_revision; 0 if it does not say. */
+  std::uint64_t view_era{};
+  /** Version of the configuration that it uses; 0 if it does not say. */
+  std::uint64_t configuration_version{};
 
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
 
 inline constexpr std::size_t kMaxKnownPeers = 64;
 
+/** How much of what is published a VM knows. */
+struct view_position {
+  std::uint64_t era{};
+  /** Revision of the newest published change, in that era. */
+  std::uint64_t last_change_revision{};
+  std::uint64_t configuration_version{};
+
+  [[nodiscard]] bool operator==(const view_position&) const = default;
+};
+
+/** @return The position of a VM's view as its heartbeat tells it. */
+[[nodiscard]] view_position PositionOf(const heartbeat& heard) noexcept;
+
+/**
+ * @brief Tells whether a view holds something that another one lacks.
+ *
+ * Revisions compare within an era only. A view of unknown era, of a VM of an
+ * older release, is newer only than another one of unknown era.
+ */
+[[nodiscard]] bool IsNewer(const view_position& view,
+                           const view_position& other) noexcept;
+
 /** New dispatches, ended dispatches and distrusted targets of one VM. */
 struct load_update {
   std::vector<forwarding::job> jobs;
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/mesh/roster.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace acaciaferry::mesh {
 namespace internal {
@@ -195,13 +196,17 @@
   return static_cast<std::size_t>(before) < count;
 }
 
-const member* roster::FindNewer(std::uint64_t last_change_revision) const {
+const member* roster::FindNewer(const view_position& own) const {
+  // The configuration goes first, whatever the revisions say of the rest.
+  const auto order = [](const member& each) {
+    const view_position position = PositionOf(each.last_heartbeat);
+    return std::tuple(position.configuration_version, position.era,
+                      position.last_change_revision);
+  };
   const member* newest = nullptr;
   for (const auto& [vm, each] : members_) {
-    if (each.last_heartbeat.last_change_revision > last_change_revision &&
-        (newest == nullptr ||
-         each.last_heartbeat.last_change_revision >
-             newest->last_heartbeat.last_change_revision)) {
+    if (IsNewer(PositionOf(each.last_heartbeat), own) &&
+        (newest == nullptr || order(each) > order(*newest))) {
       newest = &each;
     }
   }
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -110,10 +110,9 @@
    * domain, ordered by address. VMs that are leaving don't count. */
   [[nodiscard]] bool IsAmongFirst(std::size_t count) const;
 
-  /** @return The live VM that knows the newest published change, if that is
-   * newer than the given revision; otherwise null. */
-  [[nodiscard]] const member* FindNewer(
-      std::uint64_t last_change_revision) const;
+  /** @return The live VM whose view is the newest of those that are newer than
+   * the given one; null if there is none. */
+  [[nodiscard]] const member* FindNewer(const view_position& own) const;
 
  private:
   void UpdateDomain(const heartbeat& heard, time_point now);
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -4,37 +4,16 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/publication/view.hpp"
 
 namespace acaciaferry::publication {
 
-/** A published document; its value is opaque here. */
-struct item {
-  std::string value;
-  /** Revision of its last change. */
-  std::uint64_t revision{};
-  /** Whether it disappeared around an outage of the service and may come back.
-   */
-  bool missing{};
-
-  [[nodiscard]] bool operator==(const item&) const = default;
-};
-
-/**
- * @brief The published documents as known by this process.
- */
-struct view {
-  std::map<std::string, item> items;
-  /** Revision up to which the items are known. */
-  std::uint64_t revision{};
-  /** Revision of the newest change in the items. */
-  std::uint64_t last_change_revision{};
-};
-
 /** List the documents with a prefix. */
 struct list_request {
   std::string prefix;
@@ -91,6 +70,8 @@
   kSilent,
   /** The history after the requested revision is no longer available. */
   kHistoryGone,
+  /** The response is of an earlier era than one that is known. */
+  kOutdated,
 };
 
 /** @return A static name of the failure. */
@@ -106,8 +87,12 @@
   /**
    * @param prefixes Prefixes of the documents to read; others are ignored.
    * @param seed For the backoff jitter.
+   * @param ranks Without its functions, all documents have the same rank and
+   * none is permanent.
    */
-  reader(std::vector<std::string> prefixes, std::uint64_t seed);
+  reader(std::vector<std::string> prefixes,
+         std::uint64_t seed,
+         document_ranks ranks = {});
 
   /**
    * @brief Selects short or long waits for watches.
@@ -130,12 +115,15 @@
 
   /**
    * @brief Replaces the view by that of a peer if it contains newer changes.
+   * From an older one it takes documents of a higher rank only: the service may
+   * have come back without them.
    * @return Whether the view has changed.
    */
   bool Adopt(const view& peer_view, time_point now);
 
-  /** @brief Removes missing items whose grace period is over. @return Whether
-   * any was removed. */
+  /** @brief Ends the grace periods that are over: items that disappeared are
+   * removed, items that came back with an older copy are valid. @return Whether
+   * the view has changed. */
   bool Expire(time_point now);
 
   [[nodiscard]] const view& View() const noexcept { return view_; }
@@ -143,23 +131,57 @@
   [[nodiscard]] bool LastRequestSucceeded() const noexcept {
     return consecutive_failures_ == 0;
   }
-  /** @return When the service last responded; nothing before it did. */
+  /** @return When a response of the service last brought the view up to date;
+   * nothing before it did. */
   [[nodiscard]] std::optional<time_point> LastResponseTime() const noexcept {
     return last_response_;
   }
   /** @return When the next grace period of a missing item ends. */
   [[nodiscard]] std::optional<time_point> NextExpiry() const;
+  /** @return Keys of documents that were not taken since the last call, since
+   * a higher rank of them is known. */
+  [[nodiscard]] std::vector<std::string> TakeOutrankedKeys() {
+    return std::exchange(outranked_keys_, {});
+  }
 
  private:
+  /** A document that was removed. */
+  struct removed_item {
+    std::string value;
+    std::uint64_t era{};
+    time_point removed_at{};
+  };
+
   [[nodiscard]] bool IsOutageRecent(time_point now) const;
+  [[nodiscard]] bool IsPermanent(const std::string& key) const;
+  [[nodiscard]] document_rank RankOf(const std::string& key,
+                                     const std::string& value) const;
+  [[nodiscard]] bool Supersedes(const std::string& key,
+                                const item& value,
+                                const item& known) const;
+  bool TakeItem(const std::string& key, item value, time_point now);
+  bool AddItem(const std::string& key, item value, time_point now);
   bool RemoveItem(const std::string& key, time_point now);
+  void EraseItem(const std::string& key, time_point now);
+  bool ReplaceView(const view& newer, time_point now);
+  bool TakeHigherRanks(const view& older, time_point now);
+  /** @return Whether a response is of a later era than the known one, which is
+   * then the known one. */
+  bool EnterEra(std::uint64_t era, time_point now);
+  void StartListing();
+  void DelayListing(time_point now);
   bool FinishListing(time_point now);
   void RecordResponse(time_point now);
   [[nodiscard]] bool IsWatched(const std::string& key) const;
 
   std::vector<std::string> prefixes_;
   random_engine random_;
+  document_ranks ranks_;
   view view_;
+  /** Latest era that was heard of; the view may still be of an earlier one. */
+  std::uint64_t era_{};
+  /** Era of the view when the watch in flight was sent. */
+  std::uint64_t watch_era_{};
   bool short_watches_{true};
   bool listing_{true};
   bool allow_stale_{true};
@@ -172,6 +194,11 @@
   std::optional<time_point> outage_ended_;
   /** Items that disappeared around an outage, and when they are removed. */
   std::map<std::string, time_point> missing_until_;
+  /** Items that had been removed and came back with an older copy, and when
+   * they are valid if they are not removed again. */
+  std::map<std::string, time_point> returning_until_;
+  std::map<std::string, removed_item> removed_;
+  std::vector<std::string> outranked_keys_;
 };
 
 }  // namespace acaciaferry::publication
--- /dev/null
+++ b/test/acaciaferry/entry/view_keeper_test.cpp
@@ -0,0 +1,50 @@
+#include "acaciaferry/entry/view_keeper.hpp"
+
+#include <msgpack.hpp>
+#include <tuple>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::entry;
+
+TEST_GROUP(PeerView){};
+
+// Guards against peers that compare revisions of two eras.
+TEST(PeerView, KeepsTheErasOfItsItems) {
+  publication::view sent;
+  sent.era = 2;
+  sent.revision = 20;
+  sent.last_change_revision = 19;
+  sent.items["c"] = {"v12", 29, false, 1};
+  sent.items["t/1"] = {"x", 18, true, 2};
+  const auto received = DecodePeerView(EncodeView(sent));
+  CHECK_TRUE(received.has_value());
+  LONGS_EQUAL(2, received->era);
+  LONGS_EQUAL(20, received->revision);
+  LONGS_EQUAL(19, received->last_change_revision);
+  CHECK_TRUE(received->items == sent.items);
+}
+
+// Guards against VMs of two releases that don't understand each other's views:
+// an older one sends and reads no eras.
+TEST(PeerView, ViewsOfOtherReleasesAreUnderstood) {
+  using old_item = std::tuple<std::string, std::uint64_t, bool>;
+  const std::map<std::string, old_item> items{{"c", {"v1", 5, false}}};
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, std::uint64_t{9});
+  msgpack::pack(buffer, std::uint64_t{5});
+  msgpack::pack(buffer, items);
+  const std::string old_bytes(buffer.data(), buffer.size());
+  const auto received = DecodePeerView(old_bytes);
+  CHECK_TRUE(received.has_value());
+  LONGS_EQUAL(0, received->era);
+  LONGS_EQUAL(9, received->revision);
+  publication::view sent;
+  sent.era = 2;
+  sent.revision = 9;
+  sent.last_change_revision = 5;
+  sent.items["c"] = {"v1", 5, false, 2};
+  CHECK_TRUE(EncodeView(sent).starts_with(old_bytes));
+  CHECK_FALSE(DecodePeerView(old_bytes + "\xc1").has_value());
+}
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -77,7 +77,7 @@
 // heartbeats: an older one sends fewer fields, a later one more.
 TEST(MeshMessage, HeartbeatsOfOtherReleasesAreUnderstood) {
   const std::vector<std::string> peers{"a"};
-  for (const std::uint32_t fields : {8U, 10U}) {
+  for (const std::uint32_t fields : {8U, 12U}) {
     msgpack::sbuffer buffer;
     buffer.write("\x01", 1);
     msgpack::packer packer(buffer);
@@ -86,7 +86,7 @@
     packer.pack("vm").pack("a").pack(5U).pack("10.0.0.1:1").pack("10.0.0.1:2");
     packer.pack(9U).pack(true).pack(peers);
     if (fields > 8) {
-      packer.pack(81U).pack("later");
+      packer.pack(81U).pack(2U).pack(7U).pack("later");
     }
     const auto decoded =
         Decode(std::string_view(buffer.data(), buffer.size()), At(0));
@@ -94,6 +94,8 @@
     const auto& read = std::get<heartbeat>(*decoded);
     LONGS_EQUAL(9, read.last_change_revision);
     LONGS_EQUAL(fields > 8 ? 81 : 0, read.peak_vm_count);
+    LONGS_EQUAL(fields > 8 ? 2 : 0, read.view_era);
+    LONGS_EQUAL(fields > 8 ? 7 : 0, read.configuration_version);
   }
 }
 
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -83,6 +83,33 @@
   LONGS_EQUAL(81, made.PeakVmCount());
 }
 
+// Guards against a view that counts as newer because its revisions are of an
+// earlier era, and against a configuration that peers know and nobody fetches.
+TEST(Roster, RevisionsOfDifferentErasDoNotCompare) {
+  const view_position own{2, 20, 9};
+  CHECK_FALSE(IsNewer({1, 31, 9}, own));
+  CHECK_FALSE(IsNewer({0, 31, 0}, own));
+  CHECK_FALSE(IsNewer(own, own));
+  CHECK_TRUE(IsNewer({2, 21, 9}, own));
+  CHECK_TRUE(IsNewer({3, 4, 9}, own));
+  CHECK_TRUE(IsNewer({1, 31, 12}, own));
+  CHECK_TRUE(IsNewer({0, 31, 0}, {0, 30, 0}));
+  roster made("self:1", {"s"}, {}, 7);
+  heartbeat behind = From("a", 1, 31);
+  behind.view_era = 1;
+  behind.configuration_version = 9;
+  made.OnHeartbeat(behind, At(0));
+  CHECK_TRUE(made.FindNewer(own) == nullptr);
+  heartbeat later = From("b", 1, 25);
+  later.view_era = 2;
+  later.configuration_version = 9;
+  made.OnHeartbeat(later, At(0));
+  STRCMP_EQUAL("b", made.FindNewer(own)->last_heartbeat.vm.value.c_str());
+  behind.configuration_version = 12;
+  made.OnHeartbeat(behind, At(0));
+  STRCMP_EQUAL("a", made.FindNewer(own)->last_heartbeat.vm.value.c_str());
+}
+
 // Guards against VMs that never discover each other: the seeds are contacted
 // first, then the VMs that they know.
 TEST(Roster, FindsVmsThroughSeeds) {
@@ -160,8 +187,8 @@
   roster made("self:1", {"s"}, {}, 7);
   made.OnHeartbeat(From("a", 1, 5), At(0));
   made.OnHeartbeat(From("b", 1, 9), At(0));
-  CHECK_TRUE(made.FindNewer(9) == nullptr);
-  STRCMP_EQUAL("b", made.FindNewer(4)->last_heartbeat.vm.value.c_str());
+  CHECK_TRUE(made.FindNewer({0, 9, 0}) == nullptr);
+  STRCMP_EQUAL("b", made.FindNewer({0, 4, 0})->last_heartbeat.vm.value.c_str());
 }
 
 // Guards against waiting for every target of a domain that is cut off, and
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -1,5 +1,8 @@
 #include "acaciaferry/publication/reader.hpp"
 
+#include <cstdlib>
+#include <set>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace acaciaferry;
@@ -167,3 +170,201 @@
   CHECK_TRUE(made.HandleResult(changes{{{"c", "v2", 21}}, 21, 2}, At(4'100)));
   STRCMP_EQUAL("v2", made.View().items.at("c").value.c_str());
 }
+
+namespace {
+
+// Documents whose values are "VERSION" for the configuration "c" and
+// "INCARNATION/LEAVING" for targets.
+document_ranks Ranks() {
+  return {[](std::string_view key, std::string_view value) {
+            document_rank rank;
+            const std::string text(value);
+            if (key == "c") {
+              rank.version = std::strtoull(text.c_str(), nullptr, 10);
+            } else {
+              rank.incarnation = std::strtoull(text.c_str(), nullptr, 10);
+              rank.version = text.ends_with("/leaving") ? 1 : 0;
+            }
+            return rank;
+          },
+          [](std::string_view key) { return key == "c"; }};
+}
+
+using items = std::vector<std::pair<std::string, item>>;
+
+// Lists the documents; the second page may be of a later era.
+bool List(reader& made,
+          const items& targets,
+          const items& configuration,
+          std::uint64_t revision,
+          std::uint64_t era,
+          int ms) {
+  made.HandleResult(page{targets, false, revision, era}, At(ms));
+  return made.HandleResult(page{configuration, false, revision, era}, At(ms));
+}
+
+// A reader of era 1, at revision 30 and version 12.
+reader InFirstEra() {
+  reader made({"t/", "c"}, 7, Ranks());
+  List(made, {{"t/1", {"5", 3}}, {"t/2", {"5", 25}}}, {{"c", {"12", 29}}}, 30,
+       1, 0);
+  static_cast<void>(made.Next(At(500)));
+  return made;
+}
+
+std::string ValueOf(const reader& made, const char* key) {
+  const auto at = made.View().items.find(key);
+  return at == made.View().items.end() ? "" : at->second.value;
+}
+
+}  // namespace
+
+// Guards against a configuration that reverts to that of the copy, and against
+// one that is written again and then not taken.
+TEST(PublicationReader, AConfirmedConfigurationOutlastsTheCopy) {
+  reader made = InFirstEra();
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  List(made, {{"t/1", {"5", 3}}}, {{"c", {"9", 18}}}, 20, 2, 3'100);
+  STRCMP_EQUAL("12", ValueOf(made, "c").c_str());
+  LONGS_EQUAL(20, std::get<watch_request>(made.Next(At(4'000))).after);
+  made.HandleResult(changes{{{"c", "11", 21}}, 21, 2}, At(4'100));
+  STRCMP_EQUAL("12", ValueOf(made, "c").c_str());
+  CHECK_FALSE(made.TakeOutrankedKeys().empty());
+  made.HandleResult(changes{{{"c", "12", 22}}, 22, 2}, At(4'200));
+  made.HandleResult(changes{{{"c", "15", 23}}, 23, 2}, At(4'300));
+  STRCMP_EQUAL("15", ValueOf(made, "c").c_str());
+}
+
+// Guards against a target that gets work again because the copy is older than
+// its leaving or its end.
+TEST(PublicationReader, TargetsThatLeftStayLeftAfterTheReturn) {
+  reader made = InFirstEra();
+  made.HandleResult(changes{{{"t/1", "5/leaving", 31}}, 31, 1}, At(600));
+  static_cast<void>(made.Next(At(900)));
+  made.HandleResult(changes{{{"t/2", "5/leaving", 32}, {"t/2", {}, 33}}, 33, 1},
+                    At(1'000));
+  CHECK_FALSE(made.View().items.contains("t/2"));
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  List(made, {{"t/1", {"5", 3}}, {"t/2", {"5", 18}}}, {{"c", {"12", 19}}}, 20,
+       2, 3'100);
+  STRCMP_EQUAL("5/leaving", ValueOf(made, "t/1").c_str());
+  STRCMP_EQUAL("5/leaving", ValueOf(made, "t/2").c_str());
+  CHECK_TRUE(IsMissing(made, "t/2"));
+  // A new process of the same name is another target.
+  static_cast<void>(made.Next(At(4'000)));
+  made.HandleResult(changes{{{"t/1", "8", 21}, {"t/2", {}, 22}}, 22, 2},
+                    At(4'100));
+  STRCMP_EQUAL("8", ValueOf(made, "t/1").c_str());
+  CHECK_FALSE(made.View().items.contains("t/2"));
+}
+
+// Guards against a target that is never used again because the copy is older
+// than its end by a lapsed lease, after which it had come back.
+TEST(PublicationReader, TargetsThatTheCopyKeepsAreUsedInTheEnd) {
+  reader made = InFirstEra();
+  made.HandleResult(changes{{{"t/2", {}, 31}}, 31, 1}, At(600));
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  List(made, {{"t/1", {"5", 3}}, {"t/2", {"5", 18}}}, {{"c", {"12", 19}}}, 20,
+       2, 3'100);
+  CHECK_TRUE(IsMissing(made, "t/2"));
+  CHECK_TRUE(made.Expire(At(9'000)));
+  CHECK_FALSE(IsMissing(made, "t/2"));
+}
+
+// Guards against targets that are newer than the copy and end with it, and
+// against keeping those that nobody writes again.
+TEST(PublicationReader, TargetsNewerThanTheCopyAreKeptForAWhile) {
+  reader made = InFirstEra();
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  List(made, {{"t/1", {"5", 3}}}, {{"c", {"12", 19}}}, 20, 2, 3'100);
+  CHECK_TRUE(IsMissing(made, "t/2"));
+  reader written = made;
+  static_cast<void>(written.Next(At(4'000)));
+  written.HandleResult(changes{{{"t/2", "5", 21}}, 21, 2}, At(4'100));
+  CHECK_FALSE(IsMissing(written, "t/2"));
+  CHECK_FALSE(written.Expire(At(9'000)));
+  CHECK_TRUE(made.Expire(At(9'000)));
+  CHECK_FALSE(made.View().items.contains("t/2"));
+}
+
+// Guards against a listing that is put together from pages of two eras.
+TEST(PublicationReader, AListingBeginsAgainWhenTheServiceGoesBackMeanwhile) {
+  reader made = InFirstEra();
+  made.HandleResult(request_failure::kHistoryGone, At(1'000));
+  made.HandleResult(page{{{"t/1", {"5", 3}}, {"t/3", {"5", 33}}}, false, 34, 1},
+                    At(1'100));
+  made.HandleResult(page{{{"c", {"9", 18}}}, false, 20, 2}, At(1'200));
+  CHECK_FALSE(made.View().items.contains("t/3"));
+  const auto again = std::get<list_request>(made.Next(At(1'300)));
+  STRCMP_EQUAL("t/", again.prefix.c_str());
+  List(made, {{"t/1", {"5", 3}}}, {{"c", {"9", 18}}}, 20, 2, 1'400);
+  LONGS_EQUAL(2, made.View().era);
+  LONGS_EQUAL(20, std::get<watch_request>(made.Next(At(2'000))).after);
+}
+
+// Guards against changes that are missed because a watch goes on from a
+// revision that was given out again.
+TEST(PublicationReader, AWatchThatCrossesTheReturnLeadsToAListing) {
+  reader made = InFirstEra();
+  CHECK_FALSE(made.HandleResult(changes{{{"t/9", "5", 31}}, 31, 2}, At(700)));
+  CHECK_FALSE(made.View().items.contains("t/9"));
+  CHECK_TRUE(std::holds_alternative<list_request>(made.Next(At(1'200))));
+}
+
+// Guards against answers that were under way at the return and are taken for
+// newer ones.
+TEST(PublicationReader, AnswersOfAnEarlierEraAreDropped) {
+  reader made = InFirstEra();
+  view peer = made.View();
+  peer.era = 2;
+  peer.revision = 20;
+  peer.last_change_revision = 19;
+  CHECK_TRUE(made.Adopt(peer, At(600)));
+  CHECK_FALSE(made.HandleResult(changes{{{"t/9", "5", 31}}, 31, 1}, At(700)));
+  CHECK_FALSE(
+      made.HandleResult(page{{{"t/9", {"5", 31}}}, false, 31, 1}, At(800)));
+  CHECK_FALSE(made.View().items.contains("t/9"));
+  // The watch was sent with a revision of the first era.
+  reader crossed = InFirstEra();
+  CHECK_TRUE(crossed.Adopt(peer, At(600)));
+  CHECK_FALSE(
+      crossed.HandleResult(changes{{{"t/9", "5", 33}}, 33, 2}, At(700)));
+  LONGS_EQUAL(20, std::get<watch_request>(crossed.Next(At(1'500))).after);
+}
+
+// Guards against a restarted VM that takes the copy's configuration although
+// its peers know a later one, and against peers that are behind.
+TEST(PublicationReader, PeersHandOnWhatTheCopyLacks) {
+  reader peer = InFirstEra();
+  static_cast<void>(
+      peer.HandleResult(changes{{{"t/1", "5/leaving", 31}}, 31, 1}, At(600)));
+  reader restarted({"t/", "c"}, 7, Ranks());
+  List(restarted, {{"t/1", {"5", 3}}}, {{"c", {"9", 18}}}, 20, 2, 3'100);
+  STRCMP_EQUAL("9", ValueOf(restarted, "c").c_str());
+  CHECK_TRUE(restarted.Adopt(peer.View(), At(3'200)));
+  STRCMP_EQUAL("12", ValueOf(restarted, "c").c_str());
+  STRCMP_EQUAL("5/leaving", ValueOf(restarted, "t/1").c_str());
+  CHECK_FALSE(restarted.View().items.contains("t/2"));
+  LONGS_EQUAL(20, std::get<watch_request>(restarted.Next(At(4'000))).after);
+  // The peer was behind by an era and learns of it.
+  CHECK_TRUE(peer.Adopt(restarted.View(), At(3'300)));
+  LONGS_EQUAL(2, peer.View().era);
+  STRCMP_EQUAL("12", ValueOf(peer, "c").c_str());
+}
+
+// Guards against all VMs of a fleet that list at the same moment.
+TEST(PublicationReader, ListingsAfterTheReturnAreSpread) {
+  std::set<time_point> times;
+  for (std::uint64_t seed = 0; seed < 81; ++seed) {
+    reader made({"t/", "c"}, seed, Ranks());
+    List(made, {{"t/1", {"5", 3}}}, {{"c", {"12", 29}}}, 30, 1, 0);
+    made.SetShortWatches(false);
+    static_cast<void>(made.Next(At(500)));
+    made.HandleResult(request_failure::kHistoryGone, At(3'000));
+    const auto next = made.Next(At(3'000));
+    const auto* wait = std::get_if<wait_until>(&next);
+    times.insert(wait != nullptr ? wait->until : At(3'000));
+  }
+  CHECK_COMPARE(times.size(), >=, 60U);
+  CHECK_TRUE(*times.rbegin() < At(3'500));
+}
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -262,6 +262,24 @@
   LONGS_EQUAL(3, parts_of(",:,x,").size());
 }
 
+// Guards against documents of an older copy that count as the newest ones.
+TEST(PlatformDialect, RanksDocumentsByWhatTheirWriterStates) {
+  const fixture platform;
+  const auto ranks = platform.protocol->DocumentRanks();
+  CHECK_TRUE(ranks.is_permanent("op/config"));
+  CHECK_FALSE(ranks.is_permanent("servers/i-1"));
+  LONGS_EQUAL(7, ranks.rank_of("op/config", kConfiguration).version);
+  CHECK_TRUE(ranks.rank_of("op/config", "{}") == publication::document_rank{});
+  const auto rank = [&](const std::string& state, int born) {
+    return ranks.rank_of(
+        "servers/i-1", R"({"service":"m","address":"a:1","slots":1,"state":")" +
+                           state + R"(","born":)" + std::to_string(born) + "}");
+  };
+  CHECK_TRUE(rank("draining", 5) > rank("ready", 5));
+  CHECK_TRUE(rank("ready", 6) > rank("draining", 5));
+  CHECK_TRUE(rank("odd", 9) < rank("ready", 5));
+}
+
 // Guards against revisions that are compared although the service has come back
 // from an older copy.
 TEST(PlatformDialect, ReadsTheEraOfTheService) {
