Split prompts over limited targets only if they would be late

In a pool all of whose targets have named limits every part of a prompt used up a request, so half of the prompts that the pool takes were refused. Change: limited targets help only if a prompt would be late without them, or if no single engine can hold it.

--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -185,9 +185,9 @@
     std::span<const target* const> targets,
     time_point now);
 
-/** @return Those of some targets that have named a limit, unless all of them
- * have. Parts of prompts are read elsewhere: each would use up one of the
- * requests that the target takes. */
+/** @return Those of some targets that have named a limit. Parts of prompts are
+ * read elsewhere if possible: each uses up one of the requests that the target
+ * takes. */
 [[nodiscard]] std::vector<target_id> LimitedAmong(
     const state& current,
     std::span<const target* const> targets);
--- a/src/acaciaferry/forwarding/limits.cpp
+++ b/src/acaciaferry/forwarding/limits.cpp
@@ -89,9 +89,6 @@
       limited.push_back(each->id);
     }
   }
-  if (limited.size() == targets.size()) {
-    limited.clear();
-  }
   return limited;
 }
 
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -182,9 +182,14 @@
                const std::vector<const target*>& candidates,
                time_point now,
                effects& out) {
-  auto plan =
-      PlanSpan(current, engine, candidates,
-               MakePlacementRequest(current, pending, candidates, now), now);
+  placement_request wanted =
+      MakePlacementRequest(current, pending, candidates, now);
+  auto plan = PlanSpan(current, engine, candidates, wanted, now);
+  if (!plan && !wanted.not_as_helpers.empty()) {
+    // No single engine can hold the prompt, so limited ones have to help.
+    wanted.not_as_helpers.clear();
+    plan = PlanSpan(current, engine, candidates, wanted, now);
+  }
   const bool wait = !plan || IsWorthDeferring(plan->chosen);
   if (wait &&
       CanWait(pending,
@@ -303,6 +308,13 @@
       MakePlacementRequest(current, pending, candidates, now);
   auto chosen =
       PlacePrompt(engine, candidates, current.ledger, wanted, kMaxHelpers, now);
+  if (chosen && !wanted.not_as_helpers.empty() &&
+      chosen->time_to_first_event > wanted.latency_budget) {
+    // Limited targets help only if the prompt would be late without them.
+    wanted.not_as_helpers.clear();
+    chosen = PlacePrompt(engine, candidates, current.ledger, wanted,
+                         kMaxHelpers, now);
+  }
   if (!chosen &&
       wanted.memory_tokens * kSmallPromptDivisor < engine.memory_tokens) {
     // A small prompt gets memory as soon as any other request ends.
--- a/test/acaciaferry/forwarding/limited_fleet.cpp
+++ b/test/acaciaferry/forwarding/limited_fleet.cpp
@@ -42,6 +42,7 @@
     made.address = made.id.value + ":1";
     made.slots = 16;
     published.push_back(made);
+    limits_[made.id] = std::nullopt;
   }
   for (std::size_t vm = 0; vm < vms; ++vm) {
     constexpr unsigned kRandomBits = 16;
@@ -59,6 +60,17 @@
   limits_[TargetId(target)] = requests_per_s;
 }
 
+void limited_fleet::SetKnownLimits(double requests_per_s) {
+  limit_reports_received reports;
+  for (auto& [id, limit] : limits_) {
+    limit = requests_per_s;
+    reports.reports.push_back({id, 0, requests_per_s, {}, 0});
+  }
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    Post(vm, reports);
+  }
+}
+
 void limited_fleet::SetFailing(std::size_t target, bool fails) {
   if (fails) {
     failing_.insert(TargetId(target));
@@ -99,7 +111,7 @@
   what.max_attempts = 2;
   what.time_limit = std::chrono::seconds(10);
   what.latency_objective =
-      std::chrono::milliseconds(prompt_tokens > 20'000 ? 3'000 : 300);
+      std::chrono::milliseconds(prompt_tokens > 60'000 ? 3'000 : 300);
   what.gap_objective = std::chrono::milliseconds(prompt_tokens > 0 ? 250 : 0);
   what.prompt_tokens = prompt_tokens;
   what.output_tokens = prompt_tokens > 0 ? 300 : 0;
@@ -161,6 +173,13 @@
               limit_statement{limit == limits_.end() ? std::nullopt
                                                      : limit->second}});
     reach(kResponseLength, response_completed{sent->id, sent->attempt});
+  } else if (const auto* order = std::get_if<reserve_memory>(&caused)) {
+    pending_.emplace(now_ + kPeerDelay,
+                     std::pair(vm, ticket_order_settled{
+                                       order->id, order->attempt, order->ticket,
+                                       order->renewal ? ticket_order::kRenew
+                                                      : ticket_order::kReserve,
+                                       order_result::kDone}));
   } else if (const auto* news = std::get_if<notify_peers>(&caused)) {
     Tell(vm, peer_load_update{news->jobs, news->ended, news->distrusted});
   } else if (const auto* limits = std::get_if<share_limits>(&caused)) {
--- a/test/acaciaferry/forwarding/limited_fleet.hpp
+++ b/test/acaciaferry/forwarding/limited_fleet.hpp
@@ -25,6 +25,9 @@
   /** @brief Sets what a target names in its responses; nothing to end it. */
   void SetLimit(std::size_t target, std::optional<double> requests_per_s);
 
+  /** @brief Limits all targets, which all VMs know already. */
+  void SetKnownLimits(double requests_per_s);
+
   /** @brief Lets a target fail every request after it ran. */
   void SetFailing(std::size_t target, bool fails);
 
--- a/test/acaciaferry/forwarding/target_limits_test.cpp
+++ b/test/acaciaferry/forwarding/target_limits_test.cpp
@@ -164,3 +164,39 @@
   CHECK_COMPARE(static_cast<double>(first_second), <=,
                 1.5 * kLimit * kTargets * 15);
 }
+
+// Guards against prompts that are split although each part uses up a request of
+// a pool that has few, and against late ones that are not split.
+TEST(TargetLimits, PromptsOfALimitedPoolAreSplitOnlyIfLate) {
+  constexpr std::size_t kTargets = 12;
+  for (const bool would_be_late : {false, true}) {
+    limited_fleet fleet(7, kTargets, true);
+    fleet.SetKnownLimits(2.0);
+    const std::uint64_t tokens = would_be_late ? 45'000 : 33'000;
+    fleet.Run(seconds(2), milliseconds(200), tokens);
+    const time_point since = fleet.Now();
+    fleet.Run(seconds(10), milliseconds(200), tokens);
+    std::size_t sent = 0;
+    for (std::size_t target = 0; target < kTargets; ++target) {
+      sent += fleet.Arrivals(target, since, fleet.Now());
+    }
+    CHECK_COMPARE(sent, >=, would_be_late ? 90U : 45U);
+    CHECK_COMPARE(sent, <=, would_be_late ? 200U : 52U);
+  }
+}
+
+// Guards against refusing the longest prompts of a limited pool, which no
+// engine can hold alone.
+TEST(TargetLimits, LongPromptsOfALimitedPoolAreSplit) {
+  limited_fleet fleet(7, 12, true);
+  fleet.SetKnownLimits(2.0);
+  fleet.Run(seconds(2), seconds(1), 5'000);
+  const time_point since = fleet.Now();
+  fleet.Run(seconds(8), seconds(3), 300'000);
+  std::size_t sent = 0;
+  for (std::size_t target = 0; target < 12; ++target) {
+    sent += fleet.Arrivals(target, since, fleet.Now());
+  }
+  // Three prompts, each on two engines or more.
+  CHECK_COMPARE(sent, >=, 6U);
+}
