--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -393,4 +393,5 @@
         check("event=" + event in lines, "the log has a line for " + event)
 
 
-main()
+if __name__ == "__main__":
+    main()
