Let only a success of the target end its limit

Cause: found on reading. A target in need also fails requests; if such an answer named no limit, the limit ended on all VMs until the next answer, and began anew with a small debt. Change: the end of a limit is read from successes only, and a limit that is named again keeps a higher debt. The number of limits kept is bounded, and the least rate stands in one place.

--- a/src/acaciaferry/forwarding/limits.cpp
+++ b/src/acaciaferry/forwarding/limits.cpp
@@ -102,12 +102,10 @@
   }
   double requests_per_s = 0;
   for (const target* each : targets) {
-    requests_per_s += current.limits.LimitOf(each->id).value_or(0);
+    requests_per_s += current.limits.FleetRate(each->id);
   }
-  constexpr double kMinRequestsPerS = 0.1;
   const duration vm_spacing =
-      FromSeconds(static_cast<double>(current.vm_count) /
-                  std::max(requests_per_s, kMinRequestsPerS));
+      FromSeconds(static_cast<double>(current.vm_count) / requests_per_s);
   return current.limits.PromiseRoom(pending.request.pool, *next_room,
                                     vm_spacing, pending.deadline) -
          now;
--- a/src/acaciaferry/forwarding/target_limits.cpp
+++ b/src/acaciaferry/forwarding/target_limits.cpp
@@ -26,6 +26,8 @@
 // For how long the end of a limit is kept, so that no older report revives it.
 constexpr duration kEndedAge = std::chrono::seconds(30);
 constexpr duration kMaxAge = std::chrono::minutes(10);
+// Bounds what forged datagrams can make a VM keep.
+constexpr std::size_t kMaxEntries = 4'096;
 
 namespace {
 
@@ -59,6 +61,11 @@
          share_;
 }
 
+double target_limits::FleetRate(const target_id& id) const {
+  const auto limit = LimitOf(id);
+  return limit ? std::max(*limit, internal::kMinRequestsPerS) : 0;
+}
+
 double target_limits::DebtAt(const entry& of, time_point now) const {
   const double rate = Rate(of);
   const double repaid = rate * std::max(ToSeconds(now - of.debt_at), 0.0);
@@ -100,7 +107,8 @@
   if (changed == change::kNamed) {
     // Others may have sent to the target just now, unheard if this VM hears
     // only some of them.
-    known.debt = 1 + (share_ < 1 ? internal::DrawFraction(random_) : 0);
+    known.debt = std::max(
+        known.debt, 1 + (share_ < 1 ? internal::DrawFraction(random_) : 0));
   }
   return changed;
 }
@@ -116,6 +124,9 @@
         report.requests_per_s != at->second.requests_per_s))) {
     return change::kNone;
   }
+  if (at == entries_.end() && entries_.size() >= internal::kMaxEntries) {
+    return change::kNone;
+  }
   const change changed = Apply(report.target, report.incarnation,
                                report.requests_per_s, observed_at, now);
   if (!report.requests_per_s) {
--- a/src/acaciaferry/forwarding/target_limits.hpp
+++ b/src/acaciaferry/forwarding/target_limits.hpp
@@ -79,6 +79,9 @@
   [[nodiscard]] bool IsLimited(const target_id& id) const;
   /** @return The limit of a target in requests a second, if it has one. */
   [[nodiscard]] std::optional<double> LimitOf(const target_id& id) const;
+  /** @return Requests a second that all VMs together send to a target at most;
+   * 0 for one without a limit. */
+  [[nodiscard]] double FleetRate(const target_id& id) const;
   /** @return When the limit of a target leaves room for a request: `now` or
    * later. */
   [[nodiscard]] time_point NextRequestAt(const target_id& id,
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -200,6 +200,7 @@
       0, *limit_of(503, {not_run, {"server-limit", "0"}})->requests_per_s, 0);
   CHECK_FALSE(limit_of(200, {stamp})->requests_per_s.has_value());
   CHECK_FALSE(limit_of(503, {not_run}).has_value());
+  CHECK_FALSE(limit_of(500, {stamp}).has_value());
   CHECK_FALSE(limit_of(421, {{"Server-Limit", "1"}}).has_value());
   for (const char* text : {"-1", "nan", "inf", "1e999", "1,5", "many"}) {
     CHECK_FALSE(limit_of(200, {stamp, {"Server-Limit", text}}).has_value());
