--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -92,7 +92,6 @@
   known.last_distrust =
       in_a_row ? std::min(known.last_distrust * 2, internal::kMaxDistrust)
                : internal::kMinDistrust;
-  known.distrusted_at = now;
   known.distrusted_until = now + known.last_distrust;
   return known.last_distrust;
 }
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -108,7 +108,6 @@
   struct entry {
     target published;
     time_point distrusted_until{};
-    time_point distrusted_at{};
     duration last_distrust{};
     /** Moving average of the share of runs that failed. */
     double failure_rate{};
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -274,6 +274,20 @@
   }
 }
 
+// Guards against a process that ends because a value is no base64.
+TEST(PlatformDialect, ValuesThatAreNoBase64FailTheirResponse) {
+  const fixture platform;
+  using publication::request_failure;
+  const auto page = platform.protocol->DecodePage(
+      200,
+      R"({"items":[{"key":"a","value":"d!E=","revision":4}],"store_revision":9})");
+  CHECK_TRUE(std::get<request_failure>(page) == request_failure::kSilent);
+  const auto changes = platform.protocol->DecodeChanges(
+      200,
+      R"({"events":[{"key":"a","value":"\u0001","revision":4}],"store_revision":9})");
+  CHECK_TRUE(std::get<request_failure>(changes) == request_failure::kSilent);
+}
+
 // Guards against documents of an older copy that count as the newest ones.
 TEST(PlatformDialect, RanksDocumentsByWhatTheirWriterStates) {
   const fixture platform;
