Split the messages and the published targets from large files

Change: the bodies of datagrams stand in mesh/wire.hpp, published targets and pools in forwarding/published_targets.cpp. Nothing else changes.

--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -153,6 +153,12 @@
                   time_point now,
                   effects& out);
 
+/** @brief Replaces the published targets, and forgets what is known of those
+ * that have gone or restarted. */
+void ApplyPublishedTargets(state& current,
+                           const targets_published& published,
+                           effects& out);
+
 /** @brief Records what a response says of its target's limit, and tells the
  * peers of a change. */
 void RecordLimit(state& current,
--- /dev/null
+++ b/src/acaciaferry/forwarding/published_targets.cpp
@@ -0,0 +1,70 @@
+#include <string>
+#include <string_view>
+
+#include "acaciaferry/forwarding/flights.hpp"
+#include "acaciaferry/forwarding/state.hpp"
+
+namespace acaciaferry::forwarding {
+namespace internal {
+namespace {
+
+void SetEngines(state& current) {
+  for (const auto& [pool, engine] : current.pools) {
+    if (engine) {
+      for (const target* each : current.targets.NotLeaving(pool)) {
+        current.ledger.SetEngine(each->id, *engine);
+      }
+    }
+  }
+}
+
+void LogTargetChange(effects& out,
+                     decision_kind kind,
+                     const target_id& id,
+                     std::string_view why) {
+  LogDecision(out, kind, id.value, {{"why", std::string(why)}});
+}
+
+}  // namespace
+
+void ApplyPublishedTargets(state& current,
+                           const targets_published& published,
+                           effects& out) {
+  using type = target_table::change::type;
+  for (const auto& change : current.targets.Update(published.targets)) {
+    switch (change.kind) {
+      case type::kFound:
+        LogTargetChange(out, decision_kind::kTargetFound, change.id,
+                        "published");
+        break;
+      case type::kLost:
+        current.ledger.RemoveTarget(change.id);
+        LogTargetChange(out, decision_kind::kTargetLost, change.id,
+                        "no_longer_published");
+        break;
+      case type::kLeaving:
+        LogTargetChange(out, decision_kind::kTargetLeaving, change.id,
+                        "published");
+        break;
+      case type::kRestarted:
+        current.ledger.RemoveTarget(change.id);
+        current.limits.Forget(change.id);
+        LogTargetChange(out, decision_kind::kTargetRestarted, change.id,
+                        "new_incarnation");
+        break;
+    }
+  }
+  SetEngines(current);
+}
+
+}  // namespace internal
+
+void SetPools(state& current, const routing_table& table) {
+  current.pools.clear();
+  for (const pool& each : table.pools) {
+    current.pools.emplace(each.name, each.engine);
+  }
+  internal::SetEngines(current);
+}
+
+}  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -17,23 +17,6 @@
 constexpr duration kRecentActivity = std::chrono::milliseconds(400);
 constexpr duration kIdleWake = std::chrono::seconds(1);
 
-void SetEngines(state& current) {
-  for (const auto& [pool, engine] : current.pools) {
-    if (engine) {
-      for (const target* each : current.targets.NotLeaving(pool)) {
-        current.ledger.SetEngine(each->id, *engine);
-      }
-    }
-  }
-}
-
-void LogTargetChange(effects& out,
-                     decision_kind kind,
-                     const target_id& id,
-                     std::string_view why) {
-  LogDecision(out, kind, id.value, {{"why", std::string(why)}});
-}
-
 void Distrust(state& current,
               const target_id& id,
               distrust_reason why,
@@ -214,31 +197,7 @@
   }
 
   void operator()(const targets_published& happened) {
-    using type = target_table::change::type;
-    for (const auto& change : current.targets.Update(happened.targets)) {
-      switch (change.kind) {
-        case type::kFound:
-          LogTargetChange(out, decision_kind::kTargetFound, change.id,
-                          "published");
-          break;
-        case type::kLost:
-          current.ledger.RemoveTarget(change.id);
-          LogTargetChange(out, decision_kind::kTargetLost, change.id,
-                          "no_longer_published");
-          break;
-        case type::kLeaving:
-          LogTargetChange(out, decision_kind::kTargetLeaving, change.id,
-                          "published");
-          break;
-        case type::kRestarted:
-          current.ledger.RemoveTarget(change.id);
-          current.limits.Forget(change.id);
-          LogTargetChange(out, decision_kind::kTargetRestarted, change.id,
-                          "new_incarnation");
-          break;
-      }
-    }
-    SetEngines(current);
+    ApplyPublishedTargets(current, happened, out);
   }
 
   void operator()(const peer_load_update& happened) {
@@ -448,14 +407,6 @@
   dispatch_prefix = ProcessPrefix(self.second);
 }
 
-void SetPools(state& current, const routing_table& table) {
-  current.pools.clear();
-  for (const pool& each : table.pools) {
-    current.pools.emplace(each.name, each.engine);
-  }
-  internal::SetEngines(current);
-}
-
 effects Reduce(state& current, const event& happened, time_point now) {
   internal::reducer step{current, now, {}};
   // Timeouts are handled first, so that a process that was paused doesn't
--- /dev/null
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+#include <vector>
+
+// The bodies of datagrams, as arrays of their fields. VMs of two releases run
+// side by side: fields are only added at the end, where older VMs ignore them.
+namespace acaciaferry::mesh::internal {
+
+// First byte of a datagram: the version of the format. VMs of two versions run
+// side by side, so every VM must decode a new format before any VM sends it.
+inline constexpr char kFormat = 1;
+
+enum kind : std::uint32_t {
+  kHeartbeat = 1,
+  kLoad = 2,
+  kSuspects = 3,
+  kLiveDispatches = 4,
+  kDispatchRequest = 5,
+  kPartCrashes = 6,
+  kBegunParts = 7,
+  kLimits = 8
+};
+
+inline constexpr std::size_t kJobsPerDatagram = 16;
+inline constexpr std::size_t kKeysPerDatagram = 64;
+inline constexpr std::size_t kSuspectsPerDatagram = 16;
+// A crash with few parts takes about 90 bytes.
+inline constexpr std::size_t kPartCrashesPerDatagram = 8;
+inline constexpr std::size_t kPartsPerDatagram = 64;
+// A report takes about 60 bytes.
+inline constexpr std::size_t kLimitsPerDatagram = 16;
+// Stands for a target that names no limit any more.
+inline constexpr double kNoLimit = -1;
+inline constexpr std::size_t kMaxItems = 1'024;
+// Longer durations in a datagram are cut to this.
+inline constexpr std::int64_t kMaxDurationMs = 3'600'000;
+
+struct heartbeat_wire {
+  std::string vm;
+  std::string failure_domain;
+  std::uint64_t incarnation{};
+  std::string datagram_address;
+  std::string view_address;
+  std::uint64_t last_change_revision{};
+  bool leaving{};
+  std::vector<std::string> known_peers;
+  // Not sent by older VMs.
+  std::uint64_t peak_vm_count{};
+  std::uint64_t view_era{};
+  std::uint64_t configuration_version{};
+  MSGPACK_DEFINE_ARRAY(vm,
+                       failure_domain,
+                       incarnation,
+                       datagram_address,
+                       view_address,
+                       last_change_revision,
+                       leaving,
+                       known_peers,
+                       peak_vm_count,
+                       view_era,
+                       configuration_version)
+};
+
+struct job_wire {
+  std::uint64_t key{};
+  std::string target;
+  std::int64_t prefill_us{};
+  bool is_part{};
+  std::int64_t first_event_due_in_ms{};
+  double weight{};
+  bool is_decode{};
+  std::int64_t gap_ms{};
+  std::uint64_t memory_tokens{};
+  std::uint64_t context_tokens{};
+  std::int64_t deadline_in_ms{};
+  MSGPACK_DEFINE_ARRAY(key,
+                       target,
+                       prefill_us,
+                       is_part,
+                       first_event_due_in_ms,
+                       weight,
+                       is_decode,
+                       gap_ms,
+                       memory_tokens,
+                       context_tokens,
+                       deadline_in_ms)
+};
+
+struct distrust_wire {
+  std::string target;
+  std::int64_t remaining_ms{};
+  MSGPACK_DEFINE_ARRAY(target, remaining_ms)
+};
+
+struct load_wire {
+  std::vector<job_wire> jobs;
+  std::vector<std::uint64_t> ended;
+  std::vector<distrust_wire> distrusted;
+  MSGPACK_DEFINE_ARRAY(jobs, ended, distrusted)
+};
+
+struct live_dispatches_wire {
+  std::uint64_t incarnation{};
+  std::string datagram_address;
+  std::vector<std::uint64_t> dispatches;
+  MSGPACK_DEFINE_ARRAY(incarnation, datagram_address, dispatches)
+};
+
+struct dispatch_request_wire {
+  std::string datagram_address;
+  std::vector<std::uint64_t> dispatches;
+  MSGPACK_DEFINE_ARRAY(datagram_address, dispatches)
+};
+
+struct suspect_wire {
+  std::uint64_t fingerprint{};
+  std::string vm;
+  std::uint64_t incarnation{};
+  std::uint64_t version{};
+  std::uint32_t crashes{};
+  double weight{};
+  std::int64_t age_ms{};
+  MSGPACK_DEFINE_ARRAY(fingerprint,
+                       vm,
+                       incarnation,
+                       version,
+                       crashes,
+                       weight,
+                       age_ms)
+};
+
+struct part_crash_wire {
+  std::string vm;
+  std::uint64_t incarnation{};
+  std::uint64_t sequence{};
+  std::string target;
+  std::int64_t age_ms{};
+  std::vector<std::uint64_t> parts;
+  MSGPACK_DEFINE_ARRAY(vm, incarnation, sequence, target, age_ms, parts)
+};
+
+struct begun_part_wire {
+  std::uint64_t part{};
+  std::int64_t age_ms{};
+  MSGPACK_DEFINE_ARRAY(part, age_ms)
+};
+
+struct limit_wire {
+  std::string target;
+  std::uint64_t incarnation{};
+  double requests_per_s{};
+  std::int64_t age_ms{};
+  double debt{};
+  MSGPACK_DEFINE_ARRAY(target, incarnation, requests_per_s, age_ms, debt)
+};
+
+}  // namespace acaciaferry::mesh::internal
