--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -76,7 +76,8 @@
 
 /** @brief The published documents, decoded. */
 struct decoded_view {
-  /** Empty if the view holds no valid configuration. */
+  /** Empty if the view holds no valid configuration, or none that is later than
+   * the known one. */
   std::optional<forwarding::routing_table> table;
   std::vector<forwarding::target> targets;
   std::vector<document_fault> faults;
@@ -162,9 +163,15 @@
   /** @return How versions of published documents compare. */
   [[nodiscard]] virtual publication::document_ranks DocumentRanks() const = 0;
 
-  /** @brief Decodes the published documents. */
+  /**
+   * @brief Decodes the published documents.
+   * @param view The documents.
+   * @param known_version Version of the routing table in use, 0 for none. A
+   * configuration that is no later is not decoded.
+   */
   [[nodiscard]] virtual decoded_view DecodeDocuments(
-      const publication::view& view) const = 0;
+      const publication::view& view,
+      std::uint64_t known_version) const = 0;
 };
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -230,7 +230,8 @@
 }
 
 void entry_daemon::OnViewChanged() {
-  decoded_view decoded = protocol_->DecodeDocuments(views_.View());
+  decoded_view decoded =
+      protocol_->DecodeDocuments(views_.View(), table_ ? table_->version : 0);
   for (const document_fault& fault : decoded.faults) {
     metrics_.CountDocumentFault();
     log_.WriteEvent("document_refused",
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -202,7 +202,8 @@
                         const item& value,
                         const item& known) const {
   if (IsPermanent(key)) {
-    return RankOf(key, value.value) >= RankOf(key, known.value);
+    return value.value == known.value ||
+           RankOf(key, value.value) >= RankOf(key, known.value);
   }
   if (value.era == known.era) {
     return value.revision >= known.revision;
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -38,7 +38,7 @@
 struct fixture {
   std::unique_ptr<dialect> protocol = platform_adapter::MakeDialect();
   forwarding::routing_table table =
-      *protocol->DecodeDocuments(View(kConfiguration)).table;
+      *protocol->DecodeDocuments(View(kConfiguration), 0).table;
 
   parse_result Parse(const net::request_head& head) const {
     return protocol->ParseRequest(1, head, "body", table, 4);
@@ -91,7 +91,7 @@
   view.items["servers/i-3"] = {"\xff not json", 4, false};
   view.items["servers/i-4"] = {
       R"({"service":"m","address":7,"slots":1,"state":"ready"})", 5, false};
-  const decoded_view decoded = platform.protocol->DecodeDocuments(view);
+  const decoded_view decoded = platform.protocol->DecodeDocuments(view, 0);
   CHECK_FALSE(decoded.table.has_value());
   LONGS_EQUAL(1, decoded.targets.size());
   LONGS_EQUAL(4, decoded.faults.size());
@@ -263,6 +263,20 @@
   LONGS_EQUAL(3, parts_of(",:,x,").size());
 }
 
+// Guards against decoding a long configuration with each change of a target,
+// and against one that is not decoded although it is later.
+TEST(PlatformDialect, OnlyLaterConfigurationsAreDecoded) {
+  const fixture platform;
+  const auto decode = [&](const std::string& value, std::uint64_t known) {
+    return platform.protocol->DecodeDocuments(View(value), known);
+  };
+  CHECK_TRUE(decode(kConfiguration, 6).table.has_value());
+  CHECK_FALSE(decode(kConfiguration, 7).table.has_value());
+  CHECK_TRUE(decode(kConfiguration, 7).faults.empty());
+  LONGS_EQUAL(1, decode("{}", 7).faults.size());
+  LONGS_EQUAL(1, decode("no json", 7).faults.size());
+}
+
 // Guards against a listing from before the service came back from a copy: a
 // watch from its revision would miss changes.
 TEST(PlatformDialect, ListingsAreNeverStale) {
