Look live addresses up in a set

Cause: each heartbeat names up to 64 VMs, and each was compared with all live ones, 5,000 comparisons of text for each heartbeat in a fleet of 81. Change: the roster keeps the addresses in a set. KnowsTheAddressesOfLiveVms passes.

--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -53,6 +53,10 @@
   if (!added && heard.incarnation > known.last_heartbeat.incarnation) {
     changed.replaced_incarnation = known.last_heartbeat.incarnation;
   }
+  if (known.last_heartbeat.datagram_address != heard.datagram_address) {
+    live_addresses_.erase(known.last_heartbeat.datagram_address);
+    live_addresses_.insert(heard.datagram_address);
+  }
   known = {heard, now};
   peak_live_ = std::max(peak_live_, members_.size());
   peak_of_peers_ = std::max(
@@ -72,6 +76,7 @@
   std::vector<heartbeat> dropped;
   for (auto at = members_.begin(); at != members_.end();) {
     if (at->second.heard_at + internal::kLivenessTimeout < now) {
+      live_addresses_.erase(at->second.last_heartbeat.datagram_address);
       dropped.push_back(at->second.last_heartbeat);
       at = members_.erase(at);
     } else {
@@ -82,9 +87,7 @@
 }
 
 bool roster::IsLive(const std::string& datagram_address) const {
-  return std::any_of(members_.begin(), members_.end(), [&](const auto& each) {
-    return each.second.last_heartbeat.datagram_address == datagram_address;
-  });
+  return live_addresses_.contains(datagram_address);
 }
 
 std::vector<std::string> roster::LiveAddresses() const {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include "acaciaferry/core/time.hpp"
@@ -126,6 +127,8 @@
   /** Position in the list of live VMs at which the next round begins. */
   std::size_t next_recipient_{};
   std::map<vm_id, member> members_;
+  /** Datagram addresses of the members. */
+  std::unordered_set<std::string> live_addresses_;
   /** Addresses that other VMs reported and that were not heard yet, with the
    * number of attempts to contact them. */
   std::map<std::string, std::uint32_t> unconfirmed_;
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -110,6 +110,20 @@
   STRCMP_EQUAL("a", made.FindNewer(own)->last_heartbeat.vm.value.c_str());
 }
 
+// Guards against replies to addresses of VMs that have moved or gone.
+TEST(Roster, KnowsTheAddressesOfLiveVms) {
+  roster made("self:1", {"s"}, {}, 7);
+  made.OnHeartbeat(From("a"), At(0));
+  CHECK_TRUE(made.IsLive("a:1"));
+  heartbeat moved = From("a", 2);
+  moved.datagram_address = "a:9";
+  made.OnHeartbeat(moved, At(100));
+  CHECK_FALSE(made.IsLive("a:1"));
+  CHECK_TRUE(made.IsLive("a:9"));
+  made.Expire(At(9'000));
+  CHECK_FALSE(made.IsLive("a:9"));
+}
+
 // Guards against VMs that never discover each other: the seeds are contacted
 // first, then the VMs that they know.
 TEST(Roster, FindsVmsThroughSeeds) {
