Add two failing tests for streams that end although their target has not ended them

Cause: a VM that was busy takes its own pause for the silence of targets, and a stream that moves on from a silent target is cut when the next one refuses it.

--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -40,14 +40,13 @@
     routing_table table;
     table.pools = {{kService, {}}, {kModel, MakeTestEngine(200'000)}};
     SetPools(current, table);
-    std::vector<target> targets;
     for (int i = 0; i < 3; ++i) {
-      targets.push_back(Target("s" + std::to_string(i), kService));
+      published.push_back(Target("s" + std::to_string(i), kService));
     }
     for (int i = 0; i < 6; ++i) {
-      targets.push_back(Target("e" + std::to_string(i), kModel));
+      published.push_back(Target("e" + std::to_string(i), kModel));
     }
-    Post(targets_published{targets});
+    Post(targets_published{published});
   }
 
   effects Post(const event& happened) {
@@ -110,10 +109,20 @@
     Post(attempt_sent{attempt.id, attempt.attempt});
   }
 
+  // Starts a short prompt whose first event has arrived.
+  send_attempt StartStream() {
+    const auto first = Start(call_kind::kStreaming, kModel, 5'000);
+    Sent(first);
+    Post(response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
+    Post(response_progressed{first.id, 1, 1});
+    return first;
+  }
+
   failure Refusal() const { return All<refuse_call>().front().why; }
 
   time_point now;
   state current;
+  std::vector<target> published;
   effects last;
   call_id id{};
   /** Shared parts of the next call's prompt. */
@@ -324,6 +333,37 @@
   LONGS_EQUAL(1, fleet.All<finish_stream>().size());
 }
 
+// Guards against a sound stream that is cut because its VM was busy: what has
+// arrived meanwhile is read before a target counts as silent.
+TEST(ForwardingReduce, PausesOfTheVmAreNoSilenceOfTargets) {
+  fixture fleet;
+  const auto first = fleet.StartStream();
+  fleet.PostAt(3'000, targets_published{fleet.published});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
+  fleet.Post(response_progressed{first.id, 1, 2});
+  fleet.Post(response_completed{first.id, 1});
+  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
+}
+
+// Guards against a stream that is cut after a silence of its target because the
+// target that should go on with it refuses it.
+TEST(ForwardingReduce, SilentStreamsAreNotCutWhenTheNextTargetRefusesThem) {
+  fixture fleet;
+  const auto first = fleet.StartStream();
+  fleet.PostAt(2'500, timer_fired{});
+  const auto second = fleet.All<send_attempt>();
+  LONGS_EQUAL(1, second.size());
+  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
+  fleet.Sent(second[0]);
+  fleet.Post(
+      response_started{first.id, 2, response_verdict::kNotRun, 503, "", {}});
+  LONGS_EQUAL(0, fleet.All<abort_response>().size());
+  fleet.Post(response_progressed{first.id, 1, 2});
+  fleet.Post(response_completed{first.id, 1});
+  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
+}
+
 // Guards against streams that wait for targets in a domain that is cut off, and
 // against abandoning targets there that still respond.
 TEST(ForwardingReduce, StreamsMoveOnFromDomainsThatAreCutOff) {
