Read what has arrived before a target counts as silent

Cause: callers had a part of a stream and then a closed connection. A VM that decodes a large configuration does nothing else for half a second and more; its first event afterwards judged all attempts by the clock, before the events of their streams that had arrived meanwhile were read.

Change: only the timer judges silence, deadlines of calls that were sent, and planners that don't answer, and it does so as of the time for which it was set: the event loop finds an expired timer when it looks for input, and handles the input first. The datagram socket reads all that has arrived, not one datagram a turn, so that this holds for planners' answers, too.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -336,10 +336,12 @@
   }
   wake_at_ = next;
   wake_timer_.expires_at(next);
-  wake_timer_.async_wait([this](const boost::system::error_code& error) {
+  // The loop finds an expired timer when it looks for input, and handles the
+  // input that it finds before the timer.
+  wake_timer_.async_wait([this, next](const boost::system::error_code& error) {
     if (!error) {
       wake_at_ = {};
-      Post(forwarding::timer_fired{});
+      Post(forwarding::timer_fired{next});
     }
   });
 }
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -216,7 +216,11 @@
 };
 
 /** The timer for NextWake fired. */
-struct timer_fired {};
+struct timer_fired {
+  /** The time for which it was set: all input that had arrived by then has been
+   * handled. Nothing: the current time. */
+  std::optional<time_point> set_for{};
+};
 
 using event = std::variant<call_arrived,
                            caller_disconnected,
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -28,9 +28,19 @@
   return &at->second;
 }
 
+// All input that had arrived by this time has been handled when an event is
+// processed. After other events than the timer, responses may be waiting to be
+// read.
+time_point InputReadUntil(const event& happened, time_point now) {
+  const auto* timer = std::get_if<timer_fired>(&happened);
+  return timer == nullptr ? time_point::min() : timer->set_for.value_or(now);
+}
+
 struct reducer {
   state& current;
   time_point now;
+  /** Nobody counts as silent after this time. */
+  time_point input_read_until;
   effects out;
 
   void operator()(const call_arrived& happened) {
@@ -307,16 +317,14 @@
     std::vector<call_id> due;
     for (const auto& [id, pending] : current.pending_calls) {
       const auto unused_due = UnusedReservationsDue(current, pending);
-      if (pending.deadline <= now || (unused_due && *unused_due <= now) ||
-          (pending.next_placement_at && *pending.next_placement_at <= now) ||
-          (pending.running_attempt && pending.running_attempt->progress_due &&
-           *pending.running_attempt->progress_due <= now)) {
+      if (IsPastDeadline(pending) || (unused_due && *unused_due <= now) ||
+          IsPlacementDue(pending) || IsSilent(pending)) {
         due.push_back(id);
       }
     }
     for (const call_id id : due) {
       pending_call& pending = current.pending_calls.at(id);
-      if (pending.deadline <= now) {
+      if (IsPastDeadline(pending)) {
         FailCall(current, pending,
                  pending.may_have_run || (pending.running_attempt &&
                                           pending.running_attempt->sent)
@@ -329,7 +337,7 @@
         RetryOrFail(current, pending, pending.running_attempt->sent,
                     failure_code::kSpanUnavailable, "unused_reservation", now,
                     out);
-      } else if (pending.next_placement_at) {
+      } else if (IsPlacementDue(pending)) {
         if (!pending.asked_planner.empty()) {
           RecordSilentPlanner(current, pending, now, out);
         }
@@ -353,6 +361,24 @@
   }
 
  private:
+  // A response that has arrived is delivered, however late this VM reads it.
+  [[nodiscard]] bool IsPastDeadline(const pending_call& pending) const {
+    const bool may_have_response =
+        pending.running_attempt && pending.running_attempt->sent;
+    return pending.deadline <= (may_have_response ? input_read_until : now);
+  }
+
+  [[nodiscard]] bool IsPlacementDue(const pending_call& pending) const {
+    return pending.next_placement_at &&
+           *pending.next_placement_at <=
+               (pending.asked_planner.empty() ? now : input_read_until);
+  }
+
+  [[nodiscard]] bool IsSilent(const pending_call& pending) const {
+    return pending.running_attempt && pending.running_attempt->progress_due &&
+           *pending.running_attempt->progress_due <= input_read_until;
+  }
+
   // Attempts in a domain that is cut off time out at once, without more time
   // for busy targets, unless they show progress first. Attempts that only the
   // call's deadline bounds go on.
@@ -426,7 +452,8 @@
 }
 
 effects Reduce(state& current, const event& happened, time_point now) {
-  internal::reducer step{current, now, {}};
+  internal::reducer step{
+      current, now, internal::InputReadUntil(happened, now), {}};
   // Timeouts are handled first, so that a process that was paused doesn't
   // decide on outdated state. Progress is handled even before them: a stream
   // must be resumed after the last event that was passed on.
--- a/src/acaciaferry/net/datagram.cpp
+++ b/src/acaciaferry/net/datagram.cpp
@@ -9,6 +9,8 @@
 
 // Limits the cache of parsed addresses, since the addresses come from peers.
 constexpr std::size_t kMaxEndpoints = 4'096;
+// Leaves time to other sockets if datagrams come faster than they are handled.
+constexpr int kMaxDatagramsAtOnce = 256;
 
 }  // namespace internal
 
@@ -60,21 +62,36 @@
 }
 
 void datagram_socket::Receive() {
-  socket_.async_receive_from(
-      boost::asio::buffer(buffer_), sender_,
-      [this](const boost::system::error_code& error, std::size_t bytes) {
-        if (error == boost::asio::error::operation_aborted) {
-          return;
-        }
-        if (!error) {
-          on_datagram_({buffer_.data(), bytes},
-                       sender_.address().to_string() + ":" +
-                           std::to_string(sender_.port()));
-        }
-        if (socket_.is_open()) {
-          Receive();
-        }
-      });
+  socket_.async_wait(boost::asio::ip::udp::socket::wait_read,
+                     [this](const boost::system::error_code& error) {
+                       if (error == boost::asio::error::operation_aborted) {
+                         return;
+                       }
+                       HandleWaiting();
+                       if (socket_.is_open()) {
+                         Receive();
+                       }
+                     });
+}
+
+// Reads all that has arrived, so that a timer which expired meanwhile is
+// handled after it.
+void datagram_socket::HandleWaiting() {
+  for (int i = 0; i < internal::kMaxDatagramsAtOnce && socket_.is_open(); ++i) {
+    boost::asio::ip::udp::endpoint sender;
+    boost::system::error_code error;
+    const std::size_t bytes =
+        socket_.receive_from(boost::asio::buffer(buffer_), sender, 0, error);
+    if (error == boost::asio::error::would_block) {
+      return;
+    }
+    // Other errors are those of datagrams that were sent earlier.
+    if (error) {
+      continue;
+    }
+    on_datagram_({buffer_.data(), bytes}, sender.address().to_string() + ":" +
+                                              std::to_string(sender.port()));
+  }
 }
 
 void datagram_socket::Close() {
--- a/src/acaciaferry/net/datagram.hpp
+++ b/src/acaciaferry/net/datagram.hpp
@@ -38,11 +38,11 @@
 
  private:
   void Receive();
+  void HandleWaiting();
 
   boost::asio::ip::udp::socket socket_;
   handler on_datagram_;
   std::array<char, 16'384> buffer_{};
-  boost::asio::ip::udp::endpoint sender_;
   std::map<std::string, boost::asio::ip::udp::endpoint> endpoints_;
 };
 
