Hear a silent stream until another target goes on with it

Cause: callers had a part of a stream and then a closed connection (LOST). A stream without an event for 1 s was closed at its target and sent to another one; when that refused it (503), or no attempt was left, the stream was cut, although its first target was sound and would have gone on.

Change: the silent attempt stays open while another one is asked to go on. Whichever has a further event first is kept and the other is closed; a refusal, a failure or a lack of targets leads back to the silent attempt, which only the deadline ends. Its tickets are renewed meanwhile, and all its ends close both.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -49,8 +49,8 @@
     report_(forwarding::caller_disconnected{request_.call.id});
   };
   caller_->on_writable = [this] {
-    if (target_) {
-      target_->Resume();
+    for (auto& [attempt, exchange] : exchanges_) {
+      exchange.connection->Resume();
     }
   };
 }
@@ -59,9 +59,6 @@
   const std::uint32_t attempt_number = attempt.attempt;
   const forwarding::call_id id = request_.call.id;
   collected_body_.clear();
-  stream_.DiscardPartialEvent();
-  stream_.SetLastId(attempt.resume_after);
-  is_stream_ = false;
   const auto self = shared_from_this();
   net::exchange_handlers handlers;
   handlers.on_sent = [self, id, attempt_number] {
@@ -77,20 +74,34 @@
   handlers.on_failure = [self, attempt_number](net::exchange_failure failure) {
     self->OnFailure(attempt_number, failure);
   };
-  target_ = std::make_shared<net::client_exchange>(loop_, std::move(handlers));
+  target_exchange started;
+  started.connection =
+      std::make_shared<net::client_exchange>(loop_, std::move(handlers));
+  started.stream.SetLastId(attempt.resume_after);
+  const auto connection = started.connection;
+  exchanges_.insert_or_assign(attempt_number, std::move(started));
   const net::request_head head = protocol_.BuildAttemptHead(request_, attempt);
-  target_->Start(attempt.address,
-                 net::Serialize(head, caller_->body.size()) + caller_->body,
-                 internal::kConnectTimeout);
+  connection->Start(attempt.address,
+                    net::Serialize(head, caller_->body.size()) + caller_->body,
+                    internal::kConnectTimeout);
 }
 
-void call_relay::CancelAttempt() {
-  if (target_) {
-    const auto cancelled = std::exchange(target_, nullptr);
-    cancelled->Cancel();
+void call_relay::CancelAttempt(std::uint32_t attempt) {
+  if (const auto cancelled = exchanges_.extract(attempt)) {
+    cancelled.mapped().connection->Cancel();
   }
 }
 
+void call_relay::CancelOthers(std::uint32_t attempt) {
+  std::erase_if(exchanges_, [attempt](const auto& each) {
+    if (each.first == attempt) {
+      return false;
+    }
+    each.second.connection->Cancel();
+    return true;
+  });
+}
+
 bool call_relay::OnHead(std::uint32_t attempt, const net::response_head& head) {
   response_classification classified =
       protocol_.ClassifyResponse(request_, head);
@@ -102,8 +113,11 @@
       !internal::IsSameKind(response_head_, head)) {
     classified.verdict = forwarding::response_verdict::kUnusable;
   }
-  is_stream_ = classified.verdict == forwarding::response_verdict::kServed &&
-               request_.call.kind == forwarding::call_kind::kStreaming;
+  if (const auto at = exchanges_.find(attempt); at != exchanges_.end()) {
+    at->second.is_stream =
+        classified.verdict == forwarding::response_verdict::kServed &&
+        request_.call.kind == forwarding::call_kind::kStreaming;
+  }
   if (!caller_->HasBegun()) {
     response_head_ = head;
   }
@@ -116,8 +130,12 @@
 }
 
 void call_relay::OnBody(std::uint32_t attempt, std::string_view bytes) {
-  if (is_stream_) {
-    ForwardEvents(attempt, bytes);
+  const auto at = exchanges_.find(attempt);
+  if (at == exchanges_.end()) {
+    return;
+  }
+  if (at->second.is_stream) {
+    ForwardEvents(attempt, at->second, bytes);
   } else if (collected_body_.size() + bytes.size() >
              internal::kMaxCollectedBytes) {
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
@@ -126,54 +144,61 @@
   }
 }
 
-void call_relay::ForwardEvents(std::uint32_t attempt, std::string_view bytes) {
-  const std::string events = stream_.Feed(bytes);
-  if (stream_.IsTooLarge()) {
+void call_relay::ForwardEvents(std::uint32_t attempt,
+                               target_exchange& from,
+                               std::string_view bytes) {
+  const std::string events = from.stream.Feed(bytes);
+  if (from.stream.IsTooLarge()) {
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
     return;
   }
   if (events.empty()) {
     return;
   }
-  if (stream_.HasGap()) {
+  if (from.stream.HasGap()) {
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
     return;
   }
+  // The others would repeat these events.
+  CancelOthers(attempt);
   if (!caller_->HasBegun()) {
     caller_->BeginChunked(response_head_.status, ForwardedFields());
   }
   caller_->WriteChunk(events);
-  if (caller_->PendingBytes() > net::kWriteHighWatermark && target_) {
-    target_->Pause();
+  if (caller_->PendingBytes() > net::kWriteHighWatermark) {
+    from.connection->Pause();
   }
   report_(forwarding::response_progressed{request_.call.id, attempt,
-                                          stream_.LastId()});
+                                          from.stream.LastId()});
 }
 
 void call_relay::OnEnd(std::uint32_t attempt) {
-  target_.reset();
-  if (is_stream_ && stream_.HasPartialEvent()) {
+  auto ended = exchanges_.extract(attempt);
+  if (!ended) {
+    return;
+  }
+  net::event_stream& stream = ended.mapped().stream;
+  if (ended.mapped().is_stream && stream.HasPartialEvent()) {
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
     return;
   }
   if (caller_->HasBegun()) {
-    caller_->WriteChunk(stream_.TakeHeldBack());
+    caller_->WriteChunk(stream.TakeHeldBack());
   } else {
-    collected_body_ += stream_.TakeHeldBack();
+    collected_body_ += stream.TakeHeldBack();
   }
   report_(forwarding::response_completed{request_.call.id, attempt});
 }
 
 void call_relay::OnFailure(std::uint32_t attempt,
                            net::exchange_failure failure) {
-  target_.reset();
   FailAttempt(attempt, internal::ToAttemptFailure(failure));
 }
 
 void call_relay::FailAttempt(std::uint32_t attempt,
                              forwarding::attempt_failure failure) {
   const auto self = shared_from_this();
-  CancelAttempt();
+  CancelAttempt(attempt);
   report_(forwarding::attempt_failed{request_.call.id, attempt, failure});
 }
 
--- a/src/acaciaferry/entry/call_relay.hpp
+++ b/src/acaciaferry/entry/call_relay.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -14,9 +15,12 @@
 namespace acaciaferry::entry {
 
 /**
- * @brief Relays one call between its caller and the target of the current
- * attempt, and reports progress as events. Streams are forwarded event by
- * event; other responses are collected and sent as a whole.
+ * @brief Relays one call between its caller and the targets of its attempts,
+ * and reports progress as events. Streams are forwarded event by event; other
+ * responses are collected and sent as a whole.
+ *
+ * Two attempts run at once while one goes on with a stream that fell silent;
+ * the first of them that has a further event is kept.
  */
 class call_relay final : public std::enable_shared_from_this<call_relay> {
  public:
@@ -30,8 +34,8 @@
 
   /** @brief Sends the request to the target of an attempt. */
   void SendAttempt(const forwarding::send_attempt& attempt);
-  /** @brief Closes the connection of the current attempt, if any. */
-  void CancelAttempt();
+  /** @brief Closes the connection of an attempt, if it has one. */
+  void CancelAttempt(std::uint32_t attempt);
   /** @brief Sends the collected response to the caller. */
   void DeliverCollected();
   /** @brief Completes a streamed response. */
@@ -46,11 +50,22 @@
   }
 
  private:
+  /** The exchange with the target of an attempt. */
+  struct target_exchange {
+    std::shared_ptr<net::client_exchange> connection;
+    net::event_stream stream;
+    bool is_stream{};
+  };
+
   bool OnHead(std::uint32_t attempt, const net::response_head& head);
   void OnBody(std::uint32_t attempt, std::string_view bytes);
   void OnEnd(std::uint32_t attempt);
   void OnFailure(std::uint32_t attempt, net::exchange_failure failure);
-  void ForwardEvents(std::uint32_t attempt, std::string_view bytes);
+  void ForwardEvents(std::uint32_t attempt,
+                     target_exchange& from,
+                     std::string_view bytes);
+  /** @brief Closes the connections of all attempts but one. */
+  void CancelOthers(std::uint32_t attempt);
   void FailAttempt(std::uint32_t attempt, forwarding::attempt_failure failure);
   /** @return Fields of the response head without the hop-by-hop ones. */
   [[nodiscard]] net::header_fields ForwardedFields() const;
@@ -60,11 +75,11 @@
   std::shared_ptr<net::server_exchange> caller_;
   parsed_request request_;
   event_sink report_;
-  std::shared_ptr<net::client_exchange> target_;
+  /** By number of the attempt. */
+  std::map<std::uint32_t, target_exchange> exchanges_;
+  /** The head that was, or will be, sent to the caller. */
   net::response_head response_head_;
   std::string collected_body_;
-  net::event_stream stream_;
-  bool is_stream_{};
 };
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -35,7 +35,7 @@
   }
   void operator()(const forwarding::cancel_attempt& effect) const {
     if (const auto relay = FindRelay(effect.id)) {
-      relay->CancelAttempt();
+      relay->CancelAttempt(effect.attempt);
     }
   }
   void operator()(const forwarding::deliver_response& effect) const {
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -31,7 +31,8 @@
       "target_limited",
       "target_unlimited",
       "target_refusing",
-      "planner_silent"};
+      "planner_silent",
+      "went_back"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -150,10 +150,11 @@
   kTargetUnlimited,
   kTargetRefusing,
   kPlannerSilent,
+  kWentBack,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kPlannerSilent) + 1;
+    static_cast<std::size_t>(decision_kind::kWentBack) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -53,6 +53,29 @@
               : "";
 }
 
+// Ends the jobs of an attempt and releases its tickets.
+void End(state& current,
+         const pending_call& pending,
+         const attempt& ended,
+         bool close,
+         time_point now,
+         effects& out) {
+  const dispatch_id key =
+      DispatchIdOf(current, pending.request.id, ended.number);
+  current.ledger.End(key, now);
+  out.emplace_back(notify_peers{{}, {key}, {}});
+  if (close) {
+    out.emplace_back(cancel_attempt{pending.request.id, ended.number});
+  }
+  ReleaseReservations(current, pending, ended, now, out);
+}
+
+// Whether the running attempt may still be the one that ends its stream.
+bool CanGoOn(const pending_call& pending) {
+  return pending.running_attempt && pending.running_attempt->is_silent &&
+         pending.running_attempt->has_progressed && !pending.silent_attempt;
+}
+
 std::string HelperNames(const std::vector<helper>& helpers) {
   std::string names;
   for (const helper& each : helpers) {
@@ -150,19 +173,39 @@
                 bool close,
                 time_point now,
                 effects& out) {
-  if (!pending.running_attempt) {
-    return;
+  if (pending.running_attempt) {
+    End(current, pending, *pending.running_attempt, close, now, out);
+    pending.running_attempt.reset();
   }
-  const dispatch_id key = DispatchIdOf(current, pending.request.id,
-                                       pending.running_attempt->number);
-  current.ledger.End(key, now);
-  out.emplace_back(notify_peers{{}, {key}, {}});
-  if (close) {
-    out.emplace_back(
-        cancel_attempt{pending.request.id, pending.running_attempt->number});
+}
+
+void EndSilentAttempt(state& current,
+                      pending_call& pending,
+                      time_point now,
+                      effects& out) {
+  if (pending.silent_attempt) {
+    End(current, pending, *pending.silent_attempt, true, now, out);
+    pending.silent_attempt.reset();
   }
-  ReleaseReservations(current, pending, now, out);
-  pending.running_attempt.reset();
+}
+
+void GoBackToSilentAttempt(state& current,
+                           pending_call& pending,
+                           time_point now,
+                           effects& out) {
+  EndAttempt(current, pending, true, now, out);
+  pending.next_placement_at.reset();
+  pending.asked_planner.clear();
+  pending.running_attempt = std::exchange(pending.silent_attempt, std::nullopt);
+  attempt& again = *pending.running_attempt;
+  again.is_silent = false;
+  again.extended = false;
+  again.asked_about_silence = false;
+  again.progress_due = now + ProgressTimeout(pending.request);
+  LogDecision(out, decision_kind::kWentBack, pending.request.caller_request_id,
+              {{"target", again.target.value},
+               {"last_event", std::to_string(pending.last_event)},
+               {"after_ms", ToMillisText(now - pending.arrived)}});
 }
 
 void RemoveCall(state& current, call_id id) {
@@ -174,6 +217,11 @@
               failure_code code,
               time_point now,
               effects& out) {
+  if (pending.silent_attempt && now < pending.deadline) {
+    GoBackToSilentAttempt(current, pending, now, out);
+    return;
+  }
+  EndSilentAttempt(current, pending, now, out);
   const bool ran = pending.may_have_run ||
                    (pending.running_attempt && pending.running_attempt->sent);
   EndAttempt(current, pending, true, now, out);
@@ -238,6 +286,10 @@
   if (pending.running_attempt) {
     pending.tried_targets.push_back(pending.running_attempt->target);
   }
+  if (CanGoOn(pending)) {
+    pending.silent_attempt =
+        std::exchange(pending.running_attempt, std::nullopt);
+  }
   EndAttempt(current, pending, true, now, out);
   LogDecision(out,
               pending.partially_delivered ? decision_kind::kResumed
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -194,8 +194,23 @@
                 time_point now,
                 effects& out);
 
+/** @brief Ends the attempt whose stream is silent, if there is one, as
+ * EndAttempt does with `close` set. */
+void EndSilentAttempt(state& current,
+                      pending_call& pending,
+                      time_point now,
+                      effects& out);
+
+/** @brief Ends the attempt that was to go on with a silent stream, and runs the
+ * silent one, which must exist, again. */
+void GoBackToSilentAttempt(state& current,
+                           pending_call& pending,
+                           time_point now,
+                           effects& out);
+
 /** @brief Responds to the caller with a failure, or aborts a response that was
- * passed on in part, and removes the call. */
+ * passed on in part, and removes the call. Before its deadline, a call with a
+ * silent attempt goes back to that one instead. */
 void FailCall(state& current,
               pending_call& pending,
               failure_code code,
@@ -242,9 +257,10 @@
                        time_point now,
                        effects& out);
 
-/** @brief Releases the tickets of the running attempt. */
+/** @brief Releases the tickets of an attempt of a call. */
 void ReleaseReservations(state& current,
                          const pending_call& pending,
+                         const attempt& ended,
                          time_point now,
                          effects& out);
 
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -83,13 +83,16 @@
 }
 
 bool IsRunning(const state& current, dispatch_id key) {
-  return std::any_of(current.pending_calls.begin(), current.pending_calls.end(),
-                     [&](const auto& each) {
-                       return each.second.running_attempt &&
-                              DispatchIdOf(
-                                  current, each.first,
-                                  each.second.running_attempt->number) == key;
-                     });
+  return std::any_of(
+      current.pending_calls.begin(), current.pending_calls.end(),
+      [&](const auto& each) {
+        const auto is_meant = [&](const std::optional<attempt>& running) {
+          return running &&
+                 DispatchIdOf(current, each.first, running->number) == key;
+        };
+        return is_meant(each.second.running_attempt) ||
+               is_meant(each.second.silent_attempt);
+      });
 }
 
 // The planner may know a target that this VM does not, or not know that one
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -28,6 +28,32 @@
   return &at->second;
 }
 
+// When the first reservation of an attempt has to be renewed.
+time_point NextRenewal(const attempt& running) {
+  time_point next = time_point::max();
+  for (const reservation& each : running.reservations) {
+    if (each.held) {
+      next = std::min(next, each.renew_at);
+    }
+  }
+  return next;
+}
+
+// As FindRunning. An attempt whose stream was silent runs again, since it has
+// been heard.
+pending_call* FindHeard(state& current,
+                        call_id id,
+                        std::uint32_t number,
+                        time_point now,
+                        effects& out) {
+  const auto at = current.pending_calls.find(id);
+  if (at != current.pending_calls.end() && at->second.silent_attempt &&
+      at->second.silent_attempt->number == number) {
+    GoBackToSilentAttempt(current, at->second, now, out);
+  }
+  return FindRunning(current, id, number);
+}
+
 // All input that had arrived by this time has been handled when an event is
 // processed. After other events than the timer, responses may be waiting to be
 // read.
@@ -63,6 +89,7 @@
                 at->second.request.caller_request_id,
                 {{"after_ms", ToMillisText(now - at->second.arrived)},
                  {"events", std::to_string(at->second.last_event)}});
+    EndSilentAttempt(current, at->second, now, out);
     EndAttempt(current, at->second, true, now, out);
     out.emplace_back(forget_call{happened.id});
     RemoveCall(current, happened.id);
@@ -122,10 +149,13 @@
   }
 
   void operator()(const response_progressed& happened) {
-    pending_call* pending = FindRunning(current, happened.id, happened.attempt);
+    pending_call* pending =
+        FindHeard(current, happened.id, happened.attempt, now, out);
     if (pending == nullptr) {
       return;
     }
+    EndSilentAttempt(current, *pending, now, out);
+    pending->running_attempt->has_progressed = true;
     if (!pending->first_event_at) {
       pending->first_event_at = now;
       RecordAnswer(current, *pending, now, out);
@@ -148,10 +178,12 @@
   }
 
   void operator()(const response_completed& happened) {
-    pending_call* pending = FindRunning(current, happened.id, happened.attempt);
+    pending_call* pending =
+        FindHeard(current, happened.id, happened.attempt, now, out);
     if (pending == nullptr) {
       return;
     }
+    EndSilentAttempt(current, *pending, now, out);
     current.targets.RecordSuccess(pending->running_attempt->target);
     if (IsSuspect(current.quarantine, pending->request.fingerprint, now)) {
       RecordCompletion(current.quarantine, current.self,
@@ -174,6 +206,9 @@
   }
 
   void operator()(const attempt_failed& happened) {
+    if (EndFailedSilentAttempt(happened)) {
+      return;
+    }
     pending_call* pending = FindRunning(current, happened.id, happened.attempt);
     if (pending == nullptr) {
       return;
@@ -361,10 +396,24 @@
   }
 
  private:
+  // The attempt that goes on with the stream, or looks for a target, is not
+  // concerned.
+  bool EndFailedSilentAttempt(const attempt_failed& happened) {
+    const auto at = current.pending_calls.find(happened.id);
+    if (at == current.pending_calls.end() || !at->second.silent_attempt ||
+        at->second.silent_attempt->number != happened.attempt) {
+      return false;
+    }
+    RecordFailure(at->second.silent_attempt->target);
+    EndSilentAttempt(current, at->second, now, out);
+    return true;
+  }
+
   // A response that has arrived is delivered, however late this VM reads it.
   [[nodiscard]] bool IsPastDeadline(const pending_call& pending) const {
     const bool may_have_response =
-        pending.running_attempt && pending.running_attempt->sent;
+        pending.silent_attempt ||
+        (pending.running_attempt && pending.running_attempt->sent);
     return pending.deadline <= (may_have_response ? input_read_until : now);
   }
 
@@ -485,11 +534,10 @@
             internal::UnusedReservationsDue(current, pending)) {
       next = std::min(next, *unused_due);
     }
-    if (pending.running_attempt) {
-      for (const reservation& each : pending.running_attempt->reservations) {
-        if (each.held) {
-          next = std::min(next, each.renew_at);
-        }
+    for (const auto* running :
+         {&pending.running_attempt, &pending.silent_attempt}) {
+      if (*running) {
+        next = std::min(next, internal::NextRenewal(**running));
       }
     }
   }
--- a/src/acaciaferry/forwarding/reservations.cpp
+++ b/src/acaciaferry/forwarding/reservations.cpp
@@ -54,10 +54,27 @@
 
 attempt* FindAttempt(state& current, const ticket_order_settled& settled) {
   const auto at = current.pending_calls.find(settled.id);
-  return at == current.pending_calls.end() || !at->second.running_attempt ||
-                 at->second.running_attempt->number != settled.attempt
-             ? nullptr
-             : &*at->second.running_attempt;
+  if (at == current.pending_calls.end()) {
+    return nullptr;
+  }
+  for (auto* each : {&at->second.running_attempt, &at->second.silent_attempt}) {
+    if (*each && (*each)->number == settled.attempt) {
+      return &**each;
+    }
+  }
+  return nullptr;
+}
+
+void RenewOf(call_id id, attempt& held, time_point now, effects& out) {
+  for (reservation& each : held.reservations) {
+    if (each.held && each.renew_at <= now) {
+      each.renew_at = now + kRenewAfter;
+      ++each.unsettled_orders;
+      out.emplace_back(reserve_memory{id, held.number, each.address,
+                                      each.target, each.ticket, each.tokens,
+                                      kLeaseTime, true});
+    }
+  }
 }
 
 // Targets may say that they leave, or that they want no requests, while the
@@ -77,7 +94,7 @@
                        const ticket_order_settled& settled,
                        time_point now,
                        effects& out) {
-  attempt& running = *pending.running_attempt;
+  const attempt& running = *FindAttempt(current, settled);
   const bool held = settled.result == order_result::kDone;
   LogDecision(out, decision_kind::kReserved, pending.request.caller_request_id,
               {{"ticket", settled.ticket}, {"held", held ? "yes" : "no"}});
@@ -128,16 +145,16 @@
 
 void ReleaseReservations(state& current,
                          const pending_call& pending,
+                         const attempt& ended,
                          time_point now,
                          effects& out) {
-  const attempt& running = *pending.running_attempt;
-  if (running.reservations.empty()) {
+  if (ended.reservations.empty()) {
     return;
   }
   // A reservation without a response may have been carried out, so every ticket
   // is released.
-  for (const reservation& each : running.reservations) {
-    const closing_ticket closing{pending.request.id, running.number, each,
+  for (const reservation& each : ended.reservations) {
+    const closing_ticket closing{pending.request.id, ended.number, each,
                                  now + kReleaseInterval};
     out.emplace_back(ReleaseOf(closing));
     if (MayBeSetAsideAgain(each, now) &&
@@ -146,9 +163,9 @@
     }
   }
   LogDecision(out, decision_kind::kReleased, pending.request.caller_request_id,
-              {{"tickets", std::to_string(running.reservations.size())},
-               {"begun", running.response_started ? "yes" : "no"},
-               {"after_ms", ToMillisText(now - running.started)}});
+              {{"tickets", std::to_string(ended.reservations.size())},
+               {"begun", ended.response_started ? "yes" : "no"},
+               {"after_ms", ToMillisText(now - ended.started)}});
 }
 
 std::optional<time_point> UnusedReservationsDue(const state& current,
@@ -168,16 +185,9 @@
 }
 
 void RenewReservations(pending_call& pending, time_point now, effects& out) {
-  if (!pending.running_attempt) {
-    return;
-  }
-  for (reservation& each : pending.running_attempt->reservations) {
-    if (each.held && each.renew_at <= now) {
-      each.renew_at = now + kRenewAfter;
-      ++each.unsettled_orders;
-      out.emplace_back(reserve_memory{
-          pending.request.id, pending.running_attempt->number, each.address,
-          each.target, each.ticket, each.tokens, kLeaseTime, true});
+  for (auto* each : {&pending.running_attempt, &pending.silent_attempt}) {
+    if (*each) {
+      RenewOf(pending.request.id, **each, now, out);
     }
   }
 }
--- a/src/acaciaferry/forwarding/silence.cpp
+++ b/src/acaciaferry/forwarding/silence.cpp
@@ -75,8 +75,10 @@
   if (!known.is_busy) {
     Distrust(current, running.target, distrust_reason::kSilent, now, out);
   }
+  running.is_silent = true;
   if (!TryRetry(current, pending, running.sent, "silent", now, out)) {
     // The target may still respond; the deadline bounds the wait.
+    running.is_silent = false;
     running.progress_due.reset();
   }
 }
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -66,6 +66,9 @@
   bool extended{};
   /** Whether a planner was asked why the target is silent. */
   bool asked_about_silence{};
+  /** Whether it has passed events on to the caller. */
+  bool has_progressed{};
+  bool is_silent{};
   duration predicted_first_event{};
 };
 
@@ -77,6 +80,9 @@
   /** When its first attempt was started. */
   std::optional<time_point> first_attempt_at;
   std::optional<attempt> running_attempt;
+  /** An attempt whose stream has begun and fell silent. Its target is heard
+   * until another attempt has gone on with the stream. */
+  std::optional<attempt> silent_attempt;
   /** When placement of a deferred call is retried. */
   std::optional<time_point> next_placement_at;
   std::uint32_t attempts{};
--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -151,6 +151,52 @@
   }
 }
 
+// Guards against events that reach the caller twice, and against a stream that
+// is cut, while a second target goes on with a stream that fell silent.
+TEST(CallRelay, TheFirstOfTwoAttemptsThatGoesOnIsKept) {
+  for (const bool silent_one_goes_on : {true, false}) {
+    fixture call;
+    auto first = call.Attempt(1);
+    first.Send(kStreamHead + Event(1) + Event(2));
+    CHECK_TRUE(call.Reported<forwarding::response_progressed>());
+    auto second = call.Attempt(2, 2);
+    auto& kept = silent_one_goes_on ? first : second;
+    auto& left = silent_one_goes_on ? second : first;
+    kept.Send((silent_one_goes_on ? "" : kStreamHead) + Event(3));
+    CHECK_TRUE(call.Reported<forwarding::response_progressed>(2));
+    CHECK_TRUE(net::RunUntil(call.loop, [&] { return left.Ended(); }));
+    left.Send((silent_one_goes_on ? kStreamHead : "") + Event(3) + Event(4));
+    kept.Send(Event(4) + "0\r\n\r\n");
+    CHECK_TRUE(call.Reported<forwarding::response_completed>());
+    call.relay->FinishStream();
+    CHECK_TRUE(net::RunUntil(call.loop,
+                             [&] { return call.caller->Has("0\r\n\r\n"); }));
+    const std::string answer = call.caller->Received();
+    for (const std::string id : {"id: 1", "id: 2", "id: 3", "id: 4"}) {
+      CHECK_TRUE(answer.find(id) != std::string::npos);
+      CHECK_TRUE(answer.find(id) == answer.rfind(id));
+    }
+  }
+}
+
+// Guards against a silent stream that is cut because the next target refuses
+// it.
+TEST(CallRelay, ARefusalLeavesTheSilentAttemptOpen) {
+  fixture call;
+  auto first = call.Attempt(1);
+  first.Send(kStreamHead + Event(1));
+  CHECK_TRUE(call.Reported<forwarding::response_progressed>());
+  auto second = call.Attempt(2, 1);
+  second.Send(
+      "HTTP/1.1 503 Full\r\nAcaciaferry-Attempt-Id: a1\r\n"
+      "Acaciaferry-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n");
+  CHECK_TRUE(call.Reported<forwarding::response_started>(2));
+  call.relay->CancelAttempt(2);
+  first.Send(Event(2) + "0\r\n\r\n");
+  CHECK_TRUE(call.Reported<forwarding::response_completed>());
+  LONGS_EQUAL(1, call.All<forwarding::response_completed>().front().attempt);
+}
+
 // Guards against the text or the head of an error in the middle of a stream.
 TEST(CallRelay, AnErrorOfTheNextTargetDoesNotReachAStreamThatHasBegun) {
   fixture call;
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -364,6 +364,61 @@
   LONGS_EQUAL(1, fleet.All<finish_stream>().size());
 }
 
+// Guards against an engine that works on for nobody, and against a stream that
+// ends at the silent target after another one has gone on with it.
+TEST(ForwardingReduce, TheSilentAttemptEndsWhenTheNextOneGoesOn) {
+  fixture fleet;
+  const auto first = fleet.StartStream();
+  fleet.PostAt(2'500, timer_fired{});
+  fleet.Sent(fleet.All<send_attempt>().front());
+  fleet.Post(
+      response_started{first.id, 2, response_verdict::kServed, 200, "", {}});
+  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
+  fleet.Post(response_progressed{first.id, 2, 2});
+  LONGS_EQUAL(1, fleet.All<cancel_attempt>().size());
+  LONGS_EQUAL(1, fleet.All<cancel_attempt>().front().attempt);
+  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
+  LONGS_EQUAL(0, fleet.last.size());
+  fleet.Post(response_completed{first.id, 2});
+  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
+  LONGS_EQUAL(0, fleet.current.ledger.JobCount());
+}
+
+// Guards against connections and jobs that are left behind when a call with two
+// attempts ends, however it does.
+TEST(ForwardingReduce, BothAttemptsEndWithTheirCall) {
+  for (const bool caller_leaves : {true, false}) {
+    fixture fleet;
+    const auto first = fleet.StartStream();
+    fleet.PostAt(2'500, timer_fired{});
+    fleet.Sent(fleet.All<send_attempt>().front());
+    if (caller_leaves) {
+      fleet.Post(caller_disconnected{first.id});
+    } else {
+      fleet.PostAt(10'000, timer_fired{});
+      LONGS_EQUAL(1, fleet.All<abort_response>().size());
+    }
+    LONGS_EQUAL(2, fleet.All<cancel_attempt>().size());
+    LONGS_EQUAL(0, fleet.current.ledger.JobCount());
+    LONGS_EQUAL(0, fleet.current.pending_calls.size());
+  }
+}
+
+// Guards against a stream that is cut because its silent target breaks off
+// while another one is asked to go on.
+TEST(ForwardingReduce, ASilentTargetThatBreaksOffDoesNotEndTheNextAttempt) {
+  fixture fleet;
+  const auto first = fleet.StartStream();
+  fleet.PostAt(2'500, timer_fired{});
+  fleet.Sent(fleet.All<send_attempt>().front());
+  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
+  LONGS_EQUAL(0, fleet.All<abort_response>().size());
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  fleet.Post(response_progressed{first.id, 2, 2});
+  fleet.Post(response_completed{first.id, 2});
+  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
+}
+
 // Guards against streams that wait for targets in a domain that is cut off, and
 // against abandoning targets there that still respond.
 TEST(ForwardingReduce, StreamsMoveOnFromDomainsThatAreCutOff) {
