Add a tunnel server, and exchanges that connect through it

An entry VM may be partitioned from all targets for seconds while it still reaches callers and the other entry VMs. Its attempts had no other way.

tunnel_server reads `CONNECT IP:PORT`, asks whether the target may be dialled, dials it and passes bytes both ways; it reads one side only when what it read is written to the other. The client's connection ends with a reset unless the target has closed in good order, also when the server's process is killed, so a truncated body is not taken for a complete one. client_exchange takes the address of such a server and sends the request only after its 200; before that it fails with kNoTunnel, or with kNotConnected when the target can't be reached. It closes a tunnel with a reset, which the tunnel server notices even while it reads nothing because the target doesn't. call_relay maps kNoTunnel to kNotConnected; nothing uses tunnels yet. The liveness probes moved to their own file, unchanged.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -14,6 +14,7 @@
 forwarding::attempt_failure ToAttemptFailure(net::exchange_failure failure) {
   switch (failure) {
     case net::exchange_failure::kNotConnected:
+    case net::exchange_failure::kNoTunnel:
       return forwarding::attempt_failure::kNotConnected;
     case net::exchange_failure::kNoResponse:
       return forwarding::attempt_failure::kNoResponse;
--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -1,11 +1,9 @@
 #include "acaciaferry/net/client.hpp"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "acaciaferry/net/liveness.hpp"
 #include "acaciaferry/net/server.hpp"
 
 namespace acaciaferry::net {
@@ -20,27 +18,9 @@
 constexpr std::uint32_t kMaxSkippedResponses = 16;
 constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
-
-// Closes a connection whose peer does not acknowledge sent data, for example
-// because of a network partition.
-constexpr int kUserTimeoutMs = 3'000;
-// Keep-alive probes detect a peer that lost power while the connection is idle.
-constexpr int kKeepAliveIdleS = 1;
-constexpr int kKeepAliveIntervalS = 1;
-constexpr int kKeepAliveCount = 2;
-
-void EnableLivenessProbes(int descriptor) {
-  const int on = 1;
-  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
-  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &kKeepAliveIdleS,
-             sizeof kKeepAliveIdleS);
-  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &kKeepAliveIntervalS,
-             sizeof kKeepAliveIntervalS);
-  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kKeepAliveCount,
-             sizeof kKeepAliveCount);
-  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUserTimeoutMs,
-             sizeof kUserTimeoutMs);
-}
+constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr std::uint32_t kMaxTunnelReplyBytes = 4'096;
 
 }  // namespace internal
 
@@ -48,6 +28,8 @@
   switch (failure) {
     case exchange_failure::kNotConnected:
       return "not_connected";
+    case exchange_failure::kNoTunnel:
+      return "no_tunnel";
     case exchange_failure::kNoResponse:
       return "no_response";
     case exchange_failure::kBroken:
@@ -64,14 +46,22 @@
 
 void client_exchange::Start(const std::string& address,
                             std::string request,
-                            duration connect_timeout) {
+                            duration connect_timeout,
+                            const std::string& via) {
   request_ = std::move(request);
+  if (!via.empty()) {
+    tunnel_request_ =
+        "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
+  }
   ResetParser();
-  const auto endpoint = ParseEndpoint(address);
-  if (!endpoint) {
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
-      self->Fail(exchange_failure::kNotConnected);
-    });
+  const auto server = ParseEndpoint(address);
+  const auto endpoint = via.empty() ? server : ParseEndpoint(via);
+  if (!server || !endpoint) {
+    const auto failure =
+        server ? ConnectFailure() : exchange_failure::kNotConnected;
+    boost::asio::post(
+        socket_.get_executor(),
+        [self = shared_from_this(), failure] { self->Fail(failure); });
     return;
   }
   timer_.expires_after(connect_timeout);
@@ -79,7 +69,7 @@
       [weak = weak_from_this()](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self && !self->connected_) {
-          self->Fail(exchange_failure::kNotConnected);
+          self->Fail(self->ConnectFailure());
         }
       });
   socket_.async_connect(*endpoint, [self = shared_from_this()](
@@ -88,19 +78,69 @@
   });
 }
 
+exchange_failure client_exchange::ConnectFailure() const noexcept {
+  return tunnel_request_.empty() ? exchange_failure::kNotConnected
+                                 : exchange_failure::kNoTunnel;
+}
+
 void client_exchange::OnConnect(const boost::system::error_code& error) {
   if (closed_) {
     return;
   }
   if (error) {
-    Fail(exchange_failure::kNotConnected);
+    Fail(ConnectFailure());
     return;
   }
-  connected_ = true;
-  timer_.cancel();
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  internal::EnableLivenessProbes(socket_.native_handle());
+  EnableLivenessProbes(socket_.native_handle());
+  if (tunnel_request_.empty()) {
+    Send();
+    Read();
+  } else {
+    RequestTunnel();
+  }
+}
+
+void client_exchange::RequestTunnel() {
+  // A reset reaches the tunnel server even while it reads nothing more, so that
+  // it closes the server's connection when this exchange is cancelled.
+  boost::system::error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  parser_->header_limit(internal::kMaxTunnelReplyBytes);
+  // A write error is left to the read.
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(tunnel_request_),
+      [self = shared_from_this()](const boost::system::error_code& /*error*/,
+                                  std::size_t /*bytes*/) {});
+  Read();
+}
+
+void client_exchange::ParseTunnelReply() {
+  boost::beast::error_code error;
+  const std::size_t used = parser_->put(
+      boost::asio::buffer(unparsed_.data(), unparsed_.size()), error);
+  unparsed_.erase(0, used);
+  if (error == boost::beast::http::error::need_more) {
+    Read();
+    return;
+  }
+  const int status = error ? 0 : parser_->response.status;
+  if (status != internal::kOk) {
+    Fail(status == internal::kBadGateway ? exchange_failure::kNotConnected
+                                         : exchange_failure::kNoTunnel);
+    return;
+  }
+  ResetParser();
+  Send();
+  if (!closed_ && Parse()) {
+    Read();
+  }
+}
+
+void client_exchange::Send() {
+  connected_ = true;
+  timer_.cancel();
   boost::asio::async_write(
       socket_, boost::asio::buffer(request_),
       [self = shared_from_this()](const boost::system::error_code& failed,
@@ -114,11 +154,11 @@
   if (handlers_.on_sent) {
     handlers_.on_sent();
   }
-  Read();
 }
 
 void client_exchange::Read() {
-  if (closed_ || reading_ || paused_) {
+  // A pause concerns the response, not the setting up of a tunnel.
+  if (closed_ || reading_ || (paused_ && connected_)) {
     return;
   }
   reading_ = true;
@@ -145,6 +185,10 @@
   }
   if (!error) {
     unparsed_.append(read_buffer_.data(), bytes);
+    if (!connected_) {
+      ParseTunnelReply();
+      return;
+    }
     if (!Parse()) {
       return;
     }
@@ -156,6 +200,10 @@
     Read();
     return;
   }
+  if (!connected_) {
+    Fail(exchange_failure::kNoTunnel);
+    return;
+  }
   // A body delimited by the end of the connection is complete only after an
   // orderly close, not after a reset.
   if (error == boost::asio::error::eof && parser_->is_header_done()) {
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -22,6 +22,8 @@
 enum class exchange_failure {
   /** The connection was not established: nothing was sent. */
   kNotConnected,
+  /** The tunnel server gave no tunnel: nothing was sent. */
+  kNoTunnel,
   /** The connection closed before a complete response head. */
   kNoResponse,
   /**
@@ -37,7 +39,10 @@
 
 /** @brief Callbacks of a client exchange; each may be empty. */
 struct exchange_handlers {
-  /** The connection is established and the request is being written. */
+  /**
+   * The connection, or the tunnel, is established and the request is being
+   * written.
+   */
   std::function<void()> on_sent;
   /**
    * A final (not interim) response head arrived. Returning false skips this
@@ -63,11 +68,17 @@
    * @brief Connects and sends the request.
    * @param address IP:PORT of the server.
    * @param request The serialized request, head and body.
-   * @param connect_timeout Time after which connecting fails.
+   * @param connect_timeout Time after which connecting fails; setting up a
+   * tunnel is part of it.
+   * @param via IP:PORT of a tunnel server to connect through, or empty to
+   * connect to the server itself. Before the request is sent, the exchange
+   * then fails with kNotConnected if the tunnel server can't reach the server,
+   * and with kNoTunnel in all other cases.
    */
   void Start(const std::string& address,
              std::string request,
-             duration connect_timeout);
+             duration connect_timeout,
+             const std::string& via = {});
 
   /** @brief Closes the connection; no handler is called afterwards. */
   void Cancel();
@@ -78,9 +89,13 @@
 
  private:
   void OnConnect(const boost::system::error_code& error);
+  void RequestTunnel();
+  void ParseTunnelReply();
+  void Send();
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   [[nodiscard]] bool Parse();
+  [[nodiscard]] exchange_failure ConnectFailure() const noexcept;
   void ResetParser();
   void Fail(exchange_failure failure);
   void End();
@@ -89,6 +104,8 @@
   boost::asio::steady_timer timer_;
   exchange_handlers handlers_;
   std::string request_;
+  // The request for a tunnel; empty without one.
+  std::string tunnel_request_;
   std::string unparsed_;
   std::array<char, 16'384> read_buffer_{};
   std::unique_ptr<message_parser<false>> parser_;
--- a/src/acaciaferry/net/fwd.hpp
+++ b/src/acaciaferry/net/fwd.hpp
@@ -7,6 +7,7 @@
 class datagram_socket;
 class http_server;
 class server_exchange;
+class tunnel_server;
 struct header_field;
 struct request_head;
 struct response_head;
--- /dev/null
+++ b/src/acaciaferry/net/liveness.cpp
@@ -0,0 +1,34 @@
+#include "acaciaferry/net/liveness.hpp"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace acaciaferry::net {
+namespace internal {
+
+// Closes a connection whose peer does not acknowledge sent data, for example
+// because of a network partition.
+constexpr int kUserTimeoutMs = 3'000;
+// Keep-alive probes detect a peer that lost power while the connection is idle.
+constexpr int kKeepAliveIdleS = 1;
+constexpr int kKeepAliveIntervalS = 1;
+constexpr int kKeepAliveCount = 2;
+
+}  // namespace internal
+
+void EnableLivenessProbes(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &internal::kKeepAliveIdleS,
+             sizeof internal::kKeepAliveIdleS);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL,
+             &internal::kKeepAliveIntervalS,
+             sizeof internal::kKeepAliveIntervalS);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &internal::kKeepAliveCount,
+             sizeof internal::kKeepAliveCount);
+  setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &internal::kUserTimeoutMs, sizeof internal::kUserTimeoutMs);
+}
+
+}  // namespace acaciaferry::net
--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -59,6 +59,8 @@
       return "Bad Request";
     case 401:
       return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 408:
