--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -147,7 +147,9 @@
                                   std::size_t /*bytes*/) {
         // A write error is left to the read, which fails too, but only after it
         // has returned a response that the server sent early.
-        if (!failed) {
+        if (failed) {
+          self->write_failed_ = true;
+        } else {
           std::string().swap(self->request_);
         }
       });
@@ -205,8 +207,10 @@
     return;
   }
   // A body delimited by the end of the connection is complete only after an
-  // orderly close, not after a reset.
-  if (error == boost::asio::error::eof && parser_->is_header_done()) {
+  // orderly close, not after a reset. A write that failed has taken the error
+  // of a reset connection, and the read then returns the end of the stream.
+  if (error == boost::asio::error::eof && !write_failed_ &&
+      parser_->is_header_done()) {
     boost::beast::error_code failed;
     parser_->put_eof(failed);
     if (!failed && parser_->is_done() && !skipping_) {
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -113,6 +113,7 @@
   bool closed_{};
   bool paused_{};
   bool reading_{};
+  bool write_failed_{};
   bool head_seen_{};
   bool skipping_{};
   std::uint32_t skipped_responses_{};
--- a/test/acaciaferry/net/tunnel_test.cpp
+++ b/test/acaciaferry/net/tunnel_test.cpp
@@ -183,6 +183,27 @@
   }
 }
 
+// The failed write of a request takes the error of a reset connection, and the
+// read then sees an orderly close, with which a truncated body would count as
+// complete.
+TEST(NetTunnel, NoticesAResetWhileTheRequestIsWritten) {
+  for (const bool direct : {true, false}) {
+    tunnel_fixture fixture;
+    if (direct) {
+      fixture.via.clear();
+    }
+    recorded_exchange exchange(fixture.loop);
+    auto target = fixture.Connect(exchange, kRequest + LargeBody());
+    target.Send("HTTP/1.1 200 OK\r\n\r\nab");
+    CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.body == "ab"; }));
+    RunTurns(fixture.loop);
+    target.Reset();
+    CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.Finished(); }));
+    CHECK_FALSE(exchange.ended);
+    CHECK_TRUE(exchange.failure == exchange_failure::kBroken);
+  }
+}
+
 // A job that the target goes on with after its caller has left wastes it, also
 // when the target reads nothing of a large request.
 TEST(NetTunnel, EndsTheTargetsConnectionOfACancelledExchange) {
@@ -193,8 +214,11 @@
     RunTurns(fixture.loop);
     LONGS_EQUAL(1, fixture.tunnels.Count());
     exchange.client->Cancel();
-    CHECK_TRUE(
-        RunUntil(fixture.loop, [&] { return fixture.tunnels.Count() == 0; }));
+    // Fewer turns than the liveness probes need to end the target's connection.
+    for (int i = 0; i < 10 && fixture.tunnels.Count() != 0; ++i) {
+      RunTurns(fixture.loop);
+    }
+    LONGS_EQUAL(0, fixture.tunnels.Count());
     CHECK_TRUE(RunUntil(fixture.loop, [&] { return target.Ended(); }));
     CHECK_FALSE(exchange.Finished());
   }
@@ -280,6 +304,30 @@
   CHECK_TRUE(exchange.body == body);
 }
 
+// A caller that reads nothing for some seconds must keep its answer, as it does
+// without a tunnel.
+TEST(NetTunnel, KeepsTheTunnelOfAPausedExchange) {
+  tunnel_fixture fixture;
+  std::shared_ptr<server_exchange> reply;
+  http_server target(fixture.loop, [&](std::shared_ptr<server_exchange> call) {
+    reply = std::move(call);
+  });
+  CHECK_FALSE(target.Listen("127.0.0.1:0").has_value());
+  recorded_exchange exchange(fixture.loop);
+  exchange.client->Start("127.0.0.1:" + std::to_string(target.Port()), kRequest,
+                         kLongTimeout, fixture.via);
+  CHECK_TRUE(RunUntil(fixture.loop, [&] { return reply != nullptr; }));
+  exchange.client->Pause();
+  reply->Reply(200, {}, LargeBody());
+  // Longer than the liveness probes wait for data to be acknowledged.
+  fixture.loop.restart();
+  fixture.loop.run_for(std::chrono::milliseconds(4'500));
+  exchange.client->Resume();
+  CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.Finished(); }));
+  CHECK_TRUE(exchange.ended);
+  LONGS_EQUAL(kLargeBodyBytes, exchange.body.size());
+}
+
 // A request that the target reads slowly must reach it whole.
 TEST(NetTunnel, PassesOnALargeRequest) {
   tunnel_fixture fixture;
