Keep the tunnel of a client that reads nothing for some seconds

Cause: with the user timeout of 3 s the tunnel server's side ended a connection whose client was alive but read nothing, since its own caller did not read.

Change: the client's side of a tunnel has 20 s, longer than a request lasts.

--- a/src/acaciaferry/net/liveness.hpp
+++ b/src/acaciaferry/net/liveness.hpp
@@ -1,13 +1,20 @@
 #pragma once
 
+#include "acaciaferry/core/time.hpp"
+
 namespace acaciaferry::net {
 
+/** For peers that read what they get. */
+inline constexpr duration kUserTimeout = std::chrono::seconds(3);
+
 /**
  * @brief Makes the kernel close a TCP connection whose peer is not reachable
- * any more: 3 s after sent data that is not acknowledged, and after 3 s of
- * unanswered probes on an idle connection.
+ * any more: some time after sent data that is not acknowledged, and after as
+ * long without an answer to probes on an idle connection. A peer that reads
+ * nothing acknowledges nothing either once its window is full.
  * @param descriptor File descriptor of the socket. Errors are ignored.
+ * @param user_timeout That time, in whole milliseconds.
  */
-void EnableLivenessProbes(int descriptor);
+void EnableLivenessProbes(int descriptor, duration user_timeout = kUserTimeout);
 
 }  // namespace acaciaferry::net
--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t kTunnelBufferBytes = 16'384;
 constexpr std::uint32_t kMaxTunnelHeadBytes = 4'096;
 constexpr duration kTunnelHeadTimeout = std::chrono::seconds(1);
+// The client stops reading while its own caller does, for as long as a request
+// lasts.
+constexpr duration kClientUserTimeout = std::chrono::seconds(20);
 constexpr duration kDialTimeout = std::chrono::milliseconds(500);
 // Time in which a client whose tunnel has ended, or was refused, is read until
 // it closes. Closing a socket with unread bytes would send a reset, which could
@@ -92,7 +95,7 @@
 void tunnel::Start() {
   boost::system::error_code ignored;
   client_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-  EnableLivenessProbes(client_.native_handle());
+  EnableLivenessProbes(client_.native_handle(), internal::kClientUserTimeout);
   parser_.header_limit(internal::kMaxTunnelHeadBytes);
   // Without eager parsing, the bytes after the head are left to the tunnel.
   parser_.eager(false);
