Connect through another VM while no target can be reached

Such a VM tried one target after the other, 0.6 s each, until its caller had gone; and the other VMs applied its distrust of targets that answered them.

Change: three targets without a connection since the last one that was established say that this VM is partitioned; from then on its attempts and its orders about memory go through tunnels of other VMs, which heartbeats name, until two probes in a row show that the targets are back. Decisions, deadlines, budgets and tickets stay where they are. Without a tunnel, calls are refused at once.

HeartbeatsOfOtherReleasesAreUnderstood has a further release, with 19 fields; its example of a later one has 21.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -13,8 +13,9 @@
 
 forwarding::attempt_failure ToAttemptFailure(net::exchange_failure failure) {
   switch (failure) {
-    case net::exchange_failure::kNotConnected:
     case net::exchange_failure::kNoTunnel:
+      return forwarding::attempt_failure::kNoTunnel;
+    case net::exchange_failure::kNotConnected:
       return forwarding::attempt_failure::kNotConnected;
     case net::exchange_failure::kNoResponse:
       return forwarding::attempt_failure::kNoResponse;
@@ -84,7 +85,7 @@
   const net::request_head head = protocol_.BuildAttemptHead(request_, attempt);
   connection->Start(attempt.address,
                     net::Serialize(head, caller_->body.size()) + caller_->body,
-                    internal::kConnectTimeout);
+                    internal::kConnectTimeout, attempt.tunnel);
 }
 
 void call_relay::CancelAttempt(std::uint32_t attempt) {
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -65,6 +65,10 @@
       readiness_(loop_,
                  [this](const exchange& request) { OnReadiness(request); }),
       control_(loop_, [this](const exchange& request) { OnControl(request); }),
+      tunnels_(loop_,
+               [this](std::string_view address) {
+                 return state_.targets.FindByAddress(address) != nullptr;
+               }),
       views_(loop_,
              *protocol_,
              settings_.service_address,
@@ -72,31 +76,33 @@
              clock_,
              incarnation_,
              [this] { OnViewChanged(); }),
-      peers_(loop_,
-             settings_,
-             incarnation_,
-             state_,
-             log_,
-             metrics_,
-             clock_,
-             {[this](const forwarding::event& event) { Post(event); },
-              [this] {
-                return mesh::local_status{
-                    {views_.View().era, views_.View().last_change_revision,
-                     table_ ? table_->version : 0},
-                    draining_since_.has_value(),
-                    IsReady(),
-                    views_.ReadsService(),
-                    views_.Digest()};
-              },
-              [this](const mesh::view_source& source) {
-                views_.FetchFrom(source);
-              },
-              [this] {
-                views_.SetShortWatches(peers_.Protocol().IsDesignatedWatcher());
-                views_.SetReading(peers_.Protocol().ShouldReadService());
-                ReloadSettings();
-              }}),
+      peers_(
+          loop_,
+          settings_,
+          incarnation_,
+          state_,
+          log_,
+          metrics_,
+          clock_,
+          {[this](const forwarding::event& event) { Post(event); },
+           [this] {
+             return mesh::local_status{
+                 {views_.View().era, views_.View().last_change_revision,
+                  table_ ? table_->version : 0},
+                 draining_since_.has_value(),
+                 IsReady(),
+                 views_.ReadsService(),
+                 views_.Digest(),
+                 offers_tunnels_ && IsReady() && !state_.reach.IsOutOfReach()};
+           },
+           [this](const mesh::view_source& source) {
+             views_.FetchFrom(source);
+           },
+           [this] {
+             views_.SetShortWatches(peers_.Protocol().IsDesignatedWatcher());
+             views_.SetReading(peers_.Protocol().ShouldReadService());
+             ReloadSettings();
+           }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       wake_timer_(loop_),
       drain_timer_(loop_) {
@@ -121,6 +127,12 @@
       return error;
     }
   }
+  // Without them this VM only helps no other.
+  const auto no_tunnels = tunnels_.Listen(settings_.datagram_address);
+  offers_tunnels_ = !no_tunnels;
+  if (no_tunnels) {
+    log_.WriteEvent("tunnels_unavailable", {{"why", *no_tunnels}});
+  }
   return peers_.Bind();
 }
 
@@ -182,7 +194,8 @@
 }
 
 bool entry_daemon::IsReady() const {
-  return !draining_since_ && table_ && state_.targets.size() > 0;
+  return !draining_since_ && table_ && state_.targets.size() > 0 &&
+         !state_.reach.IsIsolated(clock_.Now());
 }
 
 bool entry_daemon::ViewMayBeStale() const {
@@ -221,6 +234,8 @@
         state_.limits.Count(),
         state_.targets.SaidToLeave().size(),
         state_.refusals.Refusing(clock_.Now()).size(),
+        state_.reach.IsOutOfReach(),
+        tunnels_.Count(),
         callers_.ConnectionCount(),
         peers_.Protocol().Roster().PeakVmCount(),
         table_ ? table_->version : 0,
@@ -366,14 +381,15 @@
   if (since >= internal::kDrainAcceptPeriod && !stopped_accepting_) {
     stopped_accepting_ = true;
     callers_.StopListening();
+    tunnels_.StopListening();
   }
   const bool may_stop =
       since >= internal::kDrainAcceptPeriod + internal::kLastRefusals;
   if (may_stop) {
     callers_.CloseIdle();
   }
-  if (grace_expired ||
-      (may_stop && relays_.empty() && !callers_.HasRequests())) {
+  if (grace_expired || (may_stop && relays_.empty() &&
+                        !callers_.HasRequests() && tunnels_.Count() == 0)) {
     loop_.stop();
     return;
   }
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -19,6 +19,7 @@
 #include "acaciaferry/entry/view_keeper.hpp"
 #include "acaciaferry/forwarding/state.hpp"
 #include "acaciaferry/net/server.hpp"
+#include "acaciaferry/net/tunnel.hpp"
 
 namespace acaciaferry::entry {
 
@@ -97,6 +98,7 @@
   net::http_server callers_;
   net::http_server readiness_;
   net::http_server control_;
+  net::tunnel_server tunnels_;
   view_keeper views_;
   peer_exchange peers_;
   boost::asio::signal_set signals_;
@@ -105,6 +107,8 @@
   std::unordered_map<forwarding::call_id, std::shared_ptr<call_relay>> relays_;
   forwarding::call_id next_call_id_{1};
   std::optional<time_point> draining_since_;
+  /** Whether other VMs can connect to targets through this one. */
+  bool offers_tunnels_{};
   /** Whether callers can no longer connect, late in a drain. */
   bool stopped_accepting_{};
   time_point wake_at_{};
--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -2,6 +2,7 @@
 
 #include "acaciaferry/entry/entry_daemon.hpp"
 #include "acaciaferry/entry/order_sender.hpp"
+#include "acaciaferry/net/probe.hpp"
 
 namespace acaciaferry::entry {
 namespace internal {
@@ -9,6 +10,7 @@
 // Releases are retried when no response arrives; after that the memory is freed
 // when its lease expires.
 constexpr int kMaxReleaseAttempts = 3;
+constexpr duration kProbeTimeout = std::chrono::milliseconds(400);
 
 }  // namespace internal
 
@@ -113,6 +115,12 @@
   void operator()(const forwarding::answer_query& effect) const {
     self.peers_.Protocol().SendTo(effect.asker, effect.answer);
   }
+  void operator()(const forwarding::probe_target& effect) const {
+    net::ProbeConnection(self.loop_, effect.address, internal::kProbeTimeout,
+                         [&daemon = self](bool connected) {
+                           daemon.Post(forwarding::target_probed{connected});
+                         });
+  }
   void operator()(const forwarding::record_decision& effect) const {
     self.log_.WriteDecision(effect, self.clock_.Now());
     if (effect.kind == forwarding::decision_kind::kRepeated ||
@@ -134,6 +142,7 @@
                                ? internal::kMaxReleaseAttempts
                                : 1;
   SendOrder(loop_, address, request, max_attempts,
+            state_.reach.NextTunnel(clock_.Now()),
             [this, settled](const order_outcome& outcome) mutable {
               const order_result result = outcome.result;
               settled.result = result;
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -161,6 +161,9 @@
   gauge("acaciaferry_leaving_targets", std::to_string(gauges.leaving_targets));
   gauge("acaciaferry_refusing_targets",
         std::to_string(gauges.refusing_targets));
+  gauge("acaciaferry_targets_out_of_reach",
+        gauges.targets_out_of_reach ? "1" : "0");
+  gauge("acaciaferry_tunnels", std::to_string(gauges.tunnels));
   gauge("acaciaferry_connections", std::to_string(gauges.connections));
   gauge("acaciaferry_vms", std::to_string(gauges.vms));
   gauge("acaciaferry_configuration_version",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -27,6 +27,10 @@
   std::size_t leaving_targets{};
   /** Targets that want no request from this VM now. */
   std::size_t refusing_targets{};
+  /** Whether no target can be reached directly. */
+  bool targets_out_of_reach{};
+  /** Tunnels to targets that other VMs have open here. */
+  std::size_t tunnels{};
   std::size_t connections{};
   std::uint64_t vms{};
   std::uint64_t configuration_version{};
--- a/src/acaciaferry/entry/order_sender.cpp
+++ b/src/acaciaferry/entry/order_sender.cpp
@@ -23,12 +23,13 @@
                const std::string& address,
                const outgoing_request& order,
                int max_attempts,
+               const std::string& tunnel,
                const std::function<void(const order_outcome&)>& on_done) {
   const auto pending = std::make_shared<internal::pending_order>(
       internal::pending_order{nullptr, boost::asio::steady_timer(loop), {}});
-  const auto retry = [&loop, address, order, max_attempts, on_done] {
+  const auto retry = [&loop, address, order, max_attempts, tunnel, on_done] {
     if (max_attempts > 1) {
-      SendOrder(loop, address, order, max_attempts - 1, on_done);
+      SendOrder(loop, address, order, max_attempts - 1, tunnel, on_done);
     } else {
       on_done({forwarding::order_result::kUnanswered, {}});
     }
@@ -61,7 +62,7 @@
       });
   pending->exchange->Start(
       address, net::Serialize(order.head, order.body.size()) + order.body,
-      internal::kOrderTimeout);
+      internal::kOrderTimeout, tunnel);
 }
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/order_sender.hpp
+++ b/src/acaciaferry/entry/order_sender.hpp
@@ -24,12 +24,15 @@
  * @param address IP:PORT of the target.
  * @param order The request.
  * @param max_attempts Maximum number of attempts.
+ * @param tunnel IP:PORT of the tunnel to connect through; empty to connect
+ * directly.
  * @param on_done Called once, with the outcome.
  */
 void SendOrder(boost::asio::io_context& loop,
                const std::string& address,
                const outgoing_request& order,
                int max_attempts,
+               const std::string& tunnel,
                const std::function<void(const order_outcome&)>& on_done);
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -32,7 +32,9 @@
       "target_unlimited",
       "target_refusing",
       "planner_silent",
-      "went_back"};
+      "went_back",
+      "targets_out_of_reach",
+      "targets_in_reach"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -32,6 +32,8 @@
   std::uint32_t urgency{};
   /** Id of the event after which a stream is resumed; 0 to start it. */
   std::uint64_t resume_after{};
+  /** IP:PORT of the tunnel to connect through; empty to connect directly. */
+  std::string tunnel{};
 };
 
 /** Close the connection of an attempt. */
@@ -107,6 +109,12 @@
   std::vector<leaving_target> leaving{};
 };
 
+/** Connect to a target directly, and close the connection at once. */
+struct probe_target {
+  /** IP:PORT. */
+  std::string address;
+};
+
 /** Tell the peers of crashes that this process has seen. */
 struct share_part_crashes {
   std::vector<part_crash> crashes;
@@ -151,10 +159,12 @@
   kTargetRefusing,
   kPlannerSilent,
   kWentBack,
+  kTargetsOutOfReach,
+  kTargetsInReach,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kWentBack) + 1;
+    static_cast<std::size_t>(decision_kind::kTargetsInReach) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
@@ -186,6 +196,7 @@
                             answer_query,
                             ask_about_target,
                             answer_about_target,
+                            probe_target,
                             record_decision>;
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -126,6 +126,8 @@
 enum class attempt_failure {
   /** No connection: the target has not received the request. */
   kNotConnected,
+  /** No connection through the tunnel, which says nothing of the target. */
+  kNoTunnel,
   /** The connection was closed before a response began. */
   kNoResponse,
   /** The response was truncated or malformed. */
@@ -215,6 +217,17 @@
   std::uint64_t heard_vm_count{1};
 };
 
+/** The tunnels of other VMs that reach targets. */
+struct tunnels_changed {
+  /** IP:PORT, the nearest first. */
+  std::vector<std::string> tunnels;
+};
+
+/** Whether a direct connection to a target could be established. */
+struct target_probed {
+  bool reached{};
+};
+
 /** The timer for NextWake fired. */
 struct timer_fired {
   /** The time for which it was set: all input that had arrived by then has been
@@ -245,6 +258,8 @@
                            planners_changed,
                            target_asked,
                            target_reported,
+                           tunnels_changed,
+                           target_probed,
                            timer_fired>;
 
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -127,16 +127,19 @@
   const target* to = current.targets.Find(running.target);
   running.progress_due =
       ProgressDeadline(pending, running.predicted_first_event, now);
+  running.tunnel = current.reach.NextTunnel(now);
   out.emplace_back(send_attempt{
       pending.request.id, running.number, running.target, to ? to->address : "",
       running.helpers, pending.deadline - now, Urgency(pending.request),
       pending.partially_delivered ? pending.last_event
-                                  : pending.request.resume_after});
+                                  : pending.request.resume_after,
+      running.tunnel});
   LogDecision(
       out, decision_kind::kSent, pending.request.caller_request_id,
       {{"attempt", std::to_string(running.number)},
        {"target", running.target.value},
        {"helpers", HelperNames(running.helpers)},
+       {"tunnel", running.tunnel},
        {"predicted_ms", ToMillisText(running.predicted_first_event)},
        {"writers",
         std::to_string(current.ledger.Load(running.target, now).decodes)},
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -102,6 +102,26 @@
               time_point now,
               effects& out);
 
+/**
+ * @brief Records that the running attempt found no connection: distrusts its
+ * target or avoids its tunnel. If no target can be reached directly any more,
+ * the other calls that are connecting move on through tunnels.
+ */
+void RecordNoConnection(state& current,
+                        const pending_call& pending,
+                        attempt_failure how,
+                        time_point now,
+                        effects& out);
+
+/** @brief Sends a probe that is due while targets are out of reach. */
+void ProbeTargets(state& current, time_point now, effects& out);
+
+/** @brief Applies the result of a probe. */
+void ApplyProbe(state& current,
+                const target_probed& result,
+                time_point now,
+                effects& out);
+
 /** @return Time since the target of the running attempt was last heard. */
 [[nodiscard]] duration SilentTime(const pending_call& pending, time_point now);
 
--- a/src/acaciaferry/forwarding/fwd.hpp
+++ b/src/acaciaferry/forwarding/fwd.hpp
@@ -6,6 +6,7 @@
 class retry_allowance;
 class routing_table;
 class target_limits;
+class target_reach;
 class target_refusals;
 class target_table;
 struct call;
--- /dev/null
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -0,0 +1,88 @@
+#include <string>
+#include <vector>
+
+#include "acaciaferry/forwarding/flights.hpp"
+
+namespace acaciaferry::forwarding::internal {
+namespace {
+
+bool IsConnectingDirectly(const pending_call& pending) {
+  return pending.running_attempt && !pending.running_attempt->sent &&
+         pending.running_attempt->reservations.empty() &&
+         pending.running_attempt->tunnel.empty();
+}
+
+// What this VM has found out about the health of targets says nothing any more,
+// and the calls that are connecting would only wait for their timeout.
+void LeaveDirectConnections(state& current,
+                            call_id except,
+                            time_point now,
+                            effects& out) {
+  LogDecision(out, decision_kind::kTargetsOutOfReach, current.self.first.value,
+              {{"tunnels", std::to_string(current.reach.Tunnels().size())}});
+  current.targets.TrustAll();
+  std::vector<call_id> connecting;
+  for (const auto& [id, pending] : current.pending_calls) {
+    if (id != except && IsConnectingDirectly(pending)) {
+      connecting.push_back(id);
+    }
+  }
+  for (const call_id id : connecting) {
+    RetryOrFail(current, current.pending_calls.at(id), false,
+                failure_code::kNoLiveTarget, "out_of_reach", now, out);
+  }
+}
+
+}  // namespace
+
+void RecordNoConnection(state& current,
+                        const pending_call& pending,
+                        attempt_failure how,
+                        time_point now,
+                        effects& out) {
+  const attempt& running = *pending.running_attempt;
+  if (!running.tunnel.empty()) {
+    // The other VM may have lost the targets as well.
+    current.reach.RecordBrokenTunnel(running.tunnel, now);
+    if (how == attempt_failure::kNotConnected &&
+        current.reach.IsIsolated(now)) {
+      Distrust(current, running.target, distrust_reason::kUnreachable, now,
+               out);
+    }
+    return;
+  }
+  if (current.reach.IsOutOfReach()) {
+    return;
+  }
+  if (current.reach.RecordUnreachable(running.target, running.started, now)) {
+    LeaveDirectConnections(current, pending.request.id, now, out);
+  } else {
+    Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
+  }
+}
+
+void ProbeTargets(state& current, time_point now, effects& out) {
+  const auto due = current.reach.NextProbe();
+  if (!due || *due > now) {
+    return;
+  }
+  current.reach.ScheduleProbe(now);
+  const auto targets = current.targets.AllNotLeaving();
+  if (!targets.empty()) {
+    out.emplace_back(probe_target{
+        targets[DrawBelow(current.random, targets.size())]->address});
+  }
+}
+
+void ApplyProbe(state& current,
+                const target_probed& result,
+                time_point now,
+                effects& out) {
+  const auto since = current.reach.OutOfReachSince();
+  if (current.reach.RecordProbe(result.reached, now)) {
+    LogDecision(out, decision_kind::kTargetsInReach, current.self.first.value,
+                {{"after_ms", ToMillisText(now - *since)}});
+  }
+}
+
+}  // namespace acaciaferry::forwarding::internal
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -99,6 +99,9 @@
     if (pending_call* pending =
             FindRunning(current, happened.id, happened.attempt)) {
       pending->running_attempt->sent = true;
+      if (pending->running_attempt->tunnel.empty()) {
+        current.reach.RecordReached(now);
+      }
       ++pending->sent_attempts;
     }
   }
@@ -214,10 +217,13 @@
       return;
     }
     const target_id id = pending->running_attempt->target;
-    if (happened.how == attempt_failure::kNotConnected) {
-      Distrust(current, id, distrust_reason::kUnreachable, now, out);
+    if (happened.how == attempt_failure::kNotConnected ||
+        happened.how == attempt_failure::kNoTunnel) {
+      RecordNoConnection(current, *pending, happened.how, now, out);
       RetryOrFail(current, *pending, false, failure_code::kNoLiveTarget,
-                  "not_connected", now, out);
+                  happened.how == attempt_failure::kNoTunnel ? "no_tunnel"
+                                                             : "not_connected",
+                  now, out);
       return;
     }
     RecordTargetCrash(current, *pending, now, out);
@@ -247,7 +253,10 @@
       current.ledger.End(key, now);
     }
     for (const peer_distrust& each : happened.distrusted) {
-      current.targets.DistrustUntil(each.target, now + each.remaining);
+      // The peer may be the one that is cut off.
+      if (!current.targets.ActiveSince(each.target, now - kRecentActivity)) {
+        current.targets.DistrustUntil(each.target, now + each.remaining);
+      }
     }
     MergeLeavingTargets(current, happened.leaving, out);
     for (const target_id& id : happened.active) {
@@ -344,6 +353,14 @@
     ApplyTargetReport(current, happened.report, now, out);
   }
 
+  void operator()(const tunnels_changed& happened) {
+    current.reach.SetTunnels(happened.tunnels);
+  }
+
+  void operator()(const target_probed& happened) {
+    ApplyProbe(current, happened, now, out);
+  }
+
   void operator()(const timer_fired& /*happened*/) {}
 
   // Fails the calls that are past their deadline, retries deferred placements,
@@ -385,6 +402,7 @@
       RenewReservations(pending, now, out);
     }
     ReleaseClosingTickets(current, now, out);
+    ProbeTargets(current, now, out);
     if (current.next_sweep <= now) {
       current.next_sweep = now + kSweepInterval;
       current.ledger.Expire(now);
@@ -519,6 +537,7 @@
 
 time_point NextWake(const state& current, time_point now) {
   time_point next = now + internal::kIdleWake;
+  next = std::min(next, current.reach.NextProbe().value_or(next));
   for (const auto& [ticket, closing] : current.closing_tickets) {
     next = std::min(next, closing.release_at);
   }
--- a/src/acaciaferry/forwarding/silence.cpp
+++ b/src/acaciaferry/forwarding/silence.cpp
@@ -72,7 +72,9 @@
         now + std::max(SilentTime(pending, now), known.backlog);
     return;
   }
-  if (!known.is_busy) {
+  const bool is_own_reach =
+      running.tunnel.empty() && current.reach.IsOutOfReach();
+  if (!known.is_busy && !is_own_reach) {
     Distrust(current, running.target, distrust_reason::kSilent, now, out);
   }
   running.is_silent = true;
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -13,6 +13,7 @@
 #include "acaciaferry/forwarding/placement.hpp"
 #include "acaciaferry/forwarding/retry_allowance.hpp"
 #include "acaciaferry/forwarding/target_limits.hpp"
+#include "acaciaferry/forwarding/target_reach.hpp"
 #include "acaciaferry/forwarding/target_refusals.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
 #include "acaciaferry/quarantine/prompt_parts.hpp"
@@ -69,6 +70,8 @@
   /** Whether it has passed events on to the caller. */
   bool has_progressed{};
   bool is_silent{};
+  /** IP:PORT of the tunnel through which it connects; empty: directly. */
+  std::string tunnel;
   duration predicted_first_event{};
 };
 
@@ -137,6 +140,7 @@
   random_engine random;
   target_limits limits;
   target_refusals refusals;
+  target_reach reach;
   /** IP:PORT of the VMs that are asked to place calls, in order; empty if this
    * VM places them itself. */
   std::vector<std::string> planners;
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -134,6 +134,13 @@
   }
 }
 
+void target_table::TrustAll() {
+  for (auto& [id, known] : entries_) {
+    known.distrusted_until = {};
+    known.last_distrust = {};
+  }
+}
+
 void target_table::RecordActivity(const target_id& id, time_point now) {
   const auto at = entries_.find(id);
   if (at != entries_.end()) {
@@ -224,4 +231,14 @@
   return staying;
 }
 
+std::vector<const target*> target_table::AllNotLeaving() const {
+  std::vector<const target*> staying;
+  for (const auto& [id, known] : entries_) {
+    if (!known.leaving) {
+      staying.push_back(&known.published);
+    }
+  }
+  return staying;
+}
+
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -94,6 +94,9 @@
   /** @brief Applies distrust that a peer has reported. */
   void DistrustUntil(const target_id& id, time_point until);
 
+  /** @brief Drops all distrust, of this process and of peers. */
+  void TrustAll();
+
   /** @brief Records that a target has responded to any request. */
   void RecordActivity(const target_id& id, time_point now);
   /** @return Whether a target has responded to any request since. */
@@ -126,6 +129,8 @@
    */
   [[nodiscard]] std::vector<const target*> NotLeaving(
       const pool_id& pool) const;
+  /** @return All targets that are not leaving, ordered by id. */
+  [[nodiscard]] std::vector<const target*> AllNotLeaving() const;
   [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
  private:
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -65,6 +65,9 @@
   std::vector<peer_summary> first_vms;
   /** Whether it looks for hubs, so that a heartbeat in return is wanted. */
   bool asks_for_hubs{};
+  /** Whether it reaches targets, and passes connections to them on for others
+   * at its datagram address (TCP); not in older releases. */
+  bool tunnels{};
 
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -138,7 +138,8 @@
       wire.heard_in_fleet,
       wire.view_digest,
       ToSummaries(wire.first_vms),
-      wire.asks_for_hubs};
+      wire.asks_for_hubs,
+      wire.tunnels};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -53,7 +53,8 @@
                       from.heard_in_fleet,
                       from.view_digest,
                       {},
-                      from.asks_for_hubs};
+                      from.asks_for_hubs,
+                      from.tunnels};
   wire.known_peers.resize(std::min(wire.known_peers.size(), kMaxKnownPeers));
   for (const peer_summary& each : from.first_vms) {
     wire.first_vms.push_back({each.datagram_address, each.failure_domain.value,
--- a/src/acaciaferry/mesh/peer_protocol.cpp
+++ b/src/acaciaferry/mesh/peer_protocol.cpp
@@ -181,7 +181,9 @@
                  roster_.HeardInDomain(now),
                  roster_.HeardVmCount(now),
                  status.view_digest,
-                 {}};
+                 {},
+                 false,
+                 status.tunnels && !status.leaving};
   if (status.reads_service) {
     made.service = service_contact::kDirect;
   } else if (roster_.ServiceContactOfHubs(now) == service_contact::kDirect) {
@@ -360,6 +362,13 @@
   SendLoad(news);
 }
 
+void peer_protocol::ReportTunnels(time_point now) {
+  auto tunnels = roster_.Tunnels(now);
+  if (tunnels != state_.reach.Tunnels()) {
+    handlers_.post(forwarding::tunnels_changed{std::move(tunnels)});
+  }
+}
+
 void peer_protocol::FetchNewerView() {
   const member* newer = roster_.FindNewer(handlers_.status().view);
   if (newer == nullptr) {
@@ -388,6 +397,7 @@
     SendLoad({{}, std::exchange(ended_recently_, {}), {}, {}});
   }
   ReportActiveTargets(now);
+  ReportTunnels(now);
   BroadcastSuspects(roster_.IsLarge() ? recipients : roster_.LiveAddresses());
   RepeatPartCrashes();
   FetchNewerView();
--- a/src/acaciaferry/mesh/peer_protocol.hpp
+++ b/src/acaciaferry/mesh/peer_protocol.hpp
@@ -42,6 +42,8 @@
   bool reads_service{};
   /** See publication::DigestOf. */
   std::uint64_t view_digest{};
+  /** Whether it reaches targets and passes connections to them on. */
+  bool tunnels{};
 };
 
 /**
@@ -179,6 +181,7 @@
       const std::vector<forwarding::leaving_target>& leaving);
   [[nodiscard]] bool ConcernsOtherDomains(const load_update& news) const;
   void ReportActiveTargets(time_point now);
+  void ReportTunnels(time_point now);
   void FetchNewerView();
   /** @brief Has the view repaired if it differs from that of a hub for long. */
   void CompareDigests(const heartbeat& heartbeat, time_point now);
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -224,6 +224,21 @@
   return silent;
 }
 
+std::vector<std::string> roster::Tunnels(time_point now) const {
+  std::vector<std::string> own;
+  std::vector<std::string> others;
+  for (const auto& [vm, each] : members_) {
+    const heartbeat& last = each.last_heartbeat;
+    if (last.tunnels && !last.leaving && IsFresh(each, now)) {
+      (last.failure_domain == domain_ ? own : others)
+          .push_back(last.datagram_address);
+    }
+  }
+  own.insert(own.end(), others.begin(), others.end());
+  own.resize(std::min(own.size(), kMaxTunnels));
+  return own;
+}
+
 std::optional<time_point> roster::OldestHeartbeatTime() const {
   const auto oldest = std::min_element(
       members_.begin(), members_.end(), [](const auto& a, const auto& b) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -29,6 +29,8 @@
   bool repairs{};
 };
 
+inline constexpr std::size_t kMaxTunnels = 16;
+
 /** How often each VM sends heartbeats. */
 inline constexpr duration kHeartbeatInterval = std::chrono::milliseconds(500);
 
@@ -140,6 +142,10 @@
    * kDirect if one of them reads it. */
   [[nodiscard]] service_contact ServiceContactOfHubs(time_point now) const;
 
+  /** @return Addresses of the tunnels of VMs that are heard, those of this
+   * VM's failure domain first, at most kMaxTunnels. */
+  [[nodiscard]] std::vector<std::string> Tunnels(time_point now) const;
+
   /** @return Number of live VMs of this VM's failure domain that are heard,
    * this one included. */
   [[nodiscard]] std::uint64_t HeardInDomain(time_point now) const;
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -75,6 +75,7 @@
   std::uint64_t view_digest{};
   std::vector<peer_summary_wire> first_vms;
   bool asks_for_hubs{};
+  bool tunnels{};
   MSGPACK_DEFINE_ARRAY(vm,
                        failure_domain,
                        incarnation,
@@ -93,7 +94,8 @@
                        heard_in_fleet,
                        view_digest,
                        first_vms,
-                       asks_for_hubs)
+                       asks_for_hubs,
+                       tunnels)
 };
 
 struct job_wire {
--- /dev/null
+++ b/test/acaciaferry/forwarding/reach_test.cpp
@@ -0,0 +1,172 @@
+#include <set>
+
+#include "acaciaferry/forwarding/state.hpp"
+#include "forwarding/test_engine.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using namespace acaciaferry::forwarding;
+using std::chrono::milliseconds;
+
+namespace {
+
+time_point At(int ms) {
+  return time_point(milliseconds(ms));
+}
+
+// A VM with six targets of a plain service, which it can't reach any more.
+struct fixture {
+  fixture() {
+    routing_table table;
+    table.pools = {{{"pool"}, {}}};
+    SetPools(vm, table);
+    std::vector<target> targets;
+    for (int i = 0; i < 6; ++i) {
+      target made;
+      made.id = {"s" + std::to_string(i)};
+      made.pool = {"pool"};
+      made.address = made.id.value + ":1";
+      made.slots = 16;
+      targets.push_back(made);
+    }
+    PostAt(0, targets_published{targets});
+  }
+
+  void PostAt(int ms, const event& happened) {
+    now = At(ms);
+    last = Reduce(vm, happened, now);
+  }
+
+  template <typename Effect>
+  [[nodiscard]] std::vector<Effect> All() const {
+    std::vector<Effect> found;
+    for (const effect& each : last) {
+      if (const auto* one = std::get_if<Effect>(&each)) {
+        found.push_back(*one);
+      }
+    }
+    return found;
+  }
+
+  void Call(int ms, call_id id, call_kind kind = call_kind::kNonIdempotent) {
+    call what;
+    what.id = id;
+    what.caller_request_id = "c" + std::to_string(id);
+    what.pool = {"pool"};
+    what.kind = kind;
+    what.max_attempts = 2;
+    what.time_limit = milliseconds(3'000);
+    what.latency_objective = milliseconds(150);
+    PostAt(ms, call_arrived{what});
+  }
+
+  // Three calls that arrive together find no connection, one after the other.
+  void LoseTargets() {
+    PostAt(500, tunnels_changed{{"vm2:1", "vm3:1"}});
+    for (call_id id = 1; id <= 4; ++id) {
+      Call(1'000, id);
+      STRCMP_EQUAL("", All<send_attempt>().front().tunnel.c_str());
+    }
+    for (call_id id = 1; id <= 3; ++id) {
+      PostAt(1'600, attempt_failed{id, 1, attempt_failure::kNotConnected});
+    }
+  }
+
+  time_point now{At(0)};
+  state vm{{{"vm"}, 1}, {0.2, std::chrono::seconds(10), 50}, 7};
+  effects last;
+};
+
+}  // namespace
+
+TEST_GROUP(Reach){};
+
+// Guards against a VM that is partitioned from all targets and serves nobody,
+// although other VMs reach the targets.
+TEST(Reach, CallsGoThroughOtherVmsWhenNoTargetCanBeReached) {
+  fixture cut;
+  cut.LoseTargets();
+  // All move on, also those whose connections have not timed out yet.
+  std::set<call_id> moved_on;
+  for (const send_attempt& each : cut.All<send_attempt>()) {
+    CHECK_FALSE(each.tunnel.empty());
+    moved_on.insert(each.id);
+  }
+  CHECK_TRUE((moved_on == std::set<call_id>{1, 2, 3, 4}));
+  cut.Call(1'700, 5);
+  CHECK_FALSE(cut.All<send_attempt>().front().tunnel.empty());
+  LONGS_EQUAL(6, cut.vm.targets.Usable({"pool"}, cut.now).size());
+}
+
+// Guards against a call that may not be repeated and is sent again through
+// another VM after it may have reached its target.
+TEST(Reach, CallsThatWereSentAreNotRepeatedThroughOtherVms) {
+  fixture cut;
+  cut.Call(900, 9);
+  cut.PostAt(901, attempt_sent{9, 1});
+  cut.LoseTargets();
+  for (const send_attempt& each : cut.All<send_attempt>()) {
+    CHECK_TRUE(each.id != 9);
+  }
+  cut.PostAt(2'000, attempt_failed{9, 1, attempt_failure::kNoResponse});
+  LONGS_EQUAL(0, cut.All<send_attempt>().size());
+  CHECK_TRUE(cut.All<refuse_call>().front().why.result == outcome::kUnknown);
+}
+
+// Guards against sound targets that are distrusted because a VM through which
+// they were to be reached has gone.
+TEST(Reach, ABrokenTunnelSaysNothingOfTheTarget) {
+  fixture cut;
+  cut.LoseTargets();
+  cut.Call(1'700, 5);
+  const std::string tunnel = cut.All<send_attempt>().front().tunnel;
+  cut.PostAt(1'710, attempt_failed{5, 1, attempt_failure::kNoTunnel});
+  const auto again = cut.All<send_attempt>();
+  LONGS_EQUAL(1, again.size());
+  CHECK_TRUE(again.front().tunnel != tunnel);
+  LONGS_EQUAL(6, cut.vm.targets.Usable({"pool"}, cut.now).size());
+}
+
+// Guards against callers that wait although it is known that no target can be
+// reached, and against a promise that is not true.
+TEST(Reach, CallsAreRefusedAtOnceWithoutAnyWay) {
+  fixture cut;
+  cut.LoseTargets();
+  cut.PostAt(1'650, tunnels_changed{{}});
+  cut.Call(1'700, 5);
+  LONGS_EQUAL(0, cut.All<send_attempt>().size());
+  const failure why = cut.All<refuse_call>().front().why;
+  CHECK_TRUE(why.result == outcome::kNotRun);
+  CHECK_TRUE(why.retry_after > duration{});
+}
+
+// Guards against a detour that goes on after the partition has healed.
+TEST(Reach, ProbesFindTheTargetsAgain) {
+  fixture cut;
+  cut.LoseTargets();
+  for (int ms = 2'200; ms <= 2'800; ms += 600) {
+    cut.PostAt(ms, timer_fired{});
+    LONGS_EQUAL(1, cut.All<probe_target>().size());
+    cut.PostAt(ms + 10, target_probed{true});
+  }
+  CHECK_FALSE(cut.vm.reach.IsOutOfReach());
+  cut.Call(2'900, 5);
+  STRCMP_EQUAL("", cut.All<send_attempt>().front().tunnel.c_str());
+}
+
+// Guards against VMs that stop using sound targets because a peer, which is
+// partitioned from them, tells that they are lost.
+TEST(Reach, PeersDoNotOutweighWhatATargetHasJustAnswered) {
+  fixture sound;
+  sound.Call(1'000, 1);
+  const target_id at = sound.All<send_attempt>().front().target;
+  sound.PostAt(1'001, attempt_sent{1, 1});
+  sound.PostAt(1'050,
+               response_started{1, 1, response_verdict::kServed, 200, "", {}});
+  const peer_load_update lost{{}, {}, {{at, milliseconds(700)}}};
+  sound.PostAt(1'100, lost);
+  LONGS_EQUAL(6, sound.vm.targets.Usable({"pool"}, sound.now).size());
+  sound.PostAt(1'600, lost);
+  LONGS_EQUAL(5, sound.vm.targets.Usable({"pool"}, sound.now).size());
+}
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -75,10 +75,10 @@
 
 // Guards against VMs of two releases that don't understand each other's
 // heartbeats: an older one sends fewer fields (8, then 11 before there were
-// hubs), a later one more.
+// hubs, then 19 before there were tunnels), a later one more.
 TEST(MeshMessage, HeartbeatsOfOtherReleasesAreUnderstood) {
   const std::vector<std::string> peers{"a"};
-  for (const std::uint32_t fields : {8U, 11U, 20U}) {
+  for (const std::uint32_t fields : {8U, 11U, 19U, 21U}) {
     msgpack::sbuffer buffer;
     buffer.write("\x01", 1);
     msgpack::packer packer(buffer);
@@ -95,6 +95,9 @@
       packer.pack_array(4);
       packer.pack("10.0.0.2:1").pack("a").pack(6U).pack(120U);
       packer.pack(true);
+    }
+    if (fields > 19) {
+      packer.pack(true);
       packer.pack("later");
     }
     const auto decoded =
@@ -111,6 +114,7 @@
                                             : service_contact::kNone));
     LONGS_EQUAL(fields > 11 ? 1 : 0, read.first_vms.size());
     CHECK_TRUE(read.asks_for_hubs == (fields > 11));
+    CHECK_TRUE(read.tunnels == (fields > 19));
   }
 }
 
