End an order once when its response and its timeout come together

A VM that is busy for longer than an order may take finds the response and the expired timer in one turn of the loop; the timer could no longer be cancelled, and reported the order as unanswered after it was done. A sound prompt was refused, and its tickets were released again for 15 s.

Change: the timer does nothing once the exchange has ended.

--- a/src/acaciaferry/entry/order_sender.cpp
+++ b/src/acaciaferry/entry/order_sender.cpp
@@ -15,6 +15,7 @@
   std::shared_ptr<net::client_exchange> exchange;
   boost::asio::steady_timer timer;
   net::response_head head;
+  bool has_ended{};
 };
 
 }  // namespace internal
@@ -40,6 +41,7 @@
     return true;
   };
   handlers.on_end = [pending, on_done] {
+    pending->has_ended = true;
     pending->timer.cancel();
     on_done({pending->head.status == internal::kOk
                  ? forwarding::order_result::kDone
@@ -47,6 +49,7 @@
              pending->head});
   };
   handlers.on_failure = [pending, retry](net::exchange_failure /*failure*/) {
+    pending->has_ended = true;
     pending->timer.cancel();
     retry();
   };
@@ -55,7 +58,8 @@
   pending->timer.expires_after(internal::kOrderTimeout);
   pending->timer.async_wait(
       [pending, retry](const boost::system::error_code& error) {
-        if (!error) {
+        // A timer that expired before it was cancelled reports no error.
+        if (!error && !pending->has_ended) {
           pending->exchange->Cancel();
           retry();
         }
