Count silence from the sending of a request, and try less often after a refusal

The time in which a target may be silent ran from the start of connecting, so a pause of the VM before the request was written counted as silence. And a silent stream that found no other target was tried again after each second, which takes one of the pool's retries each time.

Change: sending restarts the timeout. A call that goes back to its silent attempt without having heard it waits twice as long. PausesOfTheVmAreNoSilenceOfTargets now has a timer that was set for a time before the end of the pause.

The longer wait has no test of its own.

--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -91,6 +91,12 @@
                   request.gap_objective * kProgressTimeoutGaps);
 }
 
+void StartProgressTimeout(pending_call& pending, time_point now) {
+  attempt& running = *pending.running_attempt;
+  running.progress_due =
+      ProgressDeadline(pending, running.predicted_first_event, now);
+}
+
 void RecordResponse(const pending_call& pending, time_point now, effects& out) {
   const duration first = pending.first_event_at
                              ? *pending.first_event_at - pending.arrived
@@ -125,8 +131,7 @@
                  effects& out) {
   attempt& running = *pending.running_attempt;
   const target* to = current.targets.Find(running.target);
-  running.progress_due =
-      ProgressDeadline(pending, running.predicted_first_event, now);
+  StartProgressTimeout(pending, now);
   running.tunnel = current.reach.NextTunnel(now);
   out.emplace_back(send_attempt{
       pending.request.id, running.number, running.target, to ? to->address : "",
@@ -194,6 +199,7 @@
 
 void GoBackToSilentAttempt(state& current,
                            pending_call& pending,
+                           way_back why,
                            time_point now,
                            effects& out) {
   EndAttempt(current, pending, true, now, out);
@@ -204,9 +210,12 @@
   again.is_silent = false;
   again.extended = false;
   again.asked_about_silence = false;
-  again.progress_due = now + ProgressTimeout(pending.request);
+  // Each further try takes one of the retries of the pool.
+  again.progress_due = now + (why == way_back::kHeard ? 1 : 2) *
+                                 ProgressTimeout(pending.request);
   LogDecision(out, decision_kind::kWentBack, pending.request.caller_request_id,
               {{"target", again.target.value},
+               {"heard", why == way_back::kHeard ? "yes" : "no"},
                {"last_event", std::to_string(pending.last_event)},
                {"after_ms", ToMillisText(now - pending.arrived)}});
 }
@@ -221,7 +230,7 @@
               time_point now,
               effects& out) {
   if (pending.silent_attempt && now < pending.deadline) {
-    GoBackToSilentAttempt(current, pending, now, out);
+    GoBackToSilentAttempt(current, pending, way_back::kNoOtherTarget, now, out);
     return;
   }
   EndSilentAttempt(current, pending, now, out);
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -186,6 +186,10 @@
 /** @return Time without an event after which a stream is silent. */
 [[nodiscard]] duration ProgressTimeout(const call& request);
 
+/** @brief Counts the time in which the running attempt may be silent from now
+ * on; its request was just sent. */
+void StartProgressTimeout(pending_call& pending, time_point now);
+
 /** @brief Logs a complete response and records its latencies. */
 void RecordResponse(const pending_call& pending, time_point now, effects& out);
 
@@ -221,10 +225,14 @@
                       time_point now,
                       effects& out);
 
+/** Why a call goes back to its silent attempt. */
+enum class way_back { kHeard, kNoOtherTarget };
+
 /** @brief Ends the attempt that was to go on with a silent stream, and runs the
  * silent one, which must exist, again. */
 void GoBackToSilentAttempt(state& current,
                            pending_call& pending,
+                           way_back why,
                            time_point now,
                            effects& out);
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -49,7 +49,7 @@
   const auto at = current.pending_calls.find(id);
   if (at != current.pending_calls.end() && at->second.silent_attempt &&
       at->second.silent_attempt->number == number) {
-    GoBackToSilentAttempt(current, at->second, now, out);
+    GoBackToSilentAttempt(current, at->second, way_back::kHeard, now, out);
   }
   return FindRunning(current, id, number);
 }
@@ -103,6 +103,7 @@
         current.reach.RecordReached(now);
       }
       ++pending->sent_attempts;
+      StartProgressTimeout(*pending, now);
     }
   }
 
--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -341,11 +341,26 @@
   fleet.PostAt(3'000, targets_published{fleet.published});
   LONGS_EQUAL(0, fleet.All<send_attempt>().size());
   LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
+  // The timer was set for a time before the pause ended.
+  fleet.Post(timer_fired{At(900)});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
   fleet.Post(response_progressed{first.id, 1, 2});
   fleet.Post(response_completed{first.id, 1});
   LONGS_EQUAL(1, fleet.All<finish_stream>().size());
 }
 
+// Guards against an attempt that counts as silent because its VM was busy
+// between connecting and the moment at which it sent the request.
+TEST(ForwardingReduce, SilenceCountsFromTheSendingOfTheRequest) {
+  fixture fleet;
+  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
+  fleet.PostAt(2'500, attempt_sent{first.id, 1});
+  fleet.Post(timer_fired{At(2'500)});
+  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
+  fleet.PostAt(4'500, timer_fired{});
+  LONGS_EQUAL(1, fleet.All<send_attempt>().size());
+}
+
 // Guards against a stream that is cut after a silence of its target because the
 // target that should go on with it refuses it.
 TEST(ForwardingReduce, SilentStreamsAreNotCutWhenTheNextTargetRefusesThem) {
