Test heads that break off at every byte, and odd views of peers

A head that is cut at any byte, with an orderly close or a reset, for plain calls and for streams, first and resumed runs, ends the attempt without a byte to the caller; so does a body shorter than its Content-Length. Views of peers that are nested 1,000,000 levels deep or claim lengths beyond memory are rejected.

--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -90,6 +90,18 @@
     return net::RunUntil(loop, [&] { return All<Event>().size() >= count; });
   }
 
+  // Lets a target send the first bytes of an answer, and close or reset its
+  // connection, until the attempt has ended.
+  void SendAndEnd(net::raw_connection target,
+                  const std::string& bytes,
+                  bool with_reset) {
+    const std::size_t failed = All<forwarding::attempt_failed>().size();
+    target.Send(bytes);
+    CHECK_TRUE(net::RunUntil(loop, [&] { return target.Has("POST"); }));
+    with_reset ? target.Reset() : target.Close();
+    CHECK_TRUE(Reported<forwarding::attempt_failed>(failed + 1));
+  }
+
   // Lets a first target send two events and break off.
   void BreakOff() {
     auto target = Attempt(1);
@@ -304,3 +316,62 @@
   CHECK_FALSE(call.caller->Has("second"));
   LONGS_EQUAL(1, call.All<forwarding::response_completed>().size());
 }
+
+// Guards against a head that breaks off, in good order or with a reset, and is
+// taken for a whole one with an empty or short body: at any byte, so also after
+// a field without the empty line, and in the digits of a length.
+TEST(CallRelay, AHeadThatBreaksOffAnywhereIsNoAnswer) {
+  const std::vector<std::string> framings{
+      "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n",
+      "Content-Length: 0\r\n", "Connection: close\r\n"};
+  for (const std::string& framing : framings) {
+    const std::string head = "HTTP/1.1 200 OK\r\n" + kStamp + framing + "\r\n";
+    for (std::size_t cut = 0; cut < head.size(); ++cut) {
+      for (const bool with_reset : {false, true}) {
+        fixture call(forwarding::call_kind::kNonIdempotent);
+        call.SendAndEnd(call.Attempt(1), head.substr(0, cut), with_reset);
+        CHECK_TRUE(call.All<forwarding::attempt_failed>().back().how ==
+                   forwarding::attempt_failure::kNoResponse);
+        LONGS_EQUAL(0, call.All<forwarding::response_started>().size());
+        LONGS_EQUAL(0, call.All<forwarding::response_completed>().size());
+        STRCMP_EQUAL("", call.caller->Received().c_str());
+      }
+    }
+  }
+}
+
+// Guards against a body that is shorter than its head says, which reaches its
+// caller framed as whole.
+TEST(CallRelay, AShortBodyIsNoAnswer) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\n" + kStamp + "Content-Length: 12\r\n\r\n";
+  for (std::size_t bytes = 0; bytes < 12; ++bytes) {
+    for (const bool with_reset : {false, true}) {
+      fixture call(forwarding::call_kind::kNonIdempotent);
+      call.SendAndEnd(call.Attempt(1), head + std::string(bytes, 'x'),
+                      with_reset);
+      LONGS_EQUAL(0, call.All<forwarding::response_completed>().size());
+      STRCMP_EQUAL("", call.caller->Received().c_str());
+    }
+  }
+}
+
+// Guards against a stream that ends as complete, or gets bytes of a head,
+// because the head of its first or resumed run breaks off.
+TEST(CallRelay, AStreamWhoseHeadBreaksOffIsNotComplete) {
+  for (std::size_t cut = 0; cut < kStreamHead.size(); ++cut) {
+    for (const bool with_reset : {false, true}) {
+      fixture call;
+      call.SendAndEnd(call.Attempt(1), kStreamHead.substr(0, cut), with_reset);
+      STRCMP_EQUAL("", call.caller->Received().c_str());
+      fixture resumed;
+      resumed.BreakOff();
+      const std::string before = resumed.caller->Received();
+      resumed.SendAndEnd(resumed.Attempt(2, 2), kStreamHead.substr(0, cut),
+                         with_reset);
+      LONGS_EQUAL(0, resumed.All<forwarding::response_completed>().size());
+      LONGS_EQUAL(1, resumed.All<forwarding::response_started>().size());
+      STRCMP_EQUAL(before.c_str(), resumed.caller->Received().c_str());
+    }
+  }
+}
--- a/test/acaciaferry/entry/view_keeper_test.cpp
+++ b/test/acaciaferry/entry/view_keeper_test.cpp
@@ -48,3 +48,29 @@
   CHECK_TRUE(EncodeView({sent, {}, {}}).starts_with(old_bytes));
   CHECK_FALSE(DecodePeerView(old_bytes + "\xc1").has_value());
 }
+
+// Guards against a process that ends because of what a peer sends: nested
+// without end, or with lengths that no memory holds.
+TEST(PeerView, OddBytesAreRejected) {
+  publication::view sent;
+  sent.items["c"] = {"v1", 5, false, 0};
+  const std::string whole = EncodeView({sent, 3, {"k"}});
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    // Without the eras it is a view of an older release.
+    const auto received = DecodePeerView(whole.substr(0, cut));
+    CHECK_TRUE(!received || !received->since);
+  }
+  const std::vector<std::string> odd{
+      std::string(1'000'000, '\x91'),
+      std::string(1'000'000, '\x81'),
+      "\xdd\xff\xff\xff\xff",
+      "\xdf\xff\xff\xff\xff",
+      "\xdb\xff\xff\xff\xff",
+      "\xc6\xff\xff\xff\xff",
+      "\xff\xff\x80",
+      std::string("\xcb\x7f\xef\xff\xff\xff\xff\xff\xff\x01\x80")};
+  for (const std::string& bytes : odd) {
+    CHECK_FALSE(DecodePeerView(bytes).has_value());
+    CHECK_FALSE(DecodePeerView("\x01\x01" + bytes).has_value());
+  }
+}
