--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -64,6 +64,11 @@
   return count;
 }
 
+// A value in a number of arrays.
+std::string Nested(std::size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
 }  // namespace
 
 TEST_GROUP(PlatformDialect){};
@@ -364,3 +369,21 @@
   LONGS_EQUAL(0, platform.protocol->ServiceEra({200, {}}));
   LONGS_EQUAL(0, platform.protocol->ServiceEra({200, {{"Store-Era", "x"}}}));
 }
+
+// Guards against a process that ends because of a deeply nested response.
+TEST(PlatformDialect, NestedResponsesAreReadOrRejected) {
+  const fixture platform;
+  for (const char* list : {"items", "events"}) {
+    for (const std::string& nested :
+         {Nested(1'000'000), "[" + Nested(1'000'000) + "]",
+          R"([{"key":"a","revision":1,"value":)" + Nested(1'000'000) + "}]",
+          std::string(1'000'000, '[')}) {
+      const std::string body =
+          R"({"store_revision":9,")" + std::string(list) + "\":" + nested + "}";
+      static_cast<void>(platform.protocol->DecodePage(200, body));
+      static_cast<void>(platform.protocol->DecodeChanges(200, body));
+    }
+  }
+  CHECK_TRUE(std::holds_alternative<publication::request_failure>(
+      platform.protocol->DecodePage(200, Nested(1'000'000))));
+}
