Answer all calls before the grace of a planned stop ends

Calls that were at a target when the grace ended, among them non-idempotent ones taken after SIGTERM, were closed without an answer. The time of each call now ends 0.75 s before the grace does: one that may have run is answered 504, others 503, and a stream that has begun is cut. Targets of calls that come during a drain are handed no more time than that, and prompts that need more are refused as those near their deadline are.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -24,6 +24,9 @@
 constexpr duration kLastRefusals = std::chrono::milliseconds(250);
 // Part of the grace period reserved for process shutdown.
 constexpr duration kExitMargin = std::chrono::milliseconds(500);
+// Calls without an answer are ended this long before the process stops, so that
+// their replies can be written.
+constexpr duration kLastAnswers = std::chrono::milliseconds(250);
 constexpr duration kDrainCheckInterval = std::chrono::milliseconds(50);
 // Maximum age of a view that neither the service nor a peer has confirmed. An
 // older view may lack routes and keys, so unknown ones are refused as
@@ -300,7 +303,7 @@
     caller->Reply(reply.status, reply.fields, "");
   };
   if (draining_since_ &&
-      clock_.Now() - *draining_since_ >= internal::kDrainAcceptPeriod) {
+      clock_.Now() >= *draining_since_ + DrainAcceptPeriod()) {
     refuse(failure_code::kDraining, "");
     return;
   }
@@ -321,12 +324,18 @@
     return;
   }
   auto& accepted = std::get<parsed_request>(parsed);
-  const forwarding::call call = accepted.call;
+  forwarding::call& call = accepted.call;
+  if (draining_since_) {
+    // Targets are not handed more time, and prompts that need more are refused.
+    call.time_limit =
+        std::min(call.time_limit, LastAnswerTime() - clock_.Now());
+  }
+  const forwarding::call_arrived arrived{call};
   relays_.emplace(id,
                   std::make_shared<call_relay>(
                       loop_, *protocol_, caller, std::move(accepted),
                       [this](const forwarding::event& event) { Post(event); }));
-  Post(forwarding::call_arrived{call});
+  Post(arrived);
 }
 
 void entry_daemon::Post(const forwarding::event& event) {
@@ -368,7 +377,22 @@
   draining_since_ = clock_.Now();
   log_.WriteEvent("draining", {{"in_flight", std::to_string(relays_.size())}});
   callers_.CloseAfterReplies();
-  CheckDrained();
+  for (auto& [id, pending] : state_.pending_calls) {
+    pending.deadline = std::min(pending.deadline, LastAnswerTime());
+  }
+  Post(forwarding::timer_fired{});
+}
+
+time_point entry_daemon::LastAnswerTime() const {
+  return *draining_since_ +
+         std::max(settings_.drain_grace - internal::kExitMargin -
+                      internal::kLastAnswers,
+                  duration::zero());
+}
+
+duration entry_daemon::DrainAcceptPeriod() const {
+  return std::min(internal::kDrainAcceptPeriod,
+                  LastAnswerTime() - *draining_since_);
 }
 
 void entry_daemon::CheckDrained() {
@@ -378,13 +402,12 @@
   const duration since = clock_.Now() - *draining_since_;
   const bool grace_expired =
       since >= settings_.drain_grace - internal::kExitMargin;
-  if (since >= internal::kDrainAcceptPeriod && !stopped_accepting_) {
+  if (since >= DrainAcceptPeriod() && !stopped_accepting_) {
     stopped_accepting_ = true;
     callers_.StopListening();
     tunnels_.StopListening();
   }
-  const bool may_stop =
-      since >= internal::kDrainAcceptPeriod + internal::kLastRefusals;
+  const bool may_stop = since >= DrainAcceptPeriod() + internal::kLastRefusals;
   if (may_stop) {
     callers_.CloseIdle();
   }
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -76,6 +76,10 @@
                        forwarding::ticket_order_settled settled);
   void ScheduleWake();
   void CheckDrained();
+  /** @return When calls that have no answer are ended in a drain. */
+  [[nodiscard]] time_point LastAnswerTime() const;
+  /** @return For how long a drain takes new calls. */
+  [[nodiscard]] duration DrainAcceptPeriod() const;
   void ReloadSettings();
   [[nodiscard]] bool IsReady() const;
   /** @return Whether the view may lack recently published changes. */
--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -230,13 +230,14 @@
     run_with_peer(fleet, targets)
 
 
-def settings_file(ip, ports, store, seeds=""):
+def settings_file(ip, ports, store, seeds="", grace_ms=8000):
     callers, ready, control, datagrams = ports
     file = tempfile.NamedTemporaryFile("w", suffix=".ini")
     file.write("""
 [vm]
 name = vm-%(ip)s
 failure_domain = a
+drain_grace_ms = %(grace_ms)d
 [callers]
 address = %(ip)s:%(callers)d
 [readiness]
