--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -563,3 +563,19 @@
   CHECK_TRUE(std::holds_alternative<publication::request_failure>(
       platform.protocol->DecodePage(200, Nested(1'000'000))));
 }
+
+// Guards against a listing that fails each time, or goes on elsewhere, because
+// a page ends with an odd key.
+TEST(PlatformDialect, KeysAreEncodedInListings) {
+  const fixture platform;
+  const auto after = [&](const std::string& key) {
+    const std::string target =
+        platform.protocol->BuildListRequest({"servers/", key}).target;
+    return target.substr(target.find("&after=") + 7);
+  };
+  STRCMP_EQUAL("servers/i-1.a_b~", after("servers/i-1.a_b~").c_str());
+  STRCMP_EQUAL("servers/a%20b%26c%3D%25%2B%23",
+               after("servers/a b&c=%+#").c_str());
+  STRCMP_EQUAL("servers/%0D%0AX:%201%C3%A9",
+               after("servers/\r\nX: 1\xc3\xa9").c_str());
+}
