--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -231,6 +231,25 @@
   }
 }
 
+// Guards against a process that ends because of a datagram that is nested
+// without end, or claims lengths that no memory holds.
+TEST(MeshMessage, OddDatagramsAreRejected) {
+  const std::string whole = Encode(load_update{{Job(1)}, {}, {}}, At(0))[0];
+  std::string nested_maps;
+  for (int i = 0; i < 30'000; ++i) {
+    nested_maps += "\x81\x01";
+  }
+  for (const std::string& bytes : {std::string(60'000, '\x91'), nested_maps,
+                                   std::string("\xdd\xff\xff\xff\xff"),
+                                   std::string("\xdf\xff\xff\xff\xff"),
+                                   std::string("\xdb\xff\xff\xff\xff")}) {
+    // After the version, and after the version and the kind of message.
+    for (std::size_t kept = 0; kept <= 4; ++kept) {
+      CHECK_FALSE(Decode(whole.substr(0, kept) + bytes, At(0)).has_value());
+    }
+  }
+}
+
 // Guards against evidence on prompt parts that is lost or fragmented on its
 // way.
 TEST(MeshMessage, PartCrashesSurviveARoundTripInSmallDatagrams) {
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -442,7 +442,7 @@
       "", "[]", "\"x\"", "null", "7", "\xff\xfe\x00", "{\"service\":\"m\"}"};
   for (const std::size_t levels : {100'000U, 1'000'000U}) {
     odd.push_back(Nested(levels));
-    odd.push_back(std::string(levels, '['));
+    odd.emplace_back(levels, '[');
     odd.push_back(Entry(Nested(levels), address, "8", "1"));
     odd.push_back(Entry("\"m\"", address, Nested(levels), "1"));
     std::string objects;
