Judge no silence at the start of a drain

Cause: the drain posted a timer event to apply the calls' earlier deadlines, and that event says that all input has been read.

Change: it schedules the next wake instead.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -380,7 +380,8 @@
   for (auto& [id, pending] : state_.pending_calls) {
     pending.deadline = std::min(pending.deadline, LastAnswerTime());
   }
-  Post(forwarding::timer_fired{});
+  ScheduleWake();
+  CheckDrained();
 }
 
 time_point entry_daemon::LastAnswerTime() const {
