Split the tests of streams and the time of the next wake from their large files

Change: the fixture is a header, 14 tests of streams stand in streams_test.cpp (group ForwardingStreams), and NextWake in wake.cpp.

--- a/test/acaciaferry/forwarding/reduce_test.cpp
+++ b/test/acaciaferry/forwarding/reduce_test.cpp
@@ -1,5 +1,4 @@
-#include "acaciaferry/forwarding/state.hpp"
-#include "forwarding/test_engine.hpp"
+#include "forwarding/single_vm.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,136 +6,12 @@
 using namespace acaciaferry::forwarding;
 using std::chrono::milliseconds;
 
-namespace {
-
-const pool_id kService{"service"};
-const pool_id kModel{"model"};
-
-time_point At(int ms) {
-  return time_point(milliseconds(ms));
-}
-
-target Target(const std::string& id, const pool_id& pool) {
-  target made;
-  made.id.value = id;
-  made.pool = pool;
-  made.address = id + ":1";
-  made.slots = 16;
-  return made;
-}
-
-// The result of a reservation or a renewal.
-ticket_order_settled Settled(const reserve_memory& order, order_result result) {
-  return {order.id, order.attempt, order.ticket,
-          order.renewal ? ticket_order::kRenew : ticket_order::kReserve,
-          result};
-}
-
-// Reducer state with three targets of a plain service and six engines.
-struct fixture {
-  fixture()
-      : now(At(0)),
-        current({{"vm"}, 1}, {0.2, std::chrono::seconds(10), 50}, 7) {
-    routing_table table;
-    table.pools = {{kService, {}}, {kModel, MakeTestEngine(200'000)}};
-    SetPools(current, table);
-    for (int i = 0; i < 3; ++i) {
-      published.push_back(Target("s" + std::to_string(i), kService));
-    }
-    for (int i = 0; i < 6; ++i) {
-      published.push_back(Target("e" + std::to_string(i), kModel));
-    }
-    Post(targets_published{published});
-  }
-
-  effects Post(const event& happened) {
-    last = Reduce(current, happened, now);
-    return last;
-  }
-
-  effects PostAt(int ms, const event& happened) {
-    now = At(ms);
-    return Post(happened);
-  }
-
-  template <typename Effect>
-  std::vector<Effect> All() const {
-    std::vector<Effect> found;
-    for (const effect& each : last) {
-      if (const auto* one = std::get_if<Effect>(&each)) {
-        found.push_back(*one);
-      }
-    }
-    return found;
-  }
-
-  // Starts a call and returns its first attempt.
-  send_attempt Start(call_kind kind,
-                     const pool_id& pool,
-                     std::uint64_t tokens = 0,
-                     bool resumable = true) {
-    call what;
-    what.id = ++id;
-    what.caller_request_id = "c" + std::to_string(id);
-    what.pool = pool;
-    what.kind = kind;
-    what.resumable = resumable;
-    what.max_attempts = 2;
-    what.time_limit = milliseconds(10'000);
-    what.latency_objective = milliseconds(300);
-    what.gap_objective = milliseconds(pool == kModel ? 250 : 0);
-    what.prompt_tokens = tokens;
-    what.output_tokens = tokens == 0 ? 0 : 1'000;
-    what.fingerprint = id;
-    what.shared_parts = next_parts;
-    Post(call_arrived{what});
-    const auto sent = All<send_attempt>();
-    return sent.empty() ? send_attempt{} : sent.front();
-  }
-
-  // Starts a prompt on several engines, all of which set memory aside, and
-  // returns their orders.
-  std::vector<reserve_memory> StartWithTickets(bool resumable = true) {
-    Start(call_kind::kStreaming, kModel, 400'000, resumable);
-    const auto orders = All<reserve_memory>();
-    for (const reserve_memory& each : orders) {
-      Post(Settled(each, order_result::kDone));
-    }
-    return orders;
-  }
-
-  void Sent(const send_attempt& attempt) {
-    Post(attempt_sent{attempt.id, attempt.attempt});
-  }
-
-  // Starts a short prompt whose first event has arrived.
-  send_attempt StartStream() {
-    const auto first = Start(call_kind::kStreaming, kModel, 5'000);
-    Sent(first);
-    Post(response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-    Post(response_progressed{first.id, 1, 1});
-    return first;
-  }
-
-  failure Refusal() const { return All<refuse_call>().front().why; }
-
-  time_point now;
-  state current;
-  std::vector<target> published;
-  effects last;
-  call_id id{};
-  /** Shared parts of the next call's prompt. */
-  std::vector<prompt_part> next_parts;
-};
-
-}  // namespace
-
 TEST_GROUP(ForwardingReduce){};
 
 // Guards against a non-idempotent call that runs twice: it may have run
 // although its response was lost.
 TEST(ForwardingReduce, NonIdempotentCallsAreSentOnce) {
-  fixture fleet;
+  single_vm fleet;
   const auto sent = fleet.Start(call_kind::kNonIdempotent, kService);
   fleet.Sent(sent);
   fleet.Post(attempt_failed{sent.id, 1, attempt_failure::kNoResponse});
@@ -148,7 +23,7 @@
 // Guards against claiming "not run" for an expired call that was sent to a
 // target.
 TEST(ForwardingReduce, ExpiredCallsThatWereSentAreUnknown) {
-  fixture fleet;
+  single_vm fleet;
   const auto sent = fleet.Start(call_kind::kNonIdempotent, kService);
   fleet.Sent(sent);
   fleet.PostAt(10'000, timer_fired{});
@@ -161,7 +36,7 @@
 // Guards against failing a call that no target has received, and against
 // retrying it at the same target.
 TEST(ForwardingReduce, CallsOfAnyKindAreRetriedWhenATargetIsUnreachable) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kNonIdempotent, kService);
   fleet.Post(attempt_failed{first.id, 1, attempt_failure::kNotConnected});
   const auto again = fleet.All<send_attempt>();
@@ -178,7 +53,7 @@
 // Guards against failing a call that its target rejected without running it
 // while other targets are free.
 TEST(ForwardingReduce, RejectedCallsAreRetriedElsewhere) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kNonIdempotent, kService);
   fleet.Sent(first);
   fleet.Post(
@@ -194,7 +69,7 @@
 
 // Guards against more attempts than the route allows.
 TEST(ForwardingReduce, IdempotentCallsAreRetriedUpToTheLimit) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kIdempotent, kService);
   fleet.Sent(first);
   fleet.Post(
@@ -210,75 +85,9 @@
   LONGS_EQUAL(1, fleet.All<deliver_response>().size());
 }
 
-// Guards against a stream with lost or repeated events: it resumes after the
-// last event that was passed on.
-TEST(ForwardingReduce, BrokenStreamsResumeAfterTheLastEvent) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.Sent(first);
-  fleet.Post(
-      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-  fleet.Post(response_progressed{first.id, 1, 4});
-  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
-  const auto again = fleet.All<send_attempt>();
-  LONGS_EQUAL(1, again.size());
-  LONGS_EQUAL(4, again[0].resume_after);
-}
-
-// Guards against a stream that is framed as complete although its resumed run
-// failed.
-TEST(ForwardingReduce, StreamsWhoseResumedRunFailsAreAborted) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.Sent(first);
-  fleet.Post(
-      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-  fleet.Post(response_progressed{first.id, 1, 4});
-  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
-  fleet.Sent(fleet.All<send_attempt>().front());
-  fleet.Post(
-      response_started{first.id, 2, response_verdict::kFailed, 500, "", {}});
-  LONGS_EQUAL(1, fleet.All<abort_response>().size());
-  fleet.Post(response_completed{first.id, 2});
-  LONGS_EQUAL(0, fleet.All<finish_stream>().size());
-  LONGS_EQUAL(0, fleet.All<deliver_response>().size());
-}
-
-// Guards against a stream that mixes two runs: one that is not resumable is
-// aborted.
-TEST(ForwardingReduce, NonResumableStreamsAreAborted) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000, false);
-  fleet.Sent(first);
-  fleet.Post(
-      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-  fleet.Post(response_progressed{first.id, 1, 4});
-  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  LONGS_EQUAL(1, fleet.All<abort_response>().size());
-}
-
-// Guards against duplicated events: progress that arrives after its timeout
-// belongs to the running attempt, so the stream must not have been resumed
-// before it.
-TEST(ForwardingReduce, ProgressIsProcessedBeforeTimeouts) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.Sent(first);
-  fleet.Post(
-      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-  fleet.Post(response_progressed{first.id, 1, 1});
-  fleet.PostAt(5'000, response_progressed{first.id, 1, 9});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  fleet.PostAt(9'000, timer_fired{});
-  const auto again = fleet.All<send_attempt>();
-  LONGS_EQUAL(1, again.size());
-  LONGS_EQUAL(9, again[0].resume_after);
-}
-
 // Guards against processing events of a superseded attempt.
 TEST(ForwardingReduce, EventsOfSupersededAttemptsAreIgnored) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kIdempotent, kService);
   fleet.Sent(first);
   fleet.Post(attempt_failed{first.id, 1, attempt_failure::kNoResponse});
@@ -286,176 +95,9 @@
   LONGS_EQUAL(0, fleet.last.size());
 }
 
-// Guards against distrusting a target that is busy with the prefill of other
-// prompts.
-TEST(ForwardingReduce, BusyTargetsGetMoreTime) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.Sent(first);
-  job other;
-  other.key = 99;
-  other.target = first.target;
-  other.prefill_time = milliseconds(8'000);
-  other.deadline = At(20'000);
-  fleet.Post(peer_load_update{{other}, {}, {}});
-  fleet.PostAt(1'500, timer_fired{});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-}
-
-// Guards against a stream that waits for a target without any activity until
-// its caller disconnects.
-TEST(ForwardingReduce, StreamsMoveOnFromSilentTargets) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.Sent(first);
-  fleet.PostAt(1'500, timer_fired{});
-  const auto again = fleet.All<send_attempt>();
-  LONGS_EQUAL(1, again.size());
-  CHECK_TRUE(again[0].target != first.target);
-}
-
-// Guards against a slow but sound stream that is cut: one that can't go on at
-// another target waits for its own until the deadline.
-TEST(ForwardingReduce, SlowStreamsThatCannotMoveOnAreNotCut) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000, false);
-  fleet.Sent(first);
-  fleet.Post(
-      response_started{first.id, 1, response_verdict::kServed, 200, "", {}});
-  std::uint64_t event = 0;
-  for (int ms = 1'500; ms < 9'000; ms += 1'500) {
-    fleet.PostAt(ms, timer_fired{});
-    LONGS_EQUAL(0, fleet.All<abort_response>().size());
-    LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
-    fleet.Post(response_progressed{first.id, 1, ++event});
-  }
-  fleet.Post(response_completed{first.id, 1});
-  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
-}
-
-// Guards against a sound stream that is cut because its VM was busy: what has
-// arrived meanwhile is read before a target counts as silent.
-TEST(ForwardingReduce, PausesOfTheVmAreNoSilenceOfTargets) {
-  fixture fleet;
-  const auto first = fleet.StartStream();
-  fleet.PostAt(3'000, targets_published{fleet.published});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
-  // The timer was set for a time before the pause ended.
-  fleet.Post(timer_fired{At(900)});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  fleet.Post(response_progressed{first.id, 1, 2});
-  fleet.Post(response_completed{first.id, 1});
-  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
-}
-
-// Guards against an attempt that counts as silent because its VM was busy
-// between connecting and the moment at which it sent the request.
-TEST(ForwardingReduce, SilenceCountsFromTheSendingOfTheRequest) {
-  fixture fleet;
-  const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-  fleet.PostAt(2'500, attempt_sent{first.id, 1});
-  fleet.Post(timer_fired{At(2'500)});
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  fleet.PostAt(4'500, timer_fired{});
-  LONGS_EQUAL(1, fleet.All<send_attempt>().size());
-}
-
-// Guards against a stream that is cut after a silence of its target because the
-// target that should go on with it refuses it.
-TEST(ForwardingReduce, SilentStreamsAreNotCutWhenTheNextTargetRefusesThem) {
-  fixture fleet;
-  const auto first = fleet.StartStream();
-  fleet.PostAt(2'500, timer_fired{});
-  const auto second = fleet.All<send_attempt>();
-  LONGS_EQUAL(1, second.size());
-  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
-  fleet.Sent(second[0]);
-  fleet.Post(
-      response_started{first.id, 2, response_verdict::kNotRun, 503, "", {}});
-  LONGS_EQUAL(0, fleet.All<abort_response>().size());
-  fleet.Post(response_progressed{first.id, 1, 2});
-  fleet.Post(response_completed{first.id, 1});
-  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
-}
-
-// Guards against an engine that works on for nobody, and against a stream that
-// ends at the silent target after another one has gone on with it.
-TEST(ForwardingReduce, TheSilentAttemptEndsWhenTheNextOneGoesOn) {
-  fixture fleet;
-  const auto first = fleet.StartStream();
-  fleet.PostAt(2'500, timer_fired{});
-  fleet.Sent(fleet.All<send_attempt>().front());
-  fleet.Post(
-      response_started{first.id, 2, response_verdict::kServed, 200, "", {}});
-  LONGS_EQUAL(0, fleet.All<cancel_attempt>().size());
-  fleet.Post(response_progressed{first.id, 2, 2});
-  LONGS_EQUAL(1, fleet.All<cancel_attempt>().size());
-  LONGS_EQUAL(1, fleet.All<cancel_attempt>().front().attempt);
-  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
-  LONGS_EQUAL(0, fleet.last.size());
-  fleet.Post(response_completed{first.id, 2});
-  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
-  LONGS_EQUAL(0, fleet.current.ledger.JobCount());
-}
-
-// Guards against connections and jobs that are left behind when a call with two
-// attempts ends, however it does.
-TEST(ForwardingReduce, BothAttemptsEndWithTheirCall) {
-  for (const bool caller_leaves : {true, false}) {
-    fixture fleet;
-    const auto first = fleet.StartStream();
-    fleet.PostAt(2'500, timer_fired{});
-    fleet.Sent(fleet.All<send_attempt>().front());
-    if (caller_leaves) {
-      fleet.Post(caller_disconnected{first.id});
-    } else {
-      fleet.PostAt(10'000, timer_fired{});
-      LONGS_EQUAL(1, fleet.All<abort_response>().size());
-    }
-    LONGS_EQUAL(2, fleet.All<cancel_attempt>().size());
-    LONGS_EQUAL(0, fleet.current.ledger.JobCount());
-    LONGS_EQUAL(0, fleet.current.pending_calls.size());
-  }
-}
-
-// Guards against a stream that is cut because its silent target breaks off
-// while another one is asked to go on.
-TEST(ForwardingReduce, ASilentTargetThatBreaksOffDoesNotEndTheNextAttempt) {
-  fixture fleet;
-  const auto first = fleet.StartStream();
-  fleet.PostAt(2'500, timer_fired{});
-  fleet.Sent(fleet.All<send_attempt>().front());
-  fleet.Post(attempt_failed{first.id, 1, attempt_failure::kBroken});
-  LONGS_EQUAL(0, fleet.All<abort_response>().size());
-  LONGS_EQUAL(0, fleet.All<send_attempt>().size());
-  fleet.Post(response_progressed{first.id, 2, 2});
-  fleet.Post(response_completed{first.id, 2});
-  LONGS_EQUAL(1, fleet.All<finish_stream>().size());
-}
-
-// Guards against streams that wait for targets in a domain that is cut off, and
-// against abandoning targets there that still respond.
-TEST(ForwardingReduce, StreamsMoveOnFromDomainsThatAreCutOff) {
-  for (const bool answers : {false, true}) {
-    fixture fleet;
-    const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
-    fleet.Sent(first);
-    fleet.now = At(600);
-    if (answers) {
-      fleet.Post(response_started{
-          first.id, 1, response_verdict::kServed, 200, "", {}});
-    }
-    fleet.Post(domains_cut_off{{{""}}});
-    fleet.Post(timer_fired{});
-    LONGS_EQUAL(answers ? 0 : 1, fleet.All<send_attempt>().size());
-    LONGS_EQUAL(answers ? 0 : 1, fleet.current.cut_off.size());
-  }
-}
-
 // Guards against work that continues after its caller has disconnected.
 TEST(ForwardingReduce, DisconnectingCallersCancelTheirAttempt) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
   fleet.Sent(first);
   fleet.Post(caller_disconnected{first.id});
@@ -468,7 +110,7 @@
 // ends, even if its reservation was not answered.
 TEST(ForwardingReduce, TicketsAreReleasedHoweverACallEnds) {
   for (int end = 0; end < 4; ++end) {
-    fixture fleet;
+    single_vm fleet;
     fleet.Start(call_kind::kStreaming, kModel, 400'000);
     const auto orders = fleet.All<reserve_memory>();
     CHECK_TRUE(orders.size() >= 2);
@@ -505,7 +147,7 @@
 // Guards against memory that is set aside for nobody: a reservation that was
 // carried out after the release of its ticket.
 TEST(ForwardingReduce, TicketsSetAsideAfterTheirReleaseAreReleasedAgain) {
-  fixture fleet;
+  single_vm fleet;
   fleet.Start(call_kind::kStreaming, kModel, 400'000);
   const auto orders = fleet.All<reserve_memory>();
   fleet.Post(Settled(orders[0], order_result::kRefused));
@@ -523,7 +165,7 @@
 // Guards against memory that a late renewal sets aside after its request has
 // ended, and against tickets that are remembered for ever.
 TEST(ForwardingReduce, TicketsWithUnansweredOrdersAreReleasedUntilNoneIsLate) {
-  fixture fleet;
+  single_vm fleet;
   const auto orders = fleet.StartWithTickets();
   fleet.PostAt(1'200, timer_fired{});
   const auto renewals = fleet.All<reserve_memory>();
@@ -551,7 +193,7 @@
 // Guards against a late prompt that gives its tickets back before any engine
 // can have answered, so that it sets memory aside in vain.
 TEST(ForwardingReduce, LatePromptsSetNoMemoryAsideInVain) {
-  fixture fleet;
+  single_vm fleet;
   static_cast<void>(fleet.StartWithTickets());
   const auto sent = fleet.All<send_attempt>().front();
   fleet.Sent(sent);
@@ -563,7 +205,7 @@
 // Guards against a request that waits at its engine and keeps the memory that
 // it has set aside at others.
 TEST(ForwardingReduce, TicketsOfARequestThatDoesNotBeginAreReleasedInTime) {
-  fixture fleet;
+  single_vm fleet;
   fleet.current.max_unused_reservation = milliseconds(7'000);
   const auto orders = fleet.StartWithTickets(false);
   const auto sent = fleet.All<send_attempt>().front();
@@ -594,7 +236,7 @@
 
 // Guards against cutting off a prompt that takes its engines long to read.
 TEST(ForwardingReduce, TicketsOfAPromptThatIsBeingReadAreKept) {
-  fixture fleet;
+  single_vm fleet;
   fleet.current.max_unused_reservation = milliseconds(7'000);
   const auto orders = fleet.StartWithTickets(false);
   const auto sent = fleet.All<send_attempt>().front();
@@ -608,7 +250,7 @@
 
 // Guards against cutting off a prompt that is being written.
 TEST(ForwardingReduce, TicketsOfARequestThatHasBegunAreKept) {
-  fixture fleet;
+  single_vm fleet;
   fleet.current.max_unused_reservation = milliseconds(7'000);
   const auto orders = fleet.StartWithTickets(false);
   fleet.Sent(fleet.All<send_attempt>().front());
@@ -621,7 +263,7 @@
 
 // Guards against a lease that expires while its request runs.
 TEST(ForwardingReduce, TicketsInUseAreRenewed) {
-  fixture fleet;
+  single_vm fleet;
   const auto orders = fleet.StartWithTickets();
   fleet.Sent(fleet.All<send_attempt>().front());
   CHECK_TRUE(NextWake(fleet.current, fleet.now) <= At(1'200));
@@ -635,7 +277,7 @@
 // Guards against a part of prompts that crashes one target after the other in
 // requests no two of which are alike.
 TEST(ForwardingReduce, RequestsWithAPartThatCrashesTargetsAreRefused) {
-  fixture fleet;
+  single_vm fleet;
   int sent = 0;
   for (int round = 0; round < 10; ++round) {
     fleet.now = At(round * 5'000);
@@ -663,7 +305,7 @@
 // Guards against a promise that a request has not run which has crashed a
 // target.
 TEST(ForwardingReduce, RequestsThatAreRefusedAfterTheyRanAreUnknown) {
-  fixture fleet;
+  single_vm fleet;
   fleet.next_parts = {0xD};
   const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
   fleet.Sent(first);
@@ -684,7 +326,7 @@
 
 // Guards against refusing parts of prompts whose answers are no streams.
 TEST(ForwardingReduce, CompleteAnswersClearTheirParts) {
-  fixture fleet;
+  single_vm fleet;
   fleet.next_parts = {0xF};
   const auto first = fleet.Start(call_kind::kIdempotent, kModel, 5'000);
   fleet.Sent(first);
@@ -705,7 +347,7 @@
 // Guards against a refused part that is never tried again, and against a test
 // that crashes more than one target.
 TEST(ForwardingReduce, RefusedPartsAreTestedWithOneAttempt) {
-  fixture fleet;
+  single_vm fleet;
   fleet.next_parts = {0xD};
   for (int i = 0; i < 3; ++i) {
     static_cast<void>(RecordPartCrash(fleet.current.parts, fleet.current.self,
@@ -727,7 +369,7 @@
 // Guards against blaming a stream that was being written when its target
 // crashed.
 TEST(ForwardingReduce, CrashesAfterTheFirstEventAreNoEvidence) {
-  fixture fleet;
+  single_vm fleet;
   fleet.next_parts = {0xF};
   const auto first = fleet.Start(call_kind::kStreaming, kModel, 5'000);
   fleet.Sent(first);
@@ -741,7 +383,7 @@
 
 // Guards against a request that crashes one target after the other.
 TEST(ForwardingReduce, CrashingRequestsAreQuarantined) {
-  fixture fleet;
+  single_vm fleet;
   int sent = 0;
   for (int round = 0; round < 4; ++round) {
     auto attempt = fleet.Start(call_kind::kIdempotent, kService);
@@ -766,7 +408,7 @@
 
 // Guards against more retries than all VMs may make together.
 TEST(ForwardingReduce, RetriesStopAtTheAllowance) {
-  fixture fleet;
+  single_vm fleet;
   fleet.Post(vm_count_updated{1'000});
   const auto first = fleet.Start(call_kind::kIdempotent, kService);
   fleet.Sent(first);
@@ -778,7 +420,7 @@
 // Guards against engines that are occupied by prompts worth less than those
 // that they displace, in an overload with very long prompts.
 TEST(ForwardingReduce, VeryLongPromptsArePricedOutUnderOverload) {
-  fixture fleet;
+  single_vm fleet;
   std::vector<job> jobs;
   for (int i = 0; i < 6; ++i) {
     job busy;
@@ -811,7 +453,7 @@
 // than its caller waits: 400,000 tokens take six idle engines 2.2 s, and six
 // that have 8 s to read more than the ten seconds of the call.
 TEST(ForwardingReduce, SpannedPromptsThatCannotBeInTimeAreRefusedAtOnce) {
-  fixture fleet;
+  single_vm fleet;
   std::vector<job> jobs;
   for (int i = 0; i < 6; ++i) {
     job writes;
@@ -839,7 +481,7 @@
 // Guards against claiming "not run" for a call that may have run before its
 // targets were gone.
 TEST(ForwardingReduce, CallsThatMayHaveRunAreNeverReportedAsNotRun) {
-  fixture fleet;
+  single_vm fleet;
   const auto first = fleet.Start(call_kind::kIdempotent, kService);
   fleet.Sent(first);
   fleet.Post(targets_published{{}});
@@ -851,7 +493,7 @@
 // Guards against predictions without the passes of engines, because the ledger
 // doesn't have the engine properties.
 TEST(ForwardingReduce, LedgerKnowsThePropertiesOfPublishedEngines) {
-  fixture fleet;
+  single_vm fleet;
   job decode;
   decode.key = 1'000;
   decode.target.value = "e0";
@@ -876,7 +518,7 @@
 // Guards against phantom load of a peer: jobs whose end was lost are dropped,
 // and the decision log records it.
 TEST(ForwardingReduce, DropsJobsThatAPeerNoLongerRuns) {
-  fixture fleet;
+  single_vm fleet;
   constexpr std::uint64_t kPeer = 42;
   job decode;
   decode.key = ProcessPrefix(kPeer) << 32U | 1U;
@@ -895,7 +537,7 @@
 
 // Guards against calls that hang while no target is known.
 TEST(ForwardingReduce, CallsWithoutTargetsFailAtOnce) {
-  fixture fleet;
+  single_vm fleet;
   fleet.Post(targets_published{{}});
   fleet.Start(call_kind::kNonIdempotent, kService);
   CHECK_TRUE(fleet.Refusal().code == failure_code::kNoLiveTarget);
