See a partition from one pool, not only from all targets

Change: each pool has its own evidence; three targets of any pools still stand for all. A VM offers tunnels only while no pool is out of its reach.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -79,33 +79,33 @@
              clock_,
              incarnation_,
              [this] { OnViewChanged(); }),
-      peers_(
-          loop_,
-          settings_,
-          incarnation_,
-          state_,
-          log_,
-          metrics_,
-          clock_,
-          {[this](const forwarding::event& event) { Post(event); },
-           [this] {
-             return mesh::local_status{
-                 {views_.View().era, views_.View().last_change_revision,
-                  table_ ? table_->version : 0},
-                 draining_since_.has_value(),
-                 IsReady(),
-                 views_.ReadsService(),
-                 views_.Digest(),
-                 offers_tunnels_ && IsReady() && !state_.reach.IsOutOfReach()};
-           },
-           [this](const mesh::view_source& source) {
-             views_.FetchFrom(source);
-           },
-           [this] {
-             views_.SetShortWatches(peers_.Protocol().IsDesignatedWatcher());
-             views_.SetReading(peers_.Protocol().ShouldReadService());
-             ReloadSettings();
-           }}),
+      peers_(loop_,
+             settings_,
+             incarnation_,
+             state_,
+             log_,
+             metrics_,
+             clock_,
+             {[this](const forwarding::event& event) { Post(event); },
+              [this] {
+                return mesh::local_status{
+                    {views_.View().era, views_.View().last_change_revision,
+                     table_ ? table_->version : 0},
+                    draining_since_.has_value(),
+                    IsReady(),
+                    views_.ReadsService(),
+                    views_.Digest(),
+                    offers_tunnels_ && IsReady() &&
+                        !state_.reach.IsAnyOutOfReach()};
+              },
+              [this](const mesh::view_source& source) {
+                views_.FetchFrom(source);
+              },
+              [this] {
+                views_.SetShortWatches(peers_.Protocol().IsDesignatedWatcher());
+                views_.SetReading(peers_.Protocol().ShouldReadService());
+                ReloadSettings();
+              }}),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       wake_timer_(loop_),
       drain_timer_(loop_) {
@@ -198,7 +198,7 @@
 
 bool entry_daemon::IsReady() const {
   return !draining_since_ && table_ && state_.targets.size() > 0 &&
-         !state_.reach.IsIsolated(clock_.Now());
+         !state_.reach.IsIsolatedFromAll(clock_.Now());
 }
 
 bool entry_daemon::ViewMayBeStale() const {
@@ -237,7 +237,7 @@
         state_.limits.Count(),
         state_.targets.SaidToLeave().size(),
         state_.refusals.Refusing(clock_.Now()).size(),
-        state_.reach.IsOutOfReach(),
+        state_.reach.IsAnyOutOfReach(),
         tunnels_.Count(),
         callers_.ConnectionCount(),
         peers_.Protocol().Roster().PeakVmCount(),
--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -116,10 +116,11 @@
     self.peers_.Protocol().SendTo(effect.asker, effect.answer);
   }
   void operator()(const forwarding::probe_target& effect) const {
-    net::ProbeConnection(self.loop_, effect.address, internal::kProbeTimeout,
-                         [&daemon = self](bool connected) {
-                           daemon.Post(forwarding::target_probed{connected});
-                         });
+    net::ProbeConnection(
+        self.loop_, effect.address, internal::kProbeTimeout,
+        [&daemon = self, pool = effect.pool](bool connected) {
+          daemon.Post(forwarding::target_probed{pool, connected});
+        });
   }
   void operator()(const forwarding::record_decision& effect) const {
     self.log_.WriteDecision(effect, self.clock_.Now());
@@ -141,8 +142,10 @@
   const int max_attempts = settled.order == forwarding::ticket_order::kRelease
                                ? internal::kMaxReleaseAttempts
                                : 1;
+  const forwarding::target* to = state_.targets.Find(settled.target);
   SendOrder(loop_, address, request, max_attempts,
-            state_.reach.NextTunnel(clock_.Now()),
+            to != nullptr ? state_.reach.NextTunnel(to->pool, clock_.Now())
+                          : std::string(),
             [this, settled](const order_outcome& outcome) mutable {
               const order_result result = outcome.result;
               settled.result = result;
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -111,6 +111,7 @@
 
 /** Connect to a target directly, and close the connection at once. */
 struct probe_target {
+  pool_id pool;
   /** IP:PORT. */
   std::string address;
 };
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -225,6 +225,7 @@
 
 /** Whether a direct connection to a target could be established. */
 struct target_probed {
+  pool_id pool;
   bool reached{};
 };
 
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -132,7 +132,7 @@
   attempt& running = *pending.running_attempt;
   const target* to = current.targets.Find(running.target);
   StartProgressTimeout(pending, now);
-  running.tunnel = current.reach.NextTunnel(now);
+  running.tunnel = current.reach.NextTunnel(pending.request.pool, now);
   out.emplace_back(send_attempt{
       pending.request.id, running.number, running.target, to ? to->address : "",
       running.helpers, pending.deadline - now, Urgency(pending.request),
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -183,7 +183,7 @@
     FailCall(current, pending, failure_code::kQuarantined, now, out);
     return;
   }
-  if (current.reach.IsIsolated(now)) {
+  if (current.reach.IsIsolated(pending.request.pool, now)) {
     FailCall(current, pending, failure_code::kNoLiveTarget, now, out);
     return;
   }
--- a/src/acaciaferry/forwarding/reach.cpp
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -6,8 +6,20 @@
 namespace acaciaferry::forwarding::internal {
 namespace {
 
-bool IsConnectingDirectly(const pending_call& pending) {
-  return pending.running_attempt && !pending.running_attempt->sent &&
+// Names of the pools, joined by "+".
+std::string PoolsOutOfReach(const state& current) {
+  std::string names;
+  for (const auto& [pool, engine] : current.pools) {
+    if (current.reach.IsOutOfReach(pool)) {
+      names += (names.empty() ? "" : "+") + pool.value;
+    }
+  }
+  return names;
+}
+
+bool IsConnectingOutOfReach(const state& current, const pending_call& pending) {
+  return current.reach.IsOutOfReach(pending.request.pool) &&
+         pending.running_attempt && !pending.running_attempt->sent &&
          pending.running_attempt->reservations.empty() &&
          pending.running_attempt->tunnel.empty();
 }
@@ -19,11 +31,12 @@
                             time_point now,
                             effects& out) {
   LogDecision(out, decision_kind::kTargetsOutOfReach, current.self.first.value,
-              {{"tunnels", std::to_string(current.reach.Tunnels().size())}});
+              {{"tunnels", std::to_string(current.reach.Tunnels().size())},
+               {"pools", PoolsOutOfReach(current)}});
   current.targets.TrustAll();
   std::vector<call_id> connecting;
   for (const auto& [id, pending] : current.pending_calls) {
-    if (id != except && IsConnectingDirectly(pending)) {
+    if (id != except && IsConnectingOutOfReach(current, pending)) {
       connecting.push_back(id);
     }
   }
@@ -45,16 +58,20 @@
     // The other VM may have lost the targets as well.
     current.reach.RecordBrokenTunnel(running.tunnel, now);
     if (how == attempt_failure::kNotConnected &&
-        current.reach.IsIsolated(now)) {
+        current.reach.IsIsolated(pending.request.pool, now)) {
       Distrust(current, running.target, distrust_reason::kUnreachable, now,
                out);
     }
     return;
   }
-  if (current.reach.IsOutOfReach()) {
+  const pool_id& pool = pending.request.pool;
+  if (current.reach.IsOutOfReach(pool)) {
     return;
   }
-  if (current.reach.RecordUnreachable(running.target, running.started, now)) {
+  if (current.reach.RecordUnreachable(
+          {running.target, pool, current.targets.NotLeaving(pool).size(),
+           running.started},
+          now)) {
     LeaveDirectConnections(current, pending.request.id, now, out);
   } else {
     Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
@@ -67,10 +84,12 @@
     return;
   }
   current.reach.ScheduleProbe(now);
-  const auto targets = current.targets.AllNotLeaving();
-  if (!targets.empty()) {
-    out.emplace_back(probe_target{
-        targets[DrawBelow(current.random, targets.size())]->address});
+  for (const auto& [pool, engine] : current.pools) {
+    const auto targets = current.targets.NotLeaving(pool);
+    if (current.reach.IsOutOfReach(pool) && !targets.empty()) {
+      out.emplace_back(probe_target{
+          pool, targets[DrawBelow(current.random, targets.size())]->address});
+    }
   }
 }
 
@@ -78,10 +97,10 @@
                 const target_probed& result,
                 time_point now,
                 effects& out) {
-  const auto since = current.reach.OutOfReachSince();
-  if (current.reach.RecordProbe(result.reached, now)) {
-    LogDecision(out, decision_kind::kTargetsInReach, current.self.first.value,
-                {{"after_ms", ToMillisText(now - *since)}});
+  if (current.reach.RecordProbe(result.pool, result.reached, now)) {
+    LogDecision(
+        out, decision_kind::kTargetsInReach, current.self.first.value,
+        {{"pool", result.pool.value}, {"still_out", PoolsOutOfReach(current)}});
   }
 }
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -88,7 +88,7 @@
             FindRunning(current, happened.id, happened.attempt)) {
       pending->running_attempt->sent = true;
       if (pending->running_attempt->tunnel.empty()) {
-        current.reach.RecordReached(now);
+        current.reach.RecordReached(pending->request.pool, now);
       }
       ++pending->sent_attempts;
       StartProgressTimeout(*pending, now);
--- a/src/acaciaferry/forwarding/silence.cpp
+++ b/src/acaciaferry/forwarding/silence.cpp
@@ -72,8 +72,8 @@
         now + std::max(SilentTime(pending, now), known.backlog);
     return;
   }
-  const bool is_own_reach =
-      running.tunnel.empty() && current.reach.IsOutOfReach();
+  const bool is_own_reach = running.tunnel.empty() &&
+                            current.reach.IsOutOfReach(pending.request.pool);
   if (!known.is_busy && !is_own_reach) {
     Distrust(current, running.target, distrust_reason::kSilent, now, out);
   }
--- a/src/acaciaferry/forwarding/target_reach.cpp
+++ b/src/acaciaferry/forwarding/target_reach.cpp
@@ -7,6 +7,8 @@
 
 // Single targets crash, or are behind a cut of their own.
 constexpr std::size_t kMinUnreachableTargets = 3;
+// In a pool with fewer targets; a single target is no pool.
+constexpr std::size_t kFewestUnreachableTargets = 2;
 // Failures that lie further apart have different causes.
 constexpr duration kFailureWindow = std::chrono::seconds(3);
 constexpr duration kProbeInterval = std::chrono::milliseconds(500);
@@ -19,48 +21,85 @@
 
 }  // namespace internal
 
-bool target_reach::RecordUnreachable(const target_id& target,
-                                     time_point started,
-                                     time_point now) {
-  if (IsOutOfReach() || started < last_reached_) {
+bool target_reach::AddFailure(evidence& known,
+                              const trial& failed,
+                              std::size_t needed,
+                              time_point now) {
+  if (known.out_of_reach || failed.started < known.last_reached) {
     return false;
   }
-  if (now - first_failure_ > internal::kFailureWindow) {
-    unreachable_.clear();
+  if (now - known.first_failure > internal::kFailureWindow) {
+    known.unreachable.clear();
   }
-  if (unreachable_.empty()) {
-    first_failure_ = now;
+  if (known.unreachable.empty()) {
+    known.first_failure = now;
   }
-  unreachable_.insert(target);
-  if (unreachable_.size() < internal::kMinUnreachableTargets) {
+  known.unreachable.insert(failed.target);
+  if (known.unreachable.size() < needed) {
     return false;
   }
-  unreachable_.clear();
-  out_of_reach_since_ = now;
-  probes_in_a_row_ = 0;
-  ScheduleProbe(now);
+  known.unreachable.clear();
+  known.out_of_reach = true;
+  known.probes_in_a_row = 0;
   return true;
 }
 
-void target_reach::RecordReached(time_point now) {
-  last_reached_ = now;
-  unreachable_.clear();
+void target_reach::AddReached(evidence& known, time_point now) {
+  known.last_reached = now;
+  known.unreachable.clear();
 }
 
-bool target_reach::RecordProbe(bool reached, time_point now) {
-  if (!IsOutOfReach()) {
+bool target_reach::AddProbe(evidence& known, bool reached, time_point now) {
+  known.probes_in_a_row = reached ? known.probes_in_a_row + 1 : 0;
+  if (!known.out_of_reach ||
+      known.probes_in_a_row < internal::kProbesToReturn) {
     return false;
   }
-  probes_in_a_row_ = reached ? probes_in_a_row_ + 1 : 0;
-  if (probes_in_a_row_ < internal::kProbesToReturn) {
-    return false;
-  }
-  out_of_reach_since_.reset();
-  next_probe_.reset();
-  RecordReached(now);
+  known.out_of_reach = false;
+  AddReached(known, now);
   return true;
 }
 
+bool target_reach::RecordUnreachable(const trial& failed, time_point now) {
+  const std::size_t needed =
+      std::clamp(failed.pool_size, internal::kFewestUnreachableTargets,
+                 internal::kMinUnreachableTargets);
+  const bool pool_lost = AddFailure(pools_[failed.pool], failed, needed, now);
+  const bool all_lost =
+      AddFailure(all_, failed, internal::kMinUnreachableTargets, now);
+  if (pool_lost || all_lost) {
+    ScheduleProbe(now);
+  }
+  return pool_lost || all_lost;
+}
+
+void target_reach::RecordReached(const pool_id& pool, time_point now) {
+  AddReached(pools_[pool], now);
+  AddReached(all_, now);
+}
+
+bool target_reach::RecordProbe(const pool_id& pool,
+                               bool reached,
+                               time_point now) {
+  const bool pool_back = AddProbe(pools_[pool], reached, now);
+  const bool all_back = AddProbe(all_, reached, now);
+  if (!IsAnyOutOfReach()) {
+    next_probe_.reset();
+  }
+  return pool_back || all_back;
+}
+
+bool target_reach::IsOutOfReach(const pool_id& pool) const {
+  const auto at = pools_.find(pool);
+  return all_.out_of_reach || (at != pools_.end() && at->second.out_of_reach);
+}
+
+bool target_reach::IsAnyOutOfReach() const {
+  return all_.out_of_reach ||
+         std::any_of(pools_.begin(), pools_.end(),
+                     [](const auto& each) { return each.second.out_of_reach; });
+}
+
 void target_reach::RecordBrokenTunnel(const std::string& tunnel,
                                       time_point now) {
   std::erase_if(broken_tunnels_, [&](const broken_tunnel& each) {
@@ -76,8 +115,8 @@
                      });
 }
 
-std::string target_reach::NextTunnel(time_point now) {
-  if (!IsOutOfReach()) {
+std::string target_reach::NextTunnel(const pool_id& pool, time_point now) {
+  if (!IsOutOfReach(pool)) {
     return {};
   }
   std::vector<const std::string*> usable;
@@ -90,11 +129,18 @@
                         : *usable[next_tunnel_++ % usable.size()];
 }
 
-bool target_reach::IsIsolated(time_point now) const {
-  return IsOutOfReach() && std::all_of(tunnels_.begin(), tunnels_.end(),
-                                       [&](const std::string& each) {
-                                         return IsBroken(each, now);
-                                       });
+bool target_reach::AreAllTunnelsBroken(time_point now) const {
+  return std::all_of(
+      tunnels_.begin(), tunnels_.end(),
+      [&](const std::string& each) { return IsBroken(each, now); });
+}
+
+bool target_reach::IsIsolated(const pool_id& pool, time_point now) const {
+  return IsOutOfReach(pool) && AreAllTunnelsBroken(now);
+}
+
+bool target_reach::IsIsolatedFromAll(time_point now) const {
+  return all_.out_of_reach && AreAllTunnelsBroken(now);
 }
 
 void target_reach::ScheduleProbe(time_point now) {
--- a/src/acaciaferry/forwarding/target_table.cpp
+++ b/src/acaciaferry/forwarding/target_table.cpp
@@ -231,14 +231,4 @@
   return staying;
 }
 
-std::vector<const target*> target_table::AllNotLeaving() const {
-  std::vector<const target*> staying;
-  for (const auto& [id, known] : entries_) {
-    if (!known.leaving) {
-      staying.push_back(&known.published);
-    }
-  }
-  return staying;
-}
-
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -129,8 +129,6 @@
    */
   [[nodiscard]] std::vector<const target*> NotLeaving(
       const pool_id& pool) const;
-  /** @return All targets that are not leaving, ordered by id. */
-  [[nodiscard]] std::vector<const target*> AllNotLeaving() const;
   [[nodiscard]] std::size_t size() const noexcept { return entries_.size(); }
 
  private:
--- a/test/acaciaferry/forwarding/reach_test.cpp
+++ b/test/acaciaferry/forwarding/reach_test.cpp
@@ -148,9 +148,9 @@
   for (int ms = 2'200; ms <= 2'800; ms += 600) {
     cut.PostAt(ms, timer_fired{});
     LONGS_EQUAL(1, cut.All<probe_target>().size());
-    cut.PostAt(ms + 10, target_probed{true});
+    cut.PostAt(ms + 10, target_probed{{"pool"}, true});
   }
-  CHECK_FALSE(cut.vm.reach.IsOutOfReach());
+  CHECK_FALSE(cut.vm.reach.IsOutOfReach({"pool"}));
   cut.Call(2'900, 5);
   STRCMP_EQUAL("", cut.All<send_attempt>().front().tunnel.c_str());
 }
