Tell a dead target from a broken tunnel, and never refuse for want of tunnels

One crashed target took all tunnels out of use, since each did not reach it. Three crashed targets could make a whole fleet refuse all calls: each VM stopped offering tunnels, and none connected directly any more. The way back needed two probes in a row of targets half of which may be dead. Calls that may be repeated gave up before their connection timed out, and told nobody. A request that was written as its time ended was reported as not run.

Change: a tunnel is broken after it gave no connection, or did not reach two different targets in a row. Without a tunnel calls connect directly, and a direct connection ends the detour at once. Two probes that reach a target show the return, whatever others do. A connection that is slower than the call can wait counts as none. What was sent is known before timeouts are handled.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -197,8 +197,7 @@
 }
 
 bool entry_daemon::IsReady() const {
-  return !draining_since_ && table_ && state_.targets.size() > 0 &&
-         !state_.reach.IsIsolatedFromAll(clock_.Now());
+  return !draining_since_ && table_ && state_.targets.size() > 0;
 }
 
 bool entry_daemon::ViewMayBeStale() const {
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -183,10 +183,6 @@
     FailCall(current, pending, failure_code::kQuarantined, now, out);
     return;
   }
-  if (current.reach.IsIsolated(pending.request.pool, now)) {
-    FailCall(current, pending, failure_code::kNoLiveTarget, now, out);
-    return;
-  }
   const std::string* planner = FindPlanner(current, now);
   if (planner == nullptr) {
     PlaceHere(current, pending, now, out);
--- a/src/acaciaferry/forwarding/reach.cpp
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -6,6 +7,9 @@
 namespace acaciaferry::forwarding::internal {
 namespace {
 
+// One target may have crashed.
+constexpr std::size_t kProbesAtOnce = 2;
+
 // Names of the pools, joined by "+".
 std::string PoolsOutOfReach(const state& current) {
   std::string names;
@@ -54,20 +58,16 @@
                         time_point now,
                         effects& out) {
   const attempt& running = *pending.running_attempt;
-  if (!running.tunnel.empty()) {
-    // The other VM may have lost the targets as well.
+  if (how == attempt_failure::kNoTunnel) {
     current.reach.RecordBrokenTunnel(running.tunnel, now);
-    if (how == attempt_failure::kNotConnected &&
-        current.reach.IsIsolated(pending.request.pool, now)) {
-      Distrust(current, running.target, distrust_reason::kUnreachable, now,
-               out);
-    }
     return;
   }
-  const pool_id& pool = pending.request.pool;
-  if (current.reach.IsOutOfReach(pool)) {
+  if (!running.tunnel.empty()) {
+    current.reach.RecordUnreachedThrough(running.tunnel, running.target, now);
+    Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
     return;
   }
+  const pool_id& pool = pending.request.pool;
   if (current.reach.RecordUnreachable(
           {running.target, pool, current.targets.NotLeaving(pool).size(),
            running.started},
@@ -86,9 +86,14 @@
   current.reach.ScheduleProbe(now);
   for (const auto& [pool, engine] : current.pools) {
     const auto targets = current.targets.NotLeaving(pool);
-    if (current.reach.IsOutOfReach(pool) && !targets.empty()) {
-      out.emplace_back(probe_target{
-          pool, targets[DrawBelow(current.random, targets.size())]->address});
+    if (!current.reach.IsOutOfReach(pool) || targets.empty()) {
+      continue;
+    }
+    // Neighbours in the list, so that they differ.
+    const std::size_t first = DrawBelow(current.random, targets.size());
+    for (std::size_t i = 0; i < std::min(kProbesAtOnce, targets.size()); ++i) {
+      out.emplace_back(
+          probe_target{pool, targets[(first + i) % targets.size()]->address});
     }
   }
 }
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -89,6 +89,8 @@
       pending->running_attempt->sent = true;
       if (pending->running_attempt->tunnel.empty()) {
         current.reach.RecordReached(pending->request.pool, now);
+      } else {
+        current.reach.RecordReachedThrough(pending->running_attempt->tunnel);
       }
       ++pending->sent_attempts;
       StartProgressTimeout(*pending, now);
@@ -462,6 +464,10 @@
       FailCall(current, pending, failure_code::kSpanUnavailable, now, out);
       return;
     }
+    if (!running.sent) {
+      HandleSlowConnection(pending);
+      return;
+    }
     if (!running.asked_about_silence && !running.extended &&
         AskAboutSilence(current, pending, now, out)) {
       return;
@@ -471,6 +477,16 @@
     JudgeSilence(current, pending, known, now, out);
   }
 
+  // The call waits no longer than it would for a target that has its request.
+  void HandleSlowConnection(pending_call& pending) {
+    const attempt_failure how = pending.running_attempt->tunnel.empty()
+                                    ? attempt_failure::kNotConnected
+                                    : attempt_failure::kNoTunnel;
+    RecordNoConnection(current, pending, how, now, out);
+    RetryOrFail(current, pending, false, failure_code::kNoLiveTarget,
+                "not_connected", now, out);
+  }
+
   void RecordFailure(const target_id& id) {
     if (current.targets.RecordFailure(id, now)) {
       Distrust(current, id, distrust_reason::kFailing, now, out);
@@ -513,7 +529,9 @@
   // Timeouts are handled first, so that a process that was paused doesn't
   // decide on outdated state. Progress is handled even before them: a stream
   // must be resumed after the last event that was passed on.
-  const bool progress = std::holds_alternative<response_progressed>(happened);
+  // What was sent may run, so that is known before them as well.
+  const bool progress = std::holds_alternative<response_progressed>(happened) ||
+                        std::holds_alternative<attempt_sent>(happened);
   if (progress) {
     std::visit(step, happened);
   }
--- a/src/acaciaferry/forwarding/target_reach.cpp
+++ b/src/acaciaferry/forwarding/target_reach.cpp
@@ -16,6 +16,9 @@
 constexpr int kProbesToReturn = 2;
 // A VM that no longer reaches targets has told so within this time.
 constexpr duration kBrokenTunnelPause = std::chrono::seconds(1);
+// The other VM may have lost the targets as well; a single one may have
+// crashed.
+constexpr std::size_t kUnreachedToBreak = 2;
 // Tunnels of the own failure domain come first, and share the load.
 constexpr std::size_t kTunnelsInTurn = 3;
 
@@ -28,34 +31,31 @@
   if (known.out_of_reach || failed.started < known.last_reached) {
     return false;
   }
-  if (now - known.first_failure > internal::kFailureWindow) {
-    known.unreachable.clear();
-  }
-  if (known.unreachable.empty()) {
-    known.first_failure = now;
-  }
-  known.unreachable.insert(failed.target);
+  std::erase_if(known.unreachable, [now](const auto& each) {
+    return now - each.second > internal::kFailureWindow;
+  });
+  known.unreachable[failed.target] = now;
   if (known.unreachable.size() < needed) {
     return false;
   }
   known.unreachable.clear();
   known.out_of_reach = true;
-  known.probes_in_a_row = 0;
+  known.reached_probes = 0;
   return true;
 }
 
 void target_reach::AddReached(evidence& known, time_point now) {
   known.last_reached = now;
   known.unreachable.clear();
+  known.out_of_reach = false;
 }
 
 bool target_reach::AddProbe(evidence& known, bool reached, time_point now) {
-  known.probes_in_a_row = reached ? known.probes_in_a_row + 1 : 0;
-  if (!known.out_of_reach ||
-      known.probes_in_a_row < internal::kProbesToReturn) {
+  // Probes that fail say nothing: their targets may have crashed.
+  known.reached_probes += reached ? 1 : 0;
+  if (!known.out_of_reach || known.reached_probes < internal::kProbesToReturn) {
     return false;
   }
-  known.out_of_reach = false;
   AddReached(known, now);
   return true;
 }
@@ -100,18 +100,48 @@
                      [](const auto& each) { return each.second.out_of_reach; });
 }
 
+target_reach::tunnel_fault& target_reach::FaultsOf(const std::string& tunnel) {
+  const auto at = std::find_if(
+      tunnel_faults_.begin(), tunnel_faults_.end(),
+      [&](const tunnel_fault& each) { return each.address == tunnel; });
+  return at != tunnel_faults_.end()
+             ? *at
+             : tunnel_faults_.emplace_back(tunnel_fault{tunnel, {}, {}});
+}
+
+void target_reach::SetTunnels(std::vector<std::string> tunnels) {
+  tunnels_ = std::move(tunnels);
+  std::erase_if(tunnel_faults_, [this](const tunnel_fault& each) {
+    return std::find(tunnels_.begin(), tunnels_.end(), each.address) ==
+           tunnels_.end();
+  });
+}
+
 void target_reach::RecordBrokenTunnel(const std::string& tunnel,
                                       time_point now) {
-  std::erase_if(broken_tunnels_, [&](const broken_tunnel& each) {
-    return each.until <= now || each.address == tunnel;
-  });
-  broken_tunnels_.push_back({tunnel, now + internal::kBrokenTunnelPause});
+  tunnel_fault& fault = FaultsOf(tunnel);
+  fault.unreached.clear();
+  fault.broken_until = now + internal::kBrokenTunnelPause;
+}
+
+void target_reach::RecordUnreachedThrough(const std::string& tunnel,
+                                          const target_id& target,
+                                          time_point now) {
+  tunnel_fault& fault = FaultsOf(tunnel);
+  fault.unreached.insert(target);
+  if (fault.unreached.size() >= internal::kUnreachedToBreak) {
+    RecordBrokenTunnel(tunnel, now);
+  }
+}
+
+void target_reach::RecordReachedThrough(const std::string& tunnel) {
+  FaultsOf(tunnel).unreached.clear();
 }
 
 bool target_reach::IsBroken(const std::string& tunnel, time_point now) const {
-  return std::any_of(broken_tunnels_.begin(), broken_tunnels_.end(),
-                     [&](const broken_tunnel& each) {
-                       return each.address == tunnel && each.until > now;
+  return std::any_of(tunnel_faults_.begin(), tunnel_faults_.end(),
+                     [&](const tunnel_fault& each) {
+                       return each.address == tunnel && each.broken_until > now;
                      });
 }
 
@@ -129,20 +159,6 @@
                         : *usable[next_tunnel_++ % usable.size()];
 }
 
-bool target_reach::AreAllTunnelsBroken(time_point now) const {
-  return std::all_of(
-      tunnels_.begin(), tunnels_.end(),
-      [&](const std::string& each) { return IsBroken(each, now); });
-}
-
-bool target_reach::IsIsolated(const pool_id& pool, time_point now) const {
-  return IsOutOfReach(pool) && AreAllTunnelsBroken(now);
-}
-
-bool target_reach::IsIsolatedFromAll(time_point now) const {
-  return all_.out_of_reach && AreAllTunnelsBroken(now);
-}
-
 void target_reach::ScheduleProbe(time_point now) {
   next_probe_ = now + internal::kProbeInterval;
 }
--- a/src/acaciaferry/forwarding/target_reach.hpp
+++ b/src/acaciaferry/forwarding/target_reach.hpp
@@ -40,7 +40,8 @@
    */
   bool RecordUnreachable(const trial& failed, time_point now);
 
-  /** @brief Records that a direct connection of a request was established. */
+  /** @brief Records that a direct connection of a request was established, so
+   * that the pool is within reach. */
   void RecordReached(const pool_id& pool, time_point now);
 
   /**
@@ -56,16 +57,21 @@
 
   /** @brief Sets the addresses (IP:PORT) of the tunnels of other VMs that reach
    * targets, the nearest first. */
-  void SetTunnels(std::vector<std::string> tunnels) {
-    tunnels_ = std::move(tunnels);
-  }
+  void SetTunnels(std::vector<std::string> tunnels);
   [[nodiscard]] const std::vector<std::string>& Tunnels() const noexcept {
     return tunnels_;
   }
 
-  /** @brief Records that a connection through a tunnel could not be
-   * established: it is not chosen for a while. */
+  /** @brief Records that a tunnel gave no connection: it is not chosen for a
+   * while. */
   void RecordBrokenTunnel(const std::string& tunnel, time_point now);
+  /** @brief Records that a tunnel did not reach a target. After several targets
+   * in a row the tunnel counts as broken. */
+  void RecordUnreachedThrough(const std::string& tunnel,
+                              const target_id& target,
+                              time_point now);
+  /** @brief Records that a tunnel reached a target. */
+  void RecordReachedThrough(const std::string& tunnel);
 
   /**
    * @return The address of the tunnel to connect to a pool through, in turn;
@@ -73,12 +79,6 @@
    */
   [[nodiscard]] std::string NextTunnel(const pool_id& pool, time_point now);
 
-  /** @return Whether no target of a pool can be reached, directly or otherwise.
-   */
-  [[nodiscard]] bool IsIsolated(const pool_id& pool, time_point now) const;
-  /** @return Whether no target at all can be reached. */
-  [[nodiscard]] bool IsIsolatedFromAll(time_point now) const;
-
   /** @return When the next probe is due; nothing if none is. */
   [[nodiscard]] std::optional<time_point> NextProbe() const noexcept {
     return next_probe_;
@@ -89,16 +89,19 @@
  private:
   /** What is known of a pool, or of all targets together. */
   struct evidence {
-    /** Targets to which no connection was found since the last one that was. */
-    std::set<target_id> unreachable;
-    time_point first_failure{};
+    /** Targets to which no connection was found since the last one that was,
+     * and when that was seen. */
+    std::map<target_id, time_point> unreachable;
     time_point last_reached{};
     bool out_of_reach{};
-    int probes_in_a_row{};
+    int reached_probes{};
   };
-  struct broken_tunnel {
+  /** A tunnel through which connections failed. */
+  struct tunnel_fault {
     std::string address;
-    time_point until{};
+    /** Targets that it did not reach since the last one that it did. */
+    std::set<target_id> unreached;
+    time_point broken_until{};
   };
 
   static bool AddFailure(evidence& known,
@@ -108,10 +111,10 @@
   static void AddReached(evidence& known, time_point now);
   static bool AddProbe(evidence& known, bool reached, time_point now);
   [[nodiscard]] bool IsBroken(const std::string& tunnel, time_point now) const;
-  [[nodiscard]] bool AreAllTunnelsBroken(time_point now) const;
+  tunnel_fault& FaultsOf(const std::string& tunnel);
 
   std::vector<std::string> tunnels_;
-  std::vector<broken_tunnel> broken_tunnels_;
+  std::vector<tunnel_fault> tunnel_faults_;
   std::size_t next_tunnel_{};
   std::map<pool_id, evidence> pools_;
   evidence all_;
