Handle a call once that moved on while timeouts were handled

Slow connections that came due together with the one that showed the partition had been moved on to tunnels already, and were then judged by their old timeouts: the tunnel counted as broken, and a call that had ended meanwhile would have ended the process.

Change: a call is looked up again, and skipped if nothing of it is due any more.

Result: CallsThatMoveOnTogetherAreHandledOnce failed before (11 attempts of 6 calls) and passes (8: two once more directly, six through the tunnel).

--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -359,14 +359,17 @@
   void HandleTimeouts() {
     std::vector<call_id> due;
     for (const auto& [id, pending] : current.pending_calls) {
-      const auto unused_due = UnusedReservationsDue(current, pending);
-      if (IsPastDeadline(pending) || (unused_due && *unused_due <= now) ||
-          IsPlacementDue(pending) || IsSilent(pending)) {
+      if (IsDue(pending)) {
         due.push_back(id);
       }
     }
     for (const call_id id : due) {
-      pending_call& pending = current.pending_calls.at(id);
+      // Handling one call may have moved the others on, or ended them.
+      const auto at = current.pending_calls.find(id);
+      if (at == current.pending_calls.end() || !IsDue(at->second)) {
+        continue;
+      }
+      pending_call& pending = at->second;
       if (IsPastDeadline(pending)) {
         FailCall(current, pending,
                  pending.may_have_run || (pending.running_attempt &&
@@ -405,6 +408,12 @@
   }
 
  private:
+  [[nodiscard]] bool IsDue(const pending_call& pending) const {
+    const auto unused_due = UnusedReservationsDue(current, pending);
+    return IsPastDeadline(pending) || (unused_due && *unused_due <= now) ||
+           IsPlacementDue(pending) || IsSilent(pending);
+  }
+
   // The attempt that goes on with the stream, or looks for a target, is not
   // concerned.
   bool EndFailedSilentAttempt(const attempt_failed& happened) {
--- a/test/acaciaferry/forwarding/reach_test.cpp
+++ b/test/acaciaferry/forwarding/reach_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 
 #include "acaciaferry/forwarding/state.hpp"
@@ -154,6 +155,24 @@
   CHECK_TRUE(cut.vm.reach.IsOutOfReach({"pool"}));
 }
 
+// Guards against calls that move on together and are judged once more by the
+// timeouts of their earlier attempts.
+TEST(Reach, CallsThatMoveOnTogetherAreHandledOnce) {
+  fixture cut;
+  cut.PostAt(500, tunnels_changed{{"vm2:1"}});
+  for (call_id id = 1; id <= 6; ++id) {
+    cut.Call(1'000, id, call_kind::kIdempotent);
+  }
+  cut.PostAt(1'230, timer_fired{});
+  // Two are tried directly once more before the third shows the partition.
+  const auto sent = cut.All<send_attempt>();
+  LONGS_EQUAL(8, sent.size());
+  LONGS_EQUAL(6, std::count_if(sent.begin(), sent.end(), [](const auto& each) {
+                return !each.tunnel.empty();
+              }));
+  STRCMP_EQUAL("vm2:1", cut.vm.reach.NextTunnel({"pool"}, cut.now).c_str());
+}
+
 // Guards against "not run" for a call whose request is written at the moment at
 // which its time ends.
 TEST(Reach, WhatWasSentAtTheDeadlineMayHaveRun) {
