Apply what peers tell of lost targets, whatever these answered before

Change: peers' distrust counts again at once.

PeersDoNotOutweighWhatATargetHasJustAnswered held the rule that is gone; PeersDistrustCountsAlthoughATargetHasJustAnswered demands the opposite, and fails on the code before by its first check. Groups Reach, TargetReach, ForwardingReduce, ForwardingStreams and Silence pass.

--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -244,10 +244,7 @@
       current.ledger.End(key, now);
     }
     for (const peer_distrust& each : happened.distrusted) {
-      // The peer may be the one that is cut off.
-      if (!current.targets.ActiveSince(each.target, now - kRecentActivity)) {
-        current.targets.DistrustUntil(each.target, now + each.remaining);
-      }
+      current.targets.DistrustUntil(each.target, now + each.remaining);
     }
     MergeLeavingTargets(current, happened.leaving, out);
     for (const target_id& id : happened.active) {
