--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,4 +1,4 @@
-"""Two engines, the only ones of a service, leave after an outage of the store."""
+"""A streaming request crashes each engine that runs it, after its first event."""
 
 import asyncio
 import os
@@ -6,98 +6,149 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), ".."))
 import standins
-from standins import Engine, Requesters, Store, route
+from standins import Engine, Requesters, Store, reset, route
 
-OUTAGE_S = 4.5
-# After the store is back, in seconds. The store is stable again after 3 s.
-FIRST_LEAVES_S = 2.5
-LAST_LEAVES_S = 3.1
-WATCHES_CUT_S = 0.8
-SERVES_ON_S = 9.0
-WATCHED_S = 16.0
-PERIOD_S = 0.05
+ENGINES = 8
+EVENTS = 12
+EVENT_S = 0.03
+# TROUBLE=early: the engines crash before the first event instead.
+EVENTS_BEFORE_CRASH = 0 if os.environ.get("TROUBLE") == "early" else 1
+BACK_AFTER_S = 3.0
+HEARTBEAT_S = 1.2
+COMES_AGAIN_S = 2.5
+COMES_FOR_S = 45.0
+ALLOWED_RETRIES = 3
+CRASHING_PATH = "/drafts/survey-17"
 
 
-async def traffic(record, requesters, vms, until):
+class StreamingEngine(Engine):
+    """Streams events with the ids from 1 on, after Last-Event-Id if that is given."""
+
+    crashed = None
+
+    async def work(self, attempt, line, fields, writer):
+        first = int(fields.get("last-event-id", "0")) + 1
+        writer.write(("HTTP/1.1 200 OK\r\nAcaciaferry-Attempt-Id: %s\r\n"
+                      "Acaciaferry-Engine-Stamp: %s.%d\r\nContent-Type: text/event-stream\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n" %
+                      (attempt, self.name, self.count)).encode())
+        crashes = standins.trouble() and line.split(" ")[1] == CRASHING_PATH
+        for number in range(first, EVENTS + 1):
+            await asyncio.sleep(EVENT_S)
+            if crashes and number == first + EVENTS_BEFORE_CRASH:
+                self.crashed(self)
+                raise ConnectionResetError
+            event = b"id: %d\ndata: part %d\n\n" % (number, number)
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+
+
+class Service:
+    """Keeps the engines of one service; those that crash come back with new ids."""
+
+    def __init__(self, record, store):
+        self.record = record
+        self.store = store
+        self.engines = []
+        self.crashes = []
+        self.tasks = set()
+        self.made = 0
+
+    async def add(self):
+        engine = StreamingEngine(self.record, self.store, "i-e%02d" % self.made, "drafting")
+        self.made += 1
+        engine.crashed = self.crash
+        self.engines.append(engine)
+        await engine.start()
+
+    def crash(self, engine):
+        self.crashes.append(self.record.now())
+        self.record("%s crashes" % engine.name)
+        engine.exit()
+        for coroutine in (self.come_back(), self.expire(engine)):
+            task = asyncio.create_task(coroutine)
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def come_back(self):
+        await asyncio.sleep(BACK_AFTER_S)
+        await self.add()
+
+    async def expire(self, engine):
+        # The store removes an entry after three intervals of silence.
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.store.remove("servers/" + engine.name)
+
+
+PROMPT = [("Acaciaferry-Model", "m"), ("Acaciaferry-Token-Usage", "4960,600")]
+
+
+async def others(record, requesters, vms, until):
     number = 0
     while record.now() < until():
-        vm = vms[number % len(vms)]
         number += 1
-        requesters.start(vm, "POST", "/ledger/post/%d" % number, body=b"permit %d" % number)
-        if number % 4 == 0:
-            requesters.start(vm, "POST", "/drafts/%d" % number, body=b"draft %d" % number)
-        await asyncio.sleep(PERIOD_S)
-
-
-async def leave(record, store, engine):
-    """The engine reports nothing: its entry is removed, and it serves on."""
-    acked = store.remove("servers/" + engine.name)
-    record.say("%s: the store acknowledges at %.3f that it is gone" % (engine.name, acked))
-    await asyncio.sleep(SERVES_ON_S)
-    engine.exit()
-    record.say("%s exits" % engine.name)
+        requesters.start(vms[number % len(vms)], "POST", "/drafts/reply-%d" % number, key="key-b",
+                         limit_ms=10000, body=b"prompt %d" % number, fields=PROMPT +
+                         [("Acaciaferry-Prompt-Prefix", "5c1e07a2:40,%08x:4920" % number)])
+        await asyncio.sleep(0.1)
 
 
 async def scenario(record, folder):
-    # TROUBLE=watches: without the outage, the store cuts the waiting watches once.
-    outage = standins.trouble() and os.environ.get("TROUBLE") != "watches"
     store = Store(record)
     await store.start()
-    store.put("op/config", standins.configuration(7, [
-        route("drafts", "/drafts/", "drafting", "non_idempotent"),
-        route("ledger", "/ledger/", "ledger", "non_idempotent")], ["drafting", "ledger"]))
-    drafting = [Engine(record, store, "i-d%02d" % number, "drafting") for number in range(14)]
-    ledger = [Engine(record, store, "i-l%02d" % number, "ledger", work_ms=30)
-              for number in range(2)]
-    for engine in drafting + ledger:
-        await engine.start()
-    vms = standins.make_vms(record, folder, store, ["zone-a"] * 3)
-    requesters = Requesters(record)
+    engine = {"slots": 16, "kv_capacity": 232000, "stride": 43, "step_ms": 1.02,
+              "per_seq_ms": 0.00226, "context_per_k": 0.00431, "read_per_s": 206000.0,
+              "pairs_per_m": 0.138, "chunk": 2048, "usual": {"prompt": 12316, "answer": 1303}}
+    config = standins.configuration(7, [route(
+        "drafts", "/drafts/", "drafting", "streaming", timeout_ms=10000, target_latency_ms=300,
+        target_gap_ms=250, resumable=True, sticky=True)], ["drafting"])
+    config["services"][0].update(engine=engine, max_conns=344)
+    store.put("op/config", config)
+    service = Service(record, store)
+    for _ in range(ENGINES):
+        await service.add()
+    vms = standins.make_vms(record, folder, store, ["zone-a", "zone-b", "zone-c"])
+    requesters, crashing = Requesters(record), Requesters(record)
+    crashing.next = 900000
     try:
         for vm in vms:
             vm.start()
         await standins.wait_until_ready(vms)
         await asyncio.sleep(5)
-        end = [float("inf")]
-        sending = asyncio.create_task(traffic(record, requesters, vms, lambda: end[0]))
-        await asyncio.sleep(3)
-        if outage:
-            store.go_down()
-            record.say("the store is down")
-        await asyncio.sleep(OUTAGE_S)
-        if outage:
-            store.come_back()
-            record.say("the store is back")
-        back = record.now()
-        await asyncio.sleep(FIRST_LEAVES_S - WATCHES_CUT_S)
-        if os.environ.get("TROUBLE") == "watches":
-            store.cut_watches()
-            record.say("the store cuts the watches that wait; it is up all the time")
-        await asyncio.sleep(WATCHES_CUT_S)
-        leaving = [asyncio.create_task(leave(record, store, ledger[0]))]
-        await asyncio.sleep(back + LAST_LEAVES_S - record.now())
-        acked = record.now()
-        leaving.append(asyncio.create_task(leave(record, store, ledger[1])))
-        end[0] = acked + WATCHED_S
+        end = record.now() + COMES_FOR_S
+        sending = asyncio.create_task(others(record, requesters, vms, lambda: end))
+        number = 0
+        while record.now() < end:
+            crashing.start(vms[number % len(vms)], "POST", CRASHING_PATH, limit_ms=10000,
+                           body=b"dossier 17", fields=PROMPT +
+                           [("Acaciaferry-Prompt-Prefix", "5c1e07a2:40,0badcafe:4920")])
+            number += 1
+            await asyncio.sleep(COMES_AGAIN_S)
         await sending
         await requesters.finish()
-        await asyncio.gather(*leaving)
+        await crashing.finish()
     finally:
         for vm in vms:
             vm.end()
-    sent_at = {answer.attempt: answer for answer in requesters.answers}
-    late = [run for run in ledger[1].runs if run.at > acked + standins.DRAIN_S]
-    lost = [run for run in late if run.attempt in sent_at and sent_at[run.attempt].status != 200]
-    by_vm = {}
-    for run in late:
-        name = sent_at[run.attempt].vm.name
-        by_vm[name] = by_vm.get(name, 0) + 1
-    record.say("requests that reached %s later than drain_ms after the ack: %d %s" %
-               (ledger[1].name, len(late), by_vm))
-    if late:
-        record.say("the last one %.3f s after the ack; %d of them ran and got no success" %
-                   (late[-1].at - acked, len(lost)))
-    return bool(late)
+    runs = sorted((run for each in service.engines for run in each.runs
+                   if run.line.split(" ")[1] == CRASHING_PATH), key=lambda run: run.at)
+    record.say("the request was sent %d times, ran %d times and crashed %d engines" %
+               (number, len(runs), len(service.crashes)))
+    if not standins.trouble():
+        return any(each.status != 200 for each in requesters.answers + crashing.answers)
+    if len(service.crashes) < 3:
+        record.say("it reached no engine after the first crashes")
+        return False
+    bound = service.crashes[2] + standins.CONTACT_S
+    late = sorted({run.attempt for run in runs if run.at > bound})
+    record.say("the third crash was at %.3f; retries that reached engines later than contact_ms "
+               "after it: %d" % (service.crashes[2], len(late)))
+    cut = [each for each in requesters.answers if each.status != 200]
+    record.say("requests of others without a whole answer: %d of %d" %
+               (len(cut), len(requesters.answers)))
+    return len(late) > ALLOWED_RETRIES
 
 
 standins.run_case(__file__, scenario)
