--- a/review/standins.py
+++ b/review/standins.py
@@ -101,7 +101,7 @@
 def reset(writer):
     """Ends a connection with a reset."""
     sock = writer.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and sock.fileno() >= 0:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
     writer.close()
 
