--- a/review/1/run.py
+++ b/review/1/run.py
@@ -136,18 +136,16 @@
                    if run.line.split(" ")[1] == CRASHING_PATH), key=lambda run: run.at)
     record.say("the request was sent %d times, ran %d times and crashed %d engines" %
                (number, len(runs), len(service.crashes)))
-    if not standins.trouble():
-        return any(each.status != 200 for each in requesters.answers + crashing.answers)
+    cut = [each for each in requesters.answers if each.status != 200]
+    record.say("requests of others without a whole answer: %d of %d" %
+               (len(cut), len(requesters.answers)))
     if len(service.crashes) < 3:
-        record.say("it reached no engine after the first crashes")
+        record.say("it has not crashed three engines")
         return False
     bound = service.crashes[2] + standins.CONTACT_S
     late = sorted({run.attempt for run in runs if run.at > bound})
     record.say("the third crash was at %.3f; retries that reached engines later than contact_ms "
                "after it: %d" % (service.crashes[2], len(late)))
-    cut = [each for each in requesters.answers if each.status != 200]
-    record.say("requests of others without a whole answer: %d of %d" %
-               (len(cut), len(requesters.answers)))
     return len(late) > ALLOWED_RETRIES
 
 
