--- a/review/standins.py
+++ b/review/standins.py
@@ -234,6 +234,7 @@
         self.server = None
         self.loses_answer = None
         self.count = 0
+        self.born = int(time.time() * 1000)
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -244,7 +245,7 @@
         self.store.put("servers/" + self.name, {
             "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
             "slots": 16, "state": "ready", "cold_left_ms": 0, "seq": 1,
-            "born": int(time.time() * 1000)})
+            "born": self.born})
 
     def exit(self):
         """Ends the process: connections that are open are reset."""
