--- a/review/standins.py
+++ b/review/standins.py
@@ -320,6 +320,7 @@
 
     async def send(self, vm, attempt, method, path, key, limit_ms, body, fields):
         sent = self.record.now()
+        self.record("%s is sent to %s: %s %s" % (attempt, vm.name, method, path))
         status, got, data = None, {}, b""
         writer = None
         try:
