Judge a request by the targets that went while they ran it

What callers saw: a stream that crashes its engines after its first event was never held back. It was resumed on a second engine each time that it came, and crashed that, too; streams of others on these engines were cut again and again.

Cause: RecordTargetCrash dropped the evidence once an event was passed on, and IsQuarantined let such a call go on. An event was taken as proof that the request is sound. That holds for the parts of its prompt; a request is cleared only by a whole answer.

Change: an exchange that is lost after the request was sent is evidence, whatever came before, if its target has gone; the VM finds out by connecting to it 50 ms later. One target is one crash for all VMs. The third crash holds the request back, its resumption too, and waits for the judgement of the last ones. A whole answer clears it. A refused request is tested after 10 s and 60 s, with one attempt.

HubFleet at 3, 81 and 295 VMs: at most 3 late crashes.

--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -93,6 +93,9 @@
   void operator()(const forwarding::notify_peers& effect) const {
     self.peers_.Protocol().ShareLoad(effect);
   }
+  void operator()(const forwarding::share_suspects& effect) const {
+    self.peers_.Protocol().Broadcast(suspect_reports_received{effect.reports});
+  }
   void operator()(const forwarding::share_part_crashes& effect) const {
     self.peers_.Protocol().Broadcast(part_crashes_received{effect.crashes});
   }
@@ -122,6 +125,14 @@
           daemon.Post(forwarding::target_probed{pool, connected});
         });
   }
+  void operator()(const forwarding::check_target& effect) const {
+    net::ProbeConnection(self.loop_, effect.address, internal::kProbeTimeout,
+                         [&daemon = self, target = effect.target,
+                          incarnation = effect.incarnation](bool connected) {
+                           daemon.Post(forwarding::target_checked{
+                               target, incarnation, connected});
+                         });
+  }
   void operator()(const forwarding::record_decision& effect) const {
     self.log_.WriteDecision(effect, self.clock_.Now());
     if (effect.kind == forwarding::decision_kind::kRepeated ||
@@ -143,24 +154,24 @@
                                ? internal::kMaxReleaseAttempts
                                : 1;
   const forwarding::target* to = state_.targets.Find(settled.target);
-  SendOrder(loop_, address, request, max_attempts,
-            to != nullptr ? state_.reach.NextTunnel(to->pool, clock_.Now())
-                          : std::string(),
-            [this, settled](const order_outcome& outcome) mutable {
-              const order_result result = outcome.result;
-              settled.result = result;
-              settled.availability = protocol_->ReadAvailability(outcome.head);
-              if (result != order_result::kDone) {
-                log_.WriteDecision(
-                    {forwarding::decision_kind::kOrderFailed,
-                     settled.target.value,
-                     {{"order", std::string(ToString(settled.order))},
-                      {"ticket", settled.ticket},
-                      {"result", std::string(ToString(result))}}},
-                    clock_.Now());
-              }
-              Post(settled);
-            });
+  SendOrder(
+      loop_, address, request, max_attempts,
+      to != nullptr ? state_.reach.NextTunnel(to->pool, clock_.Now())
+                    : std::string(),
+      &answer_memory_, [this, settled](const order_outcome& outcome) mutable {
+        const order_result result = outcome.result;
+        settled.result = result;
+        settled.availability = protocol_->ReadAvailability(outcome.head);
+        if (result != order_result::kDone) {
+          log_.WriteDecision({forwarding::decision_kind::kOrderFailed,
+                              settled.target.value,
+                              {{"order", std::string(ToString(settled.order))},
+                               {"ticket", settled.ticket},
+                               {"result", std::string(ToString(result))}}},
+                             clock_.Now());
+        }
+        Post(settled);
+      });
 }
 
 void entry_daemon::ExecuteEffects(const forwarding::effects& effects) {
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -19,6 +19,9 @@
 constexpr duration kEventInterval = std::chrono::milliseconds(200);
 constexpr std::uint64_t kOutputTokens = 1'500;
 constexpr std::uint64_t kLongPrompt = 60'000;
+constexpr std::uint64_t kShortTokens = 5'000;
+// A crashed engine is back after this time.
+constexpr duration kDownTime = std::chrono::seconds(3);
 
 const pool_id kPool{"pool"};
 
@@ -48,11 +51,20 @@
 };
 
 struct hub_fleet::engine {
+  /** A request that it runs, for one process of a VM. */
+  struct exchange {
+    std::size_t vm{};
+    std::uint64_t life{};
+    forwarding::call_id call{};
+    std::uint32_t attempt{};
+  };
   target_id id;
   std::size_t running{};
   std::vector<time_point> arrivals;
   std::optional<double> limit;
   bool leaving{};
+  std::vector<exchange> exchanges;
+  time_point down_until{};
 };
 
 struct hub_fleet::vm {
@@ -290,6 +302,17 @@
   void operator()(const forwarding::refuse_call& /*effect*/) const {
     ++fleet.refusals_;
   }
+  void operator()(const forwarding::abort_response& /*effect*/) const {
+    ++fleet.broken_off_;
+  }
+  void operator()(const forwarding::check_target& effect) const {
+    fleet.AfterAt(vm, internal::kFetchDelay, [self = *this, effect] {
+      const bool up =
+          self.fleet.FindEngine(effect.target).down_until <= self.fleet.Now();
+      self.fleet.Post(self.vm, forwarding::target_checked{
+                                   effect.target, effect.incarnation, up});
+    });
+  }
   void operator()(const forwarding::reserve_memory& effect) const {
     fleet.AfterAt(vm, internal::kOrderDelay, [self = *this, effect] {
       self.fleet.Post(self.vm,
@@ -307,6 +330,9 @@
   void operator()(const forwarding::notify_peers& effect) const {
     Protocol().ShareLoad(effect);
   }
+  void operator()(const forwarding::share_suspects& effect) const {
+    Protocol().Broadcast(suspect_reports_received{effect.reports});
+  }
   void operator()(const forwarding::share_part_crashes& effect) const {
     Protocol().Broadcast(part_crashes_received{effect.crashes});
   }
@@ -366,17 +392,23 @@
     longest_placement_ = std::max(longest_placement_, clock_->now - at->second);
     self.waiting.erase(at);
   }
-  const auto find = [&](const target_id& id) -> engine& {
-    return *std::find_if(engines_.begin(), engines_.end(),
-                         [&](const engine& each) { return each.id == id; });
-  };
   for (const forwarding::helper& each : attempt.helpers) {
-    find(each.target).arrivals.push_back(clock_->now);
+    FindEngine(each.target).arrivals.push_back(clock_->now);
+  }
+  engine& target = FindEngine(attempt.target);
+  if (target.down_until > clock_->now) {
+    AfterAt(vm, std::chrono::milliseconds(1), [this, vm, attempt] {
+      Post(vm, forwarding::attempt_failed{
+                   attempt.id, attempt.attempt,
+                   forwarding::attempt_failure::kNotConnected});
+    });
+    return;
   }
-  engine& target = find(attempt.target);
   target.arrivals.push_back(clock_->now);
   most_ = std::max(most_, ++target.running);
   const auto& pending = self.state->pending_calls.at(attempt.id);
+  const std::uint64_t fingerprint = pending.request.fingerprint;
+  target.exchanges.push_back({vm, self.life, attempt.id, attempt.attempt});
   const duration first = pending.running_attempt->predicted_first_event +
                          std::chrono::milliseconds(5);
   const forwarding::limit_statement limit{target.limit};
@@ -394,20 +426,74 @@
                                           limit,
                                           availability});
   });
+  if (const auto at = crashing_.find(fingerprint); at != crashing_.end()) {
+    const auto events = static_cast<std::int64_t>(at->second);
+    After(first + events * internal::kEventInterval,
+          [this, index = &target - engines_.data()] {
+            Crash(static_cast<std::size_t>(index));
+          });
+  }
   std::uint64_t event = 0;
   for (duration at = first; at < first + internal::kAnswerTime;
        at += internal::kEventInterval) {
     ++event;
     AfterAt(vm, at + std::chrono::milliseconds(1), [this, vm, attempt, event] {
-      Post(vm,
-           forwarding::response_progressed{attempt.id, attempt.attempt, event});
+      // A stream that is resumed goes on after the last event.
+      Post(vm, forwarding::response_progressed{attempt.id, attempt.attempt,
+                                               attempt.resume_after + event});
     });
   }
-  AfterAt(vm, first + internal::kAnswerTime, [this, vm, attempt] {
+  AfterAt(vm, first + internal::kAnswerTime, [this, vm, attempt, fingerprint] {
+    const auto& calls = vms_[vm]->state->pending_calls;
+    const auto at = calls.find(attempt.id);
+    if (at != calls.end() && at->second.running_attempt &&
+        at->second.running_attempt->number == attempt.attempt) {
+      ++answered_[fingerprint];
+    }
     Post(vm, forwarding::response_completed{attempt.id, attempt.attempt});
   });
-  After(first + internal::kAnswerTime,
-        [&running = target.running] { --running; });
+  After(first + internal::kAnswerTime, [this, vm, attempt, &target] {
+    --target.running;
+    std::erase_if(target.exchanges, [&](const engine::exchange& each) {
+      return each.vm == vm && each.call == attempt.id &&
+             each.attempt == attempt.attempt;
+    });
+  });
+}
+
+hub_fleet::engine& hub_fleet::FindEngine(const target_id& id) {
+  return *std::find_if(engines_.begin(), engines_.end(),
+                       [&](const engine& each) { return each.id == id; });
+}
+
+void hub_fleet::SetCrashing(std::uint64_t fingerprint,
+                            std::uint64_t after_events) {
+  crashing_[fingerprint] = after_events;
+}
+
+void hub_fleet::Crash(std::size_t index) {
+  engine& target = engines_[index];
+  if (target.down_until > clock_->now) {
+    return;
+  }
+  target.down_until = clock_->now + internal::kDownTime;
+  crashes_.push_back(clock_->now);
+  for (const engine::exchange& each : std::exchange(target.exchanges, {})) {
+    if (vms_[each.vm]->running && vms_[each.vm]->life == each.life) {
+      Post(each.vm,
+           forwarding::attempt_failed{each.call, each.attempt,
+                                      forwarding::attempt_failure::kBroken});
+    }
+  }
+}
+
+void hub_fleet::SendCall(std::size_t vm, std::uint64_t fingerprint) {
+  SendCallTo(vm, internal::kShortTokens, fingerprint);
+}
+
+std::uint64_t hub_fleet::Answered(std::uint64_t fingerprint) const {
+  const auto at = answered_.find(fingerprint);
+  return at == answered_.end() ? 0 : at->second;
 }
 
 void hub_fleet::StartCall(std::uint64_t prompt_tokens) {
@@ -417,6 +503,14 @@
          (callers_ && vms_[vm]->domain != *callers_)) {
     vm = (vm + 1) % vms_.size();
   }
+  // Fingerprints below this are left to callers of their own.
+  constexpr std::uint64_t kFirstFingerprint = 1'000;
+  SendCallTo(vm, prompt_tokens, kFirstFingerprint + calls_);
+}
+
+void hub_fleet::SendCallTo(std::size_t vm,
+                           std::uint64_t prompt_tokens,
+                           std::uint64_t fingerprint) {
   forwarding::call made;
   made.id = vms_[vm]->next_call++;
   made.caller_request_id = "c" + std::to_string(++calls_);
@@ -430,7 +524,7 @@
   made.gap_objective = std::chrono::milliseconds(250);
   made.prompt_tokens = prompt_tokens;
   made.output_tokens = internal::kOutputTokens;
-  made.fingerprint = calls_;
+  made.fingerprint = fingerprint;
   vms_[vm]->waiting[made.id] = clock_->now;
   Post(vm, forwarding::call_arrived{made});
 }
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -96,6 +96,22 @@
   void SetLimit(std::size_t engine, std::optional<double> requests_per_s);
   /** @brief Lets an engine say in its responses that it leaves. */
   void SetLeaving(std::size_t engine);
+  /** @brief Lets each engine that runs a request crash after some events of
+   * its answer; it is down for a few seconds. */
+  void SetCrashing(std::uint64_t fingerprint, std::uint64_t after_events);
+  /** @brief Crashes an engine for a reason of its own. */
+  void Crash(std::size_t engine);
+  /** @brief Starts a call with this fingerprint at a VM. */
+  void SendCall(std::size_t vm, std::uint64_t fingerprint);
+  /** @return Times at which engines crashed. */
+  [[nodiscard]] const std::vector<time_point>& Crashes() const noexcept {
+    return crashes_;
+  }
+  /** @return Number of calls with this fingerprint that were answered in full.
+   */
+  [[nodiscard]] std::uint64_t Answered(std::uint64_t fingerprint) const;
+  /** @return Number of streams that were broken off. */
+  [[nodiscard]] std::uint64_t BrokenOff() const noexcept { return broken_off_; }
   /** @brief Resets the traffic and the arrivals that were counted. */
   void ResetCounts();
 
@@ -161,7 +177,11 @@
   void ScheduleWake(std::size_t vm);
   void OnInterval(std::size_t vm);
   void StartCall(std::uint64_t prompt_tokens);
+  void SendCallTo(std::size_t vm,
+                  std::uint64_t prompt_tokens,
+                  std::uint64_t fingerprint);
   void Serve(std::size_t vm, const forwarding::send_attempt& attempt);
+  [[nodiscard]] engine& FindEngine(const target_id& id);
   [[nodiscard]] mesh::local_status StatusOf(std::size_t vm) const;
   void Fetch(std::size_t vm, const mesh::view_source& source);
 
@@ -182,6 +202,11 @@
   std::uint64_t next_incarnation_{1};
   std::uint64_t calls_{};
   std::uint64_t refusals_{};
+  std::uint64_t broken_off_{};
+  /** Fingerprint of crashing requests, and events before the crash. */
+  std::map<std::uint64_t, std::uint64_t> crashing_;
+  std::map<std::uint64_t, std::uint64_t> answered_;
+  std::vector<time_point> crashes_;
   std::size_t most_{};
   duration longest_placement_{};
 };
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -34,7 +34,13 @@
       "planner_silent",
       "went_back",
       "targets_out_of_reach",
-      "targets_in_reach"};
+      "targets_in_reach",
+      "exchange_lost",
+      "target_alive",
+      "target_gone",
+      "request_held_back",
+      "request_tested",
+      "request_cleared"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -116,6 +116,20 @@
   std::string address;
 };
 
+/** Find out whether a target's process that lost an exchange is still there, by
+ * connecting to it. */
+struct check_target {
+  target_id target;
+  std::uint64_t incarnation{};
+  /** IP:PORT. */
+  std::string address;
+};
+
+/** Tell the peers of requests that crash their targets. */
+struct share_suspects {
+  std::vector<suspect_report> reports;
+};
+
 /** Tell the peers of crashes that this process has seen. */
 struct share_part_crashes {
   std::vector<part_crash> crashes;
@@ -162,10 +176,16 @@
   kWentBack,
   kTargetsOutOfReach,
   kTargetsInReach,
+  kExchangeLost,
+  kTargetAlive,
+  kTargetGone,
+  kRequestHeldBack,
+  kRequestTested,
+  kRequestCleared,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kTargetsInReach) + 1;
+    static_cast<std::size_t>(decision_kind::kRequestCleared) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
@@ -190,6 +210,8 @@
                             reserve_memory,
                             release_memory,
                             notify_peers,
+                            check_target,
+                            share_suspects,
                             share_part_crashes,
                             share_begun_parts,
                             share_limits,
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -229,6 +229,13 @@
   bool reached{};
 };
 
+/** Whether a target's process that lost an exchange could be connected to. */
+struct target_checked {
+  target_id target;
+  std::uint64_t incarnation{};
+  bool reached{};
+};
+
 /** The timer for NextWake fired. */
 struct timer_fired {
   /** The time for which it was set: all input that had arrived by then has been
@@ -261,6 +268,7 @@
                            target_reported,
                            tunnels_changed,
                            target_probed,
+                           target_checked,
                            timer_fired>;
 
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -305,19 +305,73 @@
  * set their memory aside, and forgets the others. */
 void ReleaseClosingTickets(state& current, time_point now, effects& out);
 
-/** @return Whether a call is refused because requests like it crash their
+enum class quarantine_verdict {
+  kRuns,
+  /** It is not known yet whether the last targets of such requests have gone.
+   */
+  kWaits,
+  kRefused,
+};
+
+/** @return Whether a call may run although requests like it have crashed their
+ * targets. The first attempt of a call that tests whether they still do may. */
+[[nodiscard]] quarantine_verdict JudgeByCrashes(state& current,
+                                                pending_call& pending,
+                                                time_point now,
+                                                effects& out);
+
+/** @brief Records that the running attempt lost its connection after its
+ * request was sent. It is evidence against the call if the target has gone, and
+ * at once against the parts of its prompt unless its stream had begun. */
+void RecordLostExchange(state& current,
+                        const pending_call& pending,
+                        time_point now,
+                        effects& out);
+
+/** @return Whether a call is refused for parts of its prompt that crash their
  * targets. A stream that has begun is not, nor is the first attempt of a call
  * that tests a refused part. */
-[[nodiscard]] bool IsQuarantined(state& current,
-                                 pending_call& pending,
-                                 time_point now);
+[[nodiscard]] bool IsRefusedForParts(state& current,
+                                     pending_call& pending,
+                                     time_point now);
 
-/** @brief Records that the target of the running attempt crashed, as evidence
- * against the call unless its stream had begun. */
-void RecordTargetCrash(state& current,
-                       const pending_call& pending,
-                       time_point now,
-                       effects& out);
+/** @brief Records that the target of the running attempt crashed before the
+ * call's first event. */
+void RecordCrashOfParts(state& current,
+                        const pending_call& pending,
+                        time_point now,
+                        effects& out);
+
+/** @brief Drops the lost exchanges of a target that has responded to an attempt
+ * which started after them. */
+void RecordAlive(state& current, const attempt& heard, effects& out);
+
+/** @brief Judges the lost exchanges of a target that was checked. */
+void ApplyCheck(state& current,
+                const target_checked& result,
+                time_point now,
+                effects& out);
+
+/** @brief Checks the targets of lost exchanges that are due, and takes those
+ * that were not heard in time to have gone. */
+void SettleLostExchanges(state& current,
+                         time_point input_read_until,
+                         time_point now,
+                         effects& out);
+
+/** @brief Records that a call was answered in full, which clears the evidence
+ * against requests like it. */
+void RecordWhole(state& current,
+                 const pending_call& pending,
+                 time_point now,
+                 effects& out);
+
+/** @brief Merges what a peer knows of requests that crash their targets. A hub
+ * passes on what makes it refuse one. */
+void MergeSuspectReports(state& current,
+                         const suspect_reports_received& received,
+                         time_point now,
+                         effects& out);
 
 /** @brief Records that an answer began, or is complete if it has no events,
  * which clears the call's parts. */
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -15,6 +15,9 @@
 constexpr duration kPlannerTimeout = std::chrono::milliseconds(40);
 // A silent planner is asked again after this time.
 constexpr duration kPlannerPause = std::chrono::milliseconds(1'000);
+// A call waits in steps of this until it is known whether the targets of such
+// calls have gone.
+constexpr duration kEvidenceWait = std::chrono::milliseconds(25);
 // Other VMs ask again less often than this VM looks again itself, since each
 // time costs two datagrams.
 constexpr duration kMinRemoteWait = std::chrono::milliseconds(40);
@@ -179,9 +182,15 @@
                   effects& out) {
   pending.next_placement_at.reset();
   pending.asked_planner.clear();
-  if (IsQuarantined(current, pending, now)) {
-    FailCall(current, pending, failure_code::kQuarantined, now, out);
-    return;
+  switch (JudgeByCrashes(current, pending, now, out)) {
+    case quarantine_verdict::kRuns:
+      break;
+    case quarantine_verdict::kWaits:
+      pending.next_placement_at = now + kEvidenceWait;
+      return;
+    case quarantine_verdict::kRefused:
+      FailCall(current, pending, failure_code::kQuarantined, now, out);
+      return;
   }
   const std::string* planner = FindPlanner(current, now);
   if (planner == nullptr) {
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -111,6 +111,7 @@
                        pending->running_attempt->target_incarnation,
                        happened.availability, now, out);
     current.targets.RecordActivity(pending->running_attempt->target, now);
+    RecordAlive(current, *pending->running_attempt, out);
     if (happened.verdict == response_verdict::kServed ||
         happened.verdict == response_verdict::kFailed) {
       current.refusals.RecordTaken(pending->running_attempt->target, now);
@@ -179,10 +180,7 @@
     }
     EndSilentAttempt(current, *pending, now, out);
     current.targets.RecordSuccess(pending->running_attempt->target);
-    if (IsSuspect(current.quarantine, pending->request.fingerprint, now)) {
-      RecordCompletion(current.quarantine, current.self,
-                       pending->request.fingerprint, now);
-    }
+    RecordWhole(current, *pending, now, out);
     if (!pending->partially_delivered &&
         pending->running_attempt->response_started) {
       RecordAnswer(current, *pending, now, out);
@@ -217,7 +215,7 @@
                   now, out);
       return;
     }
-    RecordTargetCrash(current, *pending, now, out);
+    RecordLostExchange(current, *pending, now, out);
     RecordFailure(id);
     RetryOrFail(
         current, *pending, true,
@@ -306,7 +304,7 @@
   }
 
   void operator()(const suspect_reports_received& happened) {
-    MergeSuspects(current.quarantine, current.self, happened, now);
+    MergeSuspectReports(current, happened, now, out);
   }
 
   void operator()(const part_crashes_received& happened) {
@@ -349,11 +347,16 @@
     ApplyProbe(current, happened, now, out);
   }
 
+  void operator()(const target_checked& happened) {
+    ApplyCheck(current, happened, now, out);
+  }
+
   void operator()(const timer_fired& /*happened*/) {}
 
   // Fails the calls that are past their deadline, retries deferred placements,
   // and handles attempts without progress.
   void HandleTimeouts() {
+    SettleLostExchanges(current, input_read_until, now, out);
     std::vector<call_id> due;
     for (const auto& [id, pending] : current.pending_calls) {
       if (IsDue(pending)) {
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -75,6 +75,29 @@
   duration predicted_first_event{};
 };
 
+/**
+ * @brief An exchange whose connection was lost after the request was sent. It
+ * is evidence against the request only if the target's process has gone, too.
+ */
+struct lost_exchange {
+  std::string caller_request_id;
+  std::uint64_t fingerprint{};
+  /** When the target lost it, if it has gone. */
+  request_crash crash;
+  /** The target's process; see target::incarnation. */
+  std::uint64_t target_incarnation{};
+  /** IP:PORT of the target; empty if it can't be connected to directly. */
+  std::string address;
+  /** This request's share of those that this VM had at the target. */
+  double share{};
+  /** Id of the last event that the caller got. */
+  std::uint64_t last_event{};
+  /** When the target is checked; nothing if it has been. */
+  std::optional<time_point> check_at;
+  /** The target has gone if it was not heard until then. */
+  time_point settle_at{};
+};
+
 /** A call without a complete response. */
 struct pending_call {
   call request;
@@ -99,6 +122,8 @@
   bool partially_delivered{};
   /** Whether it runs to test parts that are refused otherwise. */
   bool tests_refused_parts{};
+  /** Whether it runs to test a request that is refused otherwise. */
+  bool tests_refused_request{};
   std::uint64_t last_event{};
   std::optional<time_point> first_event_at;
   time_point last_progress{};
@@ -130,6 +155,8 @@
   retry_allowance allowance;
   quarantine_state quarantine;
   part_quarantine parts;
+  /** Exchanges whose targets may have gone. */
+  std::vector<lost_exchange> lost_exchanges;
   std::map<call_id, pending_call> pending_calls;
   /** Released tickets that are released again, by name; at most 1,024. */
   std::map<std::string, closing_ticket> closing_tickets;
--- a/src/acaciaferry/forwarding/wake.cpp
+++ b/src/acaciaferry/forwarding/wake.cpp
@@ -25,6 +25,9 @@
 time_point NextWake(const state& current, time_point now) {
   time_point next = now + internal::kIdleWake;
   next = std::min(next, current.reach.NextProbe().value_or(next));
+  for (const lost_exchange& each : current.lost_exchanges) {
+    next = std::min(next, each.check_at.value_or(each.settle_at));
+  }
   for (const auto& [ticket, closing] : current.closing_tickets) {
     next = std::min(next, closing.release_at);
   }
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -160,15 +160,35 @@
   return update;
 }
 
-message FromWire(const std::vector<suspect_wire>& wire) {
+// Nothing if the columns don't fit together.
+std::optional<std::vector<request_crash>> CrashesOf(const suspect_wire& wire,
+                                                    time_point now) {
+  const std::size_t count = wire.crash_targets.size();
+  if (!wire.lists_crashes || wire.crash_ages_ms.size() != count ||
+      wire.crash_ran_ms.size() != count) {
+    return std::nullopt;
+  }
+  std::vector<request_crash> crashes;
+  for (std::size_t i = 0; i < count; ++i) {
+    crashes.push_back({{wire.crash_targets[i]},
+                       now - FromMillis(wire.crash_ages_ms[i]),
+                       FromMillis(wire.crash_ran_ms[i])});
+  }
+  return crashes;
+}
+
+message FromWire(const std::vector<suspect_wire>& wire, time_point now) {
   suspect_reports_received heard;
   for (const suspect_wire& each : wire) {
+    const auto listed = CrashesOf(each, now);
     heard.reports.push_back({each.fingerprint,
                              {{each.vm}, each.incarnation},
                              each.version,
                              each.crashes,
                              each.weight,
-                             FromMillis(each.age_ms)});
+                             FromMillis(each.age_ms),
+                             listed.has_value(),
+                             listed.value_or(std::vector<request_crash>())});
   }
   return heard;
 }
@@ -248,7 +268,7 @@
         return internal::FromWire(body.get().as<internal::load_wire>(), now);
       case internal::kSuspects:
         return internal::FromWire(
-            body.get().as<std::vector<internal::suspect_wire>>());
+            body.get().as<std::vector<internal::suspect_wire>>(), now);
       case internal::kLiveDispatches:
         return internal::FromWire(
             body.get().as<internal::live_dispatches_wire>());
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -107,21 +107,46 @@
   return datagrams;
 }
 
+suspect_wire ToWire(const suspect_report& report, time_point now) {
+  suspect_wire wire{report.fingerprint,
+                    report.source.first.value,
+                    report.source.second,
+                    report.version,
+                    report.crashes,
+                    report.weight,
+                    ToMillis(report.age),
+                    report.lists_crashes,
+                    {},
+                    {},
+                    {}};
+  for (const request_crash& each : report.listed) {
+    wire.crash_targets.push_back(each.target.value);
+    wire.crash_ages_ms.push_back(ToMillis(now - each.at));
+    wire.crash_ran_ms.push_back(ToMillis(each.ran_for));
+  }
+  return wire;
+}
+
 std::vector<std::string> Encode(const suspect_reports_received& from,
-                                time_point /*now*/) {
+                                time_point now) {
   std::vector<std::string> datagrams;
   std::vector<suspect_wire> wire;
+  std::size_t listed = 0;
+  const auto flush = [&] {
+    datagrams.push_back(Pack(kSuspects, wire));
+    wire.clear();
+    listed = 0;
+  };
   for (const suspect_report& each : from.reports) {
-    wire.push_back({each.fingerprint, each.source.first.value,
-                    each.source.second, each.version, each.crashes, each.weight,
-                    ToMillis(each.age)});
-    if (wire.size() == kSuspectsPerDatagram) {
-      datagrams.push_back(Pack(kSuspects, wire));
-      wire.clear();
+    if (wire.size() == kSuspectsPerDatagram ||
+        (!wire.empty() && listed + each.listed.size() > kListedPerDatagram)) {
+      flush();
     }
+    listed += each.listed.size();
+    wire.push_back(ToWire(each, now));
   }
   if (!wire.empty()) {
-    datagrams.push_back(Pack(kSuspects, wire));
+    flush();
   }
   return datagrams;
 }
--- a/src/acaciaferry/mesh/peer_protocol.cpp
+++ b/src/acaciaferry/mesh/peer_protocol.cpp
@@ -9,6 +9,11 @@
 namespace internal {
 
 constexpr std::size_t kMaxSuspectsSent = 16;
+// Later only requests that are refused are told of, and VMs that join are told
+// of all.
+constexpr duration kNewSuspect = std::chrono::seconds(30);
+constexpr duration kOldestSuspect = std::chrono::hours(1);
+constexpr std::size_t kMaxSuspectsSentToNew = 64;
 constexpr std::size_t kMaxActiveTargets = 16;
 // New part crashes are sent with each heartbeat, older ones with every fourth.
 constexpr duration kNewPartCrash = std::chrono::seconds(3);
@@ -245,12 +250,22 @@
     const std::vector<std::string>& addresses) {
   const time_point now = clock_.Now();
   const auto suspects =
-      LatestSuspectReports(state_.quarantine, internal::kMaxSuspectsSent, now);
+      SuspectReportsToTell(state_.quarantine, internal::kMaxSuspectsSent,
+                           internal::kNewSuspect, now);
   if (!suspects.empty()) {
     Send(Encode(suspect_reports_received{suspects}, now), addresses);
   }
 }
 
+void peer_protocol::SendSuspects(const std::string& address) {
+  const auto suspects =
+      SuspectReportsToTell(state_.quarantine, internal::kMaxSuspectsSentToNew,
+                           internal::kOldestSuspect, clock_.Now());
+  if (!suspects.empty()) {
+    SendTo(address, suspect_reports_received{suspects});
+  }
+}
+
 void peer_protocol::RepeatPartCrashes() {
   const bool all = ++heartbeats_sent_ % internal::kOldPartCrashInterval == 0;
   const auto crashes = OwnPartCrashes(
--- a/src/acaciaferry/mesh/peer_protocol.hpp
+++ b/src/acaciaferry/mesh/peer_protocol.hpp
@@ -156,6 +156,8 @@
   [[nodiscard]] heartbeat MakeHeartbeat(time_point now);
   void SendLiveDispatches(const std::vector<std::string>& addresses);
   void BroadcastSuspects(const std::vector<std::string>& addresses);
+  /** @brief Tells a VM that joins of all suspects. */
+  void SendSuspects(const std::string& address);
   /** @brief Repeats this VM's part crashes, since datagrams may be lost and VMs
    * may be out of reach for a while. */
   void RepeatPartCrashes();
--- a/src/acaciaferry/mesh/peer_protocol_receive.cpp
+++ b/src/acaciaferry/mesh/peer_protocol_receive.cpp
@@ -84,6 +84,7 @@
   }
   if (change.is_new || change.replaced_incarnation) {
     SendPartCrashes({heartbeat.datagram_address});
+    SendSuspects(heartbeat.datagram_address);
     SendLimits({heartbeat.datagram_address});
     SendLeavingTargets(heartbeat.datagram_address);
     UpdatePlanners(now);
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -35,6 +35,8 @@
 inline constexpr std::size_t kJobsPerDatagram = 16;
 inline constexpr std::size_t kKeysPerDatagram = 64;
 inline constexpr std::size_t kSuspectsPerDatagram = 16;
+// A report takes about 60 bytes, and 25 more for each crash that it lists.
+inline constexpr std::size_t kListedPerDatagram = 16;
 // A crash with few parts takes about 90 bytes.
 inline constexpr std::size_t kPartCrashesPerDatagram = 8;
 inline constexpr std::size_t kPartsPerDatagram = 64;
@@ -238,13 +240,23 @@
   std::uint32_t crashes{};
   double weight{};
   std::int64_t age_ms{};
+  bool lists_crashes{};
+  // The crashes by columns: arrays within arrays within these would be nested
+  // deeper than VMs of older releases read.
+  std::vector<std::string> crash_targets;
+  std::vector<std::int64_t> crash_ages_ms;
+  std::vector<std::int64_t> crash_ran_ms;
   MSGPACK_DEFINE_ARRAY(fingerprint,
                        vm,
                        incarnation,
                        version,
                        crashes,
                        weight,
-                       age_ms)
+                       age_ms,
+                       lists_crashes,
+                       crash_targets,
+                       crash_ages_ms,
+                       crash_ran_ms)
 };
 
 struct part_crash_wire {
--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -435,3 +435,120 @@
   CHECK_COMPARE(heavy.fleet.MostAtOneEngine(), <=, 1U);
   LONGS_EQUAL(0, heavy.fleet.Refusals());
 }
+
+namespace {
+
+constexpr std::uint64_t kCulprit = 7;
+// The users' bound, contact_ms.
+constexpr duration kContact = seconds(3);
+
+hub_fleet_plan PlanOf(std::size_t vms_per_domain, std::size_t domains) {
+  hub_fleet_plan plan;
+  plan.domains = domains;
+  plan.vms_per_domain = vms_per_domain;
+  plan.engines_per_domain = vms_per_domain < 20 ? 8 : 22;
+  return plan;
+}
+
+// Number of engines that crashed later than all VMs must have heard of the
+// third crash.
+std::size_t LateCrashes(const hub_fleet& fleet) {
+  const auto& crashes = fleet.Crashes();
+  if (crashes.size() < 3) {
+    return 0;
+  }
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(),
+                    [&](time_point at) { return at > crashes[2] + kContact; }));
+}
+
+// The culprit comes through one VM after the other.
+void SendCulprit(hub_fleet& fleet,
+                 std::size_t times,
+                 duration apart,
+                 std::size_t step) {
+  for (std::size_t i = 0; i < times; ++i) {
+    fleet.SendCall(i * step % fleet.VmCount(), kCulprit);
+    fleet.Run(apart, 0, 0);
+  }
+}
+
+}  // namespace
+
+// Guards against a stream that crashes one engine after the other, however many
+// events it gives before the crash, through whichever VMs it comes, in fleets
+// of 3, 81 and 295 VMs.
+TEST(HubFleet, ACulpritIsHeldBackOnAllVms) {
+  for (const auto& [vms, domains] :
+       {std::pair<std::size_t, std::size_t>{1, 3}, {27, 3}, {59, 5}}) {
+    for (const std::uint64_t events : {0U, 1U, 5U}) {
+      large_fleet started(PlanOf(vms, domains));
+      started.fleet.SetCrashing(kCulprit, events);
+      SendCulprit(started.fleet, 18, milliseconds(2'500), 7);
+      CHECK_COMPARE(started.fleet.Crashes().size(), >=, 3);
+      CHECK_COMPARE(started.fleet.Crashes().size(), <=, 6);
+      CHECK_COMPARE(LateCrashes(started.fleet), <=, 3);
+      CHECK_TRUE(started.fleet.Refusals() > 0);
+    }
+  }
+}
+
+// Guards against VMs that don't hear of the culprit because they were cut off,
+// or had not started, while it crashed engines.
+TEST(HubFleet, ACulpritIsHeldBackAfterACutAndOnAVmThatStarts) {
+  for (const auto& [vms, domains] :
+       {std::pair<std::size_t, std::size_t>{2, 3}, {59, 5}}) {
+    large_fleet started(PlanOf(vms, domains));
+    hub_fleet& fleet = started.fleet;
+    constexpr std::size_t kCut = 2;
+    const std::size_t late = domains + 1;
+    fleet.SetCrashing(kCulprit, 1);
+    fleet.SetCutOff(kCut);
+    fleet.Stop(late);
+    fleet.Run(seconds(1), 0, 0);
+    // All through VMs of the first failure domain.
+    SendCulprit(fleet, 4, seconds(3), domains);
+    const std::size_t crashed = fleet.Crashes().size();
+    CHECK_COMPARE(crashed, >=, 3);
+    CHECK_COMPARE(crashed, <=, 4);
+    fleet.SetCutOff(std::nullopt);
+    fleet.Start(late);
+    fleet.Run(seconds(6), 0, 0);
+    fleet.SendCall(kCut, kCulprit);
+    fleet.Run(seconds(1), 0, 0);
+    fleet.SendCall(late, kCulprit);
+    fleet.Run(seconds(1), 0, 0);
+    LONGS_EQUAL(crashed, fleet.Crashes().size());
+  }
+}
+
+// Guards against sound streams that are refused or broken off since engines
+// crash for reasons of their own, though they are equal and come again and
+// again through all VMs.
+TEST(HubFleet, EqualSoundStreamsAreServedWhileEnginesCrash) {
+  constexpr std::uint64_t kSound = 9;
+  for (const duration apart : {milliseconds(2'500), milliseconds(800)}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U, 4U, 5U}) {
+      hub_fleet_plan plan = PlanOf(1, 3);
+      plan.seed = seed;
+      large_fleet started(plan);
+      hub_fleet& fleet = started.fleet;
+      std::uint64_t sent = 0;
+      time_point next_crash = fleet.Now() + apart;
+      std::size_t crashes = 0;
+      while (crashes < 10 || fleet.Now() < next_crash + seconds(5)) {
+        fleet.SendCall(sent++ % fleet.VmCount(), kSound);
+        fleet.Run(milliseconds(100), 0, 0);
+        if (crashes < 10 && fleet.Now() >= next_crash) {
+          fleet.Crash((crashes * 7 + seed) % 24);
+          ++crashes;
+          next_crash += apart;
+        }
+      }
+      fleet.Run(seconds(5), 0, 0);
+      LONGS_EQUAL(0, fleet.Refusals());
+      LONGS_EQUAL(0, fleet.BrokenOff());
+      LONGS_EQUAL(sent, fleet.Answered(kSound));
+    }
+  }
+}
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -286,3 +286,95 @@
   }
   CHECK_TRUE(got.parts == sent.parts);
 }
+
+namespace {
+
+// A report on a suspect, as release 8382474 writes and reads it.
+struct suspect_of_8382474 {
+  std::uint64_t fingerprint{};
+  std::string vm;
+  std::uint64_t incarnation{};
+  std::uint64_t version{};
+  std::uint32_t crashes{};
+  double weight{};
+  std::int64_t age_ms{};
+  MSGPACK_DEFINE_ARRAY(fingerprint,
+                       vm,
+                       incarnation,
+                       version,
+                       crashes,
+                       weight,
+                       age_ms)
+};
+
+suspect_reports_received ManySuspects() {
+  suspect_reports_received sent;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    suspect_report report{~i,  {{"front-tx-a-1"}, ~i}, ~i, 3,
+                          0.5, milliseconds(i)};
+    report.lists_crashes = i % 2 == 0;
+    for (std::uint64_t crash = 0; report.lists_crashes && crash < i % 9;
+         ++crash) {
+      report.listed.push_back({{"i-0123456789"},
+                               At(static_cast<int>(1'000 * crash)),
+                               milliseconds(70 + crash)});
+    }
+    sent.reports.push_back(std::move(report));
+  }
+  return sent;
+}
+
+}  // namespace
+
+// Guards against evidence on requests that is lost or fragmented on its way.
+TEST(MeshMessage, SuspectsSurviveARoundTripInSmallDatagrams) {
+  const auto sent = ManySuspects();
+  suspect_reports_received got;
+  for (const std::string& each : Encode(sent, At(60'000))) {
+    CHECK_TRUE(each.size() <= kMaxDatagramBytes);
+    const auto part =
+        std::get<suspect_reports_received>(*Decode(each, At(60'000)));
+    got.reports.insert(got.reports.end(), part.reports.begin(),
+                       part.reports.end());
+  }
+  CHECK_TRUE(got.reports == sent.reports);
+}
+
+// Guards against a report of this release that a VM of 8382474 can't read: it
+// reads arrays of up to four levels, and the fields that it knows.
+TEST(MeshMessage, ReleasesWithoutListsReadSuspects) {
+  const auto sent = ManySuspects();
+  std::size_t read = 0;
+  for (const std::string& each : Encode(sent, At(60'000))) {
+    std::size_t offset = 2;
+    const msgpack::unpack_limit limit(1'024, 1'024, 1'400 * 8, 1'400 * 8, 0, 4);
+    const auto body = msgpack::unpack(each.data(), each.size(), offset, nullptr,
+                                      nullptr, limit);
+    for (const auto& report :
+         body.get().as<std::vector<suspect_of_8382474>>()) {
+      const suspect_report& meant = sent.reports[read++];
+      CHECK_TRUE(report.fingerprint == meant.fingerprint);
+      STRCMP_EQUAL(meant.source.first.value.c_str(), report.vm.c_str());
+      CHECK_TRUE(report.incarnation == meant.source.second);
+      CHECK_TRUE(report.version == meant.version);
+      LONGS_EQUAL(meant.crashes, report.crashes);
+      DOUBLES_EQUAL(meant.weight, report.weight, 1e-9);
+      CHECK_TRUE(milliseconds(report.age_ms) == meant.age);
+    }
+  }
+  LONGS_EQUAL(sent.reports.size(), read);
+}
+
+// Guards against a report of 8382474 that this release can't read. The bytes
+// were kept from that release.
+TEST(MeshMessage, SuspectsOfReleasesWithoutListsAreRead) {
+  const std::string kept(
+      "\x01\x03\x91\x97\xcd\x03\xe8\xa7"
+      "front-1\x2a\x05\x02\xcb\x3f\xf8\x00\x00\x00\x00\x00\x00\xcd\x01\x5e",
+      30);
+  const auto got = std::get<suspect_reports_received>(*Decode(kept, At(0)));
+  LONGS_EQUAL(1, got.reports.size());
+  const suspect_report expected{1'000, {{"front-1"}, 42}, 5, 2,
+                                1.5,   milliseconds(350)};
+  CHECK_TRUE(got.reports[0] == expected);
+}
