Bound what answers take of a VM's memory together

Cause: reported by other operators: an engine sends bytes without end, and the VM that called it runs out of memory. Each answer had a bound (a head 64 KB, a chunk head or trailer 128 KB, a body 16 MB), all together had none, and an answer was copied twice on its way out.

Change: net/memory_account counts what is held of all answers, and what callers and peers have not read. Above 32 MB the largest holding is dropped, open-ended ones first, whole answers last, small ones after all others. A response that is known to be longer than 16 MB fails at its head; responses have at most 256 fields; a page or a view that exceeds 16 MB ends its call at once. OrderSender's test passes no account; what it checks is unchanged.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -1,6 +1,8 @@
 #include "acaciaferry/entry/call_relay.hpp"
 
+#include <charconv>
 #include <utility>
+#include <vector>
 
 namespace acaciaferry::entry {
 namespace internal {
@@ -26,6 +28,13 @@
   return forwarding::attempt_failure::kBroken;
 }
 
+// 0 if there is none.
+std::uint64_t ParseLength(std::string_view text) {
+  std::uint64_t length = 0;
+  std::from_chars(text.data(), text.data() + text.size(), length);
+  return length;
+}
+
 // A stream that has begun goes on only with a response of the same kind: any
 // other one would end it as complete, or add bytes that are no events of it.
 bool IsSameKind(const net::response_head& begun,
@@ -41,12 +50,14 @@
                        const dialect& protocol,
                        std::shared_ptr<net::server_exchange> caller,
                        parsed_request request,
-                       event_sink report)
+                       event_sink report,
+                       net::memory_account* memory)
     : loop_(loop),
       protocol_(protocol),
       caller_(std::move(caller)),
       request_(std::move(request)),
-      report_(std::move(report)) {
+      report_(std::move(report)),
+      memory_(memory) {
   caller_->on_client_disconnected = [this] {
     report_(forwarding::caller_disconnected{request_.call.id});
   };
@@ -60,8 +71,11 @@
 void call_relay::SendAttempt(const forwarding::send_attempt& attempt) {
   const std::uint32_t attempt_number = attempt.attempt;
   const forwarding::call_id id = request_.call.id;
-  collected_body_.clear();
+  std::string().swap(collected_body_);
   const auto self = shared_from_this();
+  held_.emplace(memory_, [this] {
+    boost::asio::post(loop_, [self = shared_from_this()] { self->LetGo(); });
+  });
   net::exchange_handlers handlers;
   handlers.on_sent = [self, id, attempt_number] {
     self->report_(forwarding::attempt_sent{id, attempt_number});
@@ -77,8 +91,8 @@
     self->OnFailure(attempt_number, failure);
   };
   target_exchange started;
-  started.connection =
-      std::make_shared<net::client_exchange>(loop_, std::move(handlers));
+  started.connection = std::make_shared<net::client_exchange>(
+      loop_, std::move(handlers), memory_);
   started.stream.SetLastId(attempt.resume_after);
   const auto connection = started.connection;
   exchanges_.insert_or_assign(attempt_number, std::move(started));
@@ -119,6 +133,14 @@
     at->second.is_stream =
         classified.verdict == forwarding::response_verdict::kServed &&
         request_.call.kind == forwarding::call_kind::kStreaming;
+    const std::string_view length =
+        net::FindField(head.fields, "Content-Length");
+    at->second.has_length = !length.empty();
+    // What is known to be too long is not collected first.
+    if (!at->second.is_stream &&
+        internal::ParseLength(length) > internal::kMaxCollectedBytes) {
+      classified.verdict = forwarding::response_verdict::kUnusable;
+    }
   }
   if (!caller_->HasBegun()) {
     response_head_ = head;
@@ -143,6 +165,24 @@
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
   } else {
     collected_body_ += bytes;
+    UpdateHeld(at->second);
+  }
+}
+
+void call_relay::UpdateHeld(const target_exchange& from) {
+  held_->Set(collected_body_.size() + from.stream.BufferedBytes(),
+             from.has_length ? net::held_content::kDeclared
+                             : net::held_content::kOpenEnded);
+}
+
+void call_relay::LetGo() {
+  std::vector<std::uint32_t> attempts;
+  for (const auto& [attempt, exchange] : exchanges_) {
+    attempts.push_back(attempt);
+  }
+  std::string().swap(collected_body_);
+  for (const std::uint32_t attempt : attempts) {
+    FailAttempt(attempt, forwarding::attempt_failure::kBroken);
   }
 }
 
@@ -150,6 +190,7 @@
                                target_exchange& from,
                                std::string_view bytes) {
   const std::string events = from.stream.Feed(bytes);
+  UpdateHeld(from);
   if (from.stream.IsTooLarge()) {
     FailAttempt(attempt, forwarding::attempt_failure::kBroken);
     return;
@@ -216,7 +257,9 @@
 
 void call_relay::DeliverCollected() {
   if (!caller_->HasBegun()) {
-    caller_->Reply(response_head_.status, ForwardedFields(), collected_body_);
+    held_.reset();
+    caller_->Reply(response_head_.status, ForwardedFields(),
+                   std::move(collected_body_));
   }
 }
 
--- a/src/acaciaferry/entry/call_relay.hpp
+++ b/src/acaciaferry/entry/call_relay.hpp
@@ -4,12 +4,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "acaciaferry/entry/dialect.hpp"
 #include "acaciaferry/forwarding/event.hpp"
 #include "acaciaferry/net/client.hpp"
 #include "acaciaferry/net/event_stream.hpp"
+#include "acaciaferry/net/memory_account.hpp"
 #include "acaciaferry/net/server.hpp"
 
 namespace acaciaferry::entry {
@@ -26,11 +28,13 @@
  public:
   using event_sink = std::function<void(const forwarding::event&)>;
 
+  /** @param memory Bounds what the answers of all calls take; null for none. */
   call_relay(boost::asio::io_context& loop,
              const dialect& protocol,
              std::shared_ptr<net::server_exchange> caller,
              parsed_request request,
-             event_sink report);
+             event_sink report,
+             net::memory_account* memory = nullptr);
 
   /** @brief Sends the request to the target of an attempt. */
   void SendAttempt(const forwarding::send_attempt& attempt);
@@ -55,6 +59,8 @@
     std::shared_ptr<net::client_exchange> connection;
     net::event_stream stream;
     bool is_stream{};
+    /** Whether the response says how long it is. */
+    bool has_length{};
   };
 
   bool OnHead(std::uint32_t attempt, const net::response_head& head);
@@ -64,6 +70,9 @@
   void ForwardEvents(std::uint32_t attempt,
                      target_exchange& from,
                      std::string_view bytes);
+  /** @brief Fails the attempts whose responses take too much memory. */
+  void LetGo();
+  void UpdateHeld(const target_exchange& from);
   /** @brief Closes the connections of all attempts but one. */
   void CancelOthers(std::uint32_t attempt);
   void FailAttempt(std::uint32_t attempt, forwarding::attempt_failure failure);
@@ -80,6 +89,8 @@
   /** The head that was, or will be, sent to the caller. */
   net::response_head response_head_;
   std::string collected_body_;
+  net::memory_account* memory_;
+  std::optional<net::held_memory> held_;
 };
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -1,6 +1,5 @@
 #include "acaciaferry/entry/entry_daemon.hpp"
 
-#include <malloc.h>
 #include <signal.h>
 
 #include <algorithm>
@@ -33,6 +32,10 @@
 // retryable.
 constexpr duration kMaxUnconfirmedViewAge = std::chrono::milliseconds(3'000);
 
+// Of all answers that have arrived and were not passed on, a fifth of the
+// memory of the smallest VM. Buffers that grow take up to twice of it.
+constexpr std::size_t kMaxAnswerMemory = 32U << 20U;
+
 // Start time in milliseconds above 16 random bits, so that a restarted process
 // has a higher incarnation.
 std::uint64_t GenerateIncarnation() {
@@ -61,6 +64,7 @@
       settings_path_(std::move(settings_path)),
       settings_text_(internal::ReadFile(settings_path_)),
       protocol_(std::move(protocol)),
+      answer_memory_(internal::kMaxAnswerMemory),
       log_(settings_.vm.value),
       incarnation_(internal::GenerateIncarnation()),
       state_({settings_.vm, incarnation_}, settings_.retries, incarnation_),
@@ -111,6 +115,8 @@
       drain_timer_(loop_) {
   state_.failure_domain = settings_.failure_domain;
   state_.max_unused_reservation = settings_.max_unused_reservation;
+  callers_.SetMemory(answer_memory_);
+  control_.SetMemory(answer_memory_);
   callers_.SetRefusalHandler([this](int status) {
     metrics_.CountReadRefusal(status);
     log_.WriteEvent("refused_unread", {{"status", std::to_string(status)}});
@@ -239,6 +245,8 @@
         state_.reach.IsAnyOutOfReach(),
         tunnels_.Count(),
         callers_.ConnectionCount(),
+        answer_memory_.Held(),
+        answer_memory_.Dropped(),
         peers_.Protocol().Roster().PeakVmCount(),
         table_ ? table_->version : 0,
         age ? ToSeconds(*age) : -1,
@@ -333,7 +341,8 @@
   relays_.emplace(id,
                   std::make_shared<call_relay>(
                       loop_, *protocol_, caller, std::move(accepted),
-                      [this](const forwarding::event& event) { Post(event); }));
+                      [this](const forwarding::event& event) { Post(event); },
+                      &answer_memory_));
   Post(arrived);
 }
 
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -92,6 +92,8 @@
   std::string settings_path_;
   std::string settings_text_;
   std::unique_ptr<dialect> protocol_;
+  // Before the loop, whose handlers hold memory until it ends.
+  net::memory_account answer_memory_;
   boost::asio::io_context loop_{1};
   decision_log log_;
   entry_metrics metrics_;
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -165,6 +165,8 @@
         gauges.targets_out_of_reach ? "1" : "0");
   gauge("acaciaferry_tunnels", std::to_string(gauges.tunnels));
   gauge("acaciaferry_connections", std::to_string(gauges.connections));
+  gauge("acaciaferry_held_answer_bytes", std::to_string(gauges.held_bytes));
+  counter("acaciaferry_dropped_for_memory_total", gauges.dropped_for_memory);
   gauge("acaciaferry_vms", std::to_string(gauges.vms));
   gauge("acaciaferry_configuration_version",
         std::to_string(gauges.configuration_version));
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -32,6 +32,10 @@
   /** Tunnels to targets that other VMs have open here. */
   std::size_t tunnels{};
   std::size_t connections{};
+  /** Bytes of answers that were not passed on yet. */
+  std::size_t held_bytes{};
+  /** Answers and connections dropped since they held too much. */
+  std::uint64_t dropped_for_memory{};
   std::uint64_t vms{};
   std::uint64_t configuration_version{};
   /** Time since the configuration service last responded. */
--- a/src/acaciaferry/entry/order_sender.cpp
+++ b/src/acaciaferry/entry/order_sender.cpp
@@ -25,12 +25,15 @@
                const outgoing_request& order,
                int max_attempts,
                const std::string& tunnel,
+               net::memory_account* memory,
                const std::function<void(const order_outcome&)>& on_done) {
   const auto pending = std::make_shared<internal::pending_order>(
       internal::pending_order{nullptr, boost::asio::steady_timer(loop), {}});
-  const auto retry = [&loop, address, order, max_attempts, tunnel, on_done] {
+  const auto retry = [&loop, address, order, max_attempts, tunnel, memory,
+                      on_done] {
     if (max_attempts > 1) {
-      SendOrder(loop, address, order, max_attempts - 1, tunnel, on_done);
+      SendOrder(loop, address, order, max_attempts - 1, tunnel, memory,
+                on_done);
     } else {
       on_done({forwarding::order_result::kUnanswered, {}});
     }
@@ -54,7 +57,7 @@
     retry();
   };
   pending->exchange =
-      std::make_shared<net::client_exchange>(loop, std::move(handlers));
+      std::make_shared<net::client_exchange>(loop, std::move(handlers), memory);
   pending->timer.expires_after(internal::kOrderTimeout);
   pending->timer.async_wait(
       [pending, retry](const boost::system::error_code& error) {
--- a/src/acaciaferry/entry/order_sender.hpp
+++ b/src/acaciaferry/entry/order_sender.hpp
@@ -8,6 +8,7 @@
 
 #include "acaciaferry/entry/dialect.hpp"
 #include "acaciaferry/forwarding/event.hpp"
+#include "acaciaferry/net/memory_account.hpp"
 
 namespace acaciaferry::entry {
 
@@ -26,6 +27,7 @@
  * @param max_attempts Maximum number of attempts.
  * @param tunnel IP:PORT of the tunnel to connect through; empty to connect
  * directly.
+ * @param memory Bounds what all responses take together; null for none.
  * @param on_done Called once, with the outcome.
  */
 void SendOrder(boost::asio::io_context& loop,
@@ -33,6 +35,7 @@
                const outgoing_request& order,
                int max_attempts,
                const std::string& tunnel,
+               net::memory_account* memory,
                const std::function<void(const order_outcome&)>& on_done);
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -17,6 +17,10 @@
 constexpr duration kMaxServiceSilence = std::chrono::milliseconds(2'500);
 constexpr int kOk = 200;
 constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+// What a peer's view may hold. The values take many times their bytes while
+// they are read.
+constexpr std::size_t kMaxViewItems = 65'536;
+constexpr std::size_t kMaxViewDepth = 3;
 
 /** Value, revision, and the missing flag. */
 using wire_item = std::tuple<std::string, std::uint64_t, bool>;
@@ -55,7 +59,12 @@
   try {
     std::size_t offset = 0;
     const auto next = [&] {
-      return msgpack::unpack(bytes.data(), bytes.size(), offset);
+      return msgpack::unpack(
+          bytes.data(), bytes.size(), offset, nullptr, nullptr,
+          msgpack::unpack_limit(
+              internal::kMaxViewItems, internal::kMaxViewItems,
+              internal::kMaxBodyBytes, internal::kMaxBodyBytes, 0,
+              internal::kMaxViewDepth));
     };
     publication::view_update update;
     publication::view& view = update.latest;
@@ -211,10 +220,15 @@
     collected->era = protocol_.ServiceEra(response);
     return true;
   };
-  handlers.on_body = [collected](std::string_view bytes) {
+  handlers.on_body = [this, collected](std::string_view bytes) {
     if (collected->body.size() + bytes.size() <= internal::kMaxBodyBytes) {
       collected->body += bytes;
+      return;
     }
+    // It may never end.
+    call_timer_.cancel();
+    call_->Cancel();
+    OnCallFailed(publication::request_failure::kSilent);
   };
   handlers.on_end = [this, collected, on_response = std::move(on_response)] {
     call_timer_.cancel();
@@ -335,10 +349,14 @@
     *status = response.status;
     return true;
   };
-  handlers.on_body = [body](std::string_view bytes) {
+  handlers.on_body = [this, body](std::string_view bytes) {
     if (body->size() + bytes.size() <= internal::kMaxBodyBytes) {
       *body += bytes;
+      return;
     }
+    fetch_timer_.cancel();
+    fetch_->Cancel();
+    fetch_.reset();
   };
   handlers.on_end = [this, body, status, source] {
     OnFetched(source,
--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -41,14 +41,22 @@
 }
 
 client_exchange::client_exchange(boost::asio::io_context& loop,
-                                 exchange_handlers handlers)
-    : socket_(loop), timer_(loop), handlers_(std::move(handlers)) {}
+                                 exchange_handlers handlers,
+                                 memory_account* memory)
+    : socket_(loop),
+      timer_(loop),
+      handlers_(std::move(handlers)),
+      memory_(memory) {}
 
 void client_exchange::Start(const std::string& address,
                             std::string request,
                             duration connect_timeout,
                             const std::string& via) {
   request_ = std::move(request);
+  held_.emplace(memory_, [this] {
+    boost::asio::post(socket_.get_executor(),
+                      [self = shared_from_this()] { self->FailMalformed(); });
+  });
   if (!via.empty()) {
     tunnel_request_ =
         "CONNECT " + address + " HTTP/1.1\r\nHost: " + address + "\r\n\r\n";
@@ -195,10 +203,10 @@
       return;
     }
     if (unparsed_.size() > internal::kMaxUnparsedBytes) {
-      Fail(head_seen_ ? exchange_failure::kBroken
-                      : exchange_failure::kMalformed);
+      FailMalformed();
       return;
     }
+    UpdateHeld();
     Read();
     return;
   }
@@ -246,8 +254,7 @@
     }
     unparsed_.erase(0, used);
     if (error && error != boost::beast::http::error::need_more) {
-      Fail(head_seen_ ? exchange_failure::kBroken
-                      : exchange_failure::kMalformed);
+      FailMalformed();
       return false;
     }
     if (!had_head && parser_->is_header_done()) {
@@ -280,11 +287,24 @@
   return !closed_;
 }
 
+void client_exchange::FailMalformed() {
+  Fail(head_seen_ ? exchange_failure::kBroken : exchange_failure::kMalformed);
+}
+
+void client_exchange::UpdateHeld() {
+  std::size_t bytes = unparsed_.size();
+  for (const header_field& field : parser_->response.fields) {
+    bytes += sizeof(field) + field.name.size() + field.value.size();
+  }
+  held_->Set(bytes, held_content::kOpenEnded);
+}
+
 void client_exchange::Cancel() {
   if (closed_) {
     return;
   }
   closed_ = true;
+  held_.reset();
   timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -9,10 +9,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/net/memory_account.hpp"
 #include "acaciaferry/net/message.hpp"
 #include "acaciaferry/net/parser.hpp"
 
@@ -62,7 +64,15 @@
 class client_exchange final
     : public std::enable_shared_from_this<client_exchange> {
  public:
-  client_exchange(boost::asio::io_context& loop, exchange_handlers handlers);
+  /**
+   * @param loop The event loop.
+   * @param handlers The callbacks.
+   * @param memory Bounds what all exchanges hold together; null for none. An
+   * exchange that has to let go fails as if its server had sent invalid HTTP.
+   */
+  client_exchange(boost::asio::io_context& loop,
+                  exchange_handlers handlers,
+                  memory_account* memory = nullptr);
 
   /**
    * @brief Connects and sends the request.
@@ -97,6 +107,8 @@
   [[nodiscard]] bool Parse();
   [[nodiscard]] exchange_failure ConnectFailure() const noexcept;
   void ResetParser();
+  void FailMalformed();
+  void UpdateHeld();
   void Fail(exchange_failure failure);
   void End();
 
@@ -109,6 +121,8 @@
   std::string unparsed_;
   std::array<char, 16'384> read_buffer_{};
   std::unique_ptr<message_parser<false>> parser_;
+  memory_account* memory_;
+  std::optional<held_memory> held_;
   bool connected_{};
   bool closed_{};
   bool paused_{};
--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -35,6 +35,13 @@
 void connection::Start() {
   boost::system::error_code ignored;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  held_.emplace(server_->memory_, [this] {
+    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+      if (!self->closed_) {
+        self->OnClientDisconnected();
+      }
+    });
+  });
   BeginRequest();
   Read();
 }
@@ -148,10 +155,10 @@
 }
 
 void connection::Write(std::string bytes) {
-  if (closed_) {
+  if (closed_ || bytes.empty()) {
     return;
   }
-  pending_bytes_ += bytes.size();
+  SetPendingBytes(pending_bytes_ + bytes.size());
   write_queue_.push_back(std::move(bytes));
   Flush();
 }
@@ -162,7 +169,10 @@
   }
   write_buffer_ = std::move(write_queue_.front());
   write_queue_.pop_front();
-  while (!write_queue_.empty() && write_buffer_.size() < kWriteHighWatermark) {
+  // Larger ones are written as they are, without a copy.
+  while (!write_queue_.empty() &&
+         write_buffer_.size() + write_queue_.front().size() <=
+             kWriteHighWatermark) {
     write_buffer_ += write_queue_.front();
     write_queue_.pop_front();
   }
@@ -172,6 +182,9 @@
                                   std::size_t /*bytes*/) {
         const std::size_t written = self->write_buffer_.size();
         self->write_buffer_.clear();
+        if (written > kWriteHighWatermark) {
+          self->write_buffer_.shrink_to_fit();
+        }
         if (self->closed_) {
           return;
         }
@@ -180,7 +193,7 @@
           return;
         }
         const bool was_high = self->pending_bytes_ > kWriteHighWatermark;
-        self->pending_bytes_ -= written;
+        self->SetPendingBytes(self->pending_bytes_ - written);
         self->Flush();
         if (self->close_after_write_ && self->pending_bytes_ == 0) {
           self->Close();
@@ -192,6 +205,11 @@
       });
 }
 
+void connection::SetPendingBytes(std::size_t bytes) {
+  pending_bytes_ = bytes;
+  held_->Set(bytes, held_content::kComplete);
+}
+
 void connection::OnReplyComplete(bool keep_open) {
   if (closed_) {
     return;
@@ -239,6 +257,7 @@
     return;
   }
   closed_ = true;
+  held_.reset();
   timer_.cancel();
   current_exchange_.reset();
   boost::system::error_code ignored;
--- a/src/acaciaferry/net/connection.hpp
+++ b/src/acaciaferry/net/connection.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <deque>
 #include <memory>
+#include <optional>
 
 #include "acaciaferry/net/server.hpp"
 
@@ -51,6 +52,7 @@
   void RejectRequest(int status);
   void Flush();
   void OnClientDisconnected();
+  void SetPendingBytes(std::size_t bytes);
   void SetTimer(duration delay);
   void OnTimer();
 
@@ -65,6 +67,7 @@
   std::deque<std::string> write_queue_;
   std::string write_buffer_;
   std::size_t pending_bytes_{};
+  std::optional<held_memory> held_;
   bool reading_{};
   bool keep_alive_{};
   bool close_after_write_{};
--- a/src/acaciaferry/net/event_stream.hpp
+++ b/src/acaciaferry/net/event_stream.hpp
@@ -38,10 +38,14 @@
   [[nodiscard]] bool HasPartialEvent() const noexcept {
     return !partial_.empty();
   }
+  /** @return Number of bytes that wait for the next event. */
+  [[nodiscard]] std::size_t BufferedBytes() const noexcept {
+    return partial_.size() + held_back_.size();
+  }
   /** @return Whether more than any event may have is waiting for the next one.
    */
   [[nodiscard]] bool IsTooLarge() const noexcept {
-    return partial_.size() + held_back_.size() > kMaxEventBytes;
+    return BufferedBytes() > kMaxEventBytes;
   }
   /** @brief Discards the incomplete event of an interrupted stream. */
   void DiscardPartialEvent() {
--- a/src/acaciaferry/net/fwd.hpp
+++ b/src/acaciaferry/net/fwd.hpp
@@ -5,7 +5,9 @@
 class client_exchange;
 class connection;
 class datagram_socket;
+class held_memory;
 class http_server;
+class memory_account;
 class server_exchange;
 class tunnel_server;
 struct header_field;
--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -12,6 +12,10 @@
 
 namespace acaciaferry::net {
 
+/** More fields than any sound response has; each takes far more memory than its
+ * bytes. */
+inline constexpr std::size_t kMaxResponseFields = 256;
+
 /**
  * @brief Incremental HTTP/1.1 parser based on Boost.Beast. It passes body data
  * to a callback instead of storing it.
@@ -55,8 +59,13 @@
   void on_field_impl(boost::beast::http::field /*field*/,
                      text name,
                      text value,
-                     error_code& /*error*/) override {
+                     error_code& error) override {
     auto& fields = IsRequest ? request.fields : response.fields;
+    // Fields of a trailer come here, too.
+    if (!IsRequest && fields.size() >= kMaxResponseFields) {
+      error = boost::beast::http::error::header_limit;
+      return;
+    }
     fields.push_back({Copy(name), Copy(value)});
   }
 
--- a/src/acaciaferry/net/server.cpp
+++ b/src/acaciaferry/net/server.cpp
@@ -48,7 +48,7 @@
 
 void server_exchange::Reply(int status,
                             const header_fields& fields,
-                            std::string_view reply_body) {
+                            std::string reply_body) {
   const auto owner = owner_.lock();
   if (!owner || begun_) {
     return;
@@ -58,10 +58,10 @@
   std::string text =
       internal::SerializeHead(status, fields, owner->WillClose());
   text += "Content-Length: " + std::to_string(reply_body.size()) + "\r\n\r\n";
+  owner->Write(std::move(text));
   if (head.method != "HEAD") {
-    text += reply_body;
+    owner->Write(std::move(reply_body));
   }
-  owner->Write(std::move(text));
   owner->OnReplyComplete(true);
 }
 
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/net/memory_account.hpp"
 #include "acaciaferry/net/message.hpp"
 #include "acaciaferry/net/parser.hpp"
 
@@ -55,7 +56,7 @@
   std::function<void()> on_writable;
 
   /** @brief Sends a complete reply. */
-  void Reply(int status, const header_fields& fields, std::string_view body);
+  void Reply(int status, const header_fields& fields, std::string body);
 
   /** @brief Starts a reply whose body follows in chunks. */
   void BeginChunked(int status, const header_fields& fields);
@@ -104,6 +105,9 @@
   [[nodiscard]] std::uint16_t Port() const;
 
   void SetLimits(const server_limits& limits) { limits_ = limits; }
+  /** @brief Counts what clients have not read yet. A connection that has to let
+   * go is closed. */
+  void SetMemory(memory_account& memory) { memory_ = &memory; }
   void SetRefusalHandler(refusal_handler handler) {
     on_refusal_ = std::move(handler);
   }
@@ -138,6 +142,7 @@
   handler on_request_;
   refusal_handler on_refusal_;
   server_limits limits_;
+  memory_account* memory_{};
   bool closing_{};
   std::list<std::shared_ptr<connection>> connections_;
 };
--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -15,6 +15,8 @@
 
 const std::string kStamp =
     "Acaciaferry-Engine-Stamp: s1\r\nAcaciaferry-Attempt-Id: a1\r\n";
+// Of all answers of a fixture together.
+constexpr std::size_t kMaxMemory = 1U << 20U;
 const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\n" + kStamp +
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -50,7 +52,8 @@
                      loop, *protocol, caller, std::move(parsed),
                      [this](const forwarding::event& event) {
                        events.push_back(event);
-                     });
+                     },
+                     &memory);
                }) {
     static_cast<void>(server.Listen("127.0.0.1:0"));
     caller = std::make_unique<net::raw_connection>(
@@ -112,6 +115,7 @@
     CHECK_TRUE(Reported<forwarding::attempt_failed>());
   }
 
+  net::memory_account memory{kMaxMemory};
   boost::asio::io_context loop;
   net::raw_listener listener;
   std::unique_ptr<dialect> protocol = platform_adapter::MakeDialect();
@@ -375,3 +379,57 @@
     }
   }
 }
+
+// Guards against an answer without end that takes the memory of the VM: it
+// fails when all answers together hold too much, long before its own bound.
+TEST(CallRelay, AnAnswerWithoutEndFailsWhenMemoryRunsOut) {
+  for (const std::string& framing :
+       {"Transfer-Encoding: chunked\r\n", "Connection: close\r\n"}) {
+    fixture call(forwarding::call_kind::kNonIdempotent);
+    auto target = call.Attempt(1);
+    target.Send("HTTP/1.1 200 OK\r\n" + kStamp + framing + "\r\n");
+    const std::string block = Chunk(std::string(64U << 10U, 'x'));
+    bool sent = true;
+    for (std::size_t bytes = 0; sent && bytes < 4 * kMaxMemory;
+         bytes += block.size()) {
+      sent = target.TrySend(block);
+      call.loop.restart();
+      call.loop.run_for(std::chrono::milliseconds(2));
+      CHECK_TRUE(call.memory.Held() <= kMaxMemory);
+    }
+    CHECK_TRUE(call.Reported<forwarding::attempt_failed>());
+    CHECK_TRUE(call.All<forwarding::attempt_failed>()[0].how ==
+               forwarding::attempt_failure::kBroken);
+    LONGS_EQUAL(0, call.All<forwarding::response_completed>().size());
+    LONGS_EQUAL(1, call.memory.Dropped());
+    LONGS_EQUAL(0, call.memory.Held());
+  }
+}
+
+// Guards against memory that stays counted after an answer was delivered, or
+// after its caller has left.
+TEST(CallRelay, AnswersThatWereDeliveredHoldNothing) {
+  fixture call(forwarding::call_kind::kNonIdempotent);
+  auto target = call.Attempt(1);
+  target.Send("HTTP/1.1 200 OK\r\n" + kStamp + "Content-Length: 70000\r\n\r\n" +
+              std::string(70'000, 'y'));
+  CHECK_TRUE(call.Reported<forwarding::response_completed>());
+  CHECK_TRUE(call.memory.Held() >= 70'000);
+  call.relay->DeliverCollected();
+  CHECK_TRUE(net::RunUntil(call.loop, [&] {
+    return call.caller->Received().size() > 70'000 && call.memory.Held() == 0;
+  }));
+  LONGS_EQUAL(0, call.memory.Dropped());
+}
+
+// Guards against an answer that is collected although it is known to be too
+// long.
+TEST(CallRelay, AnAnswerThatIsTooLongFailsAtItsHead) {
+  fixture call(forwarding::call_kind::kNonIdempotent);
+  auto target = call.Attempt(1);
+  target.Send("HTTP/1.1 200 OK\r\n" + kStamp +
+              "Content-Length: 16777217\r\n\r\n");
+  CHECK_TRUE(call.Reported<forwarding::response_started>());
+  CHECK_TRUE(call.All<forwarding::response_started>()[0].verdict ==
+             forwarding::response_verdict::kUnusable);
+}
--- a/test/acaciaferry/entry/order_sender_test.cpp
+++ b/test/acaciaferry/entry/order_sender_test.cpp
@@ -20,7 +20,7 @@
   net::raw_listener target(loop);
   std::vector<forwarding::order_result> results;
   SendOrder(
-      loop, target.Address(), {{"POST", "/order", {}}, ""}, 1, "",
+      loop, target.Address(), {{"POST", "/order", {}}, ""}, 1, "", nullptr,
       [&](const order_outcome& outcome) { results.push_back(outcome.result); });
   loop.run_for(std::chrono::milliseconds(20));
   auto connection = target.Accept();
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -212,3 +212,25 @@
   CHECK_TRUE(fixture.Finished());
   STRCMP_EQUAL("ab", fixture.body.c_str());
 }
+
+// Guards against heads and trailers of many short fields, each of which takes
+// far more memory than its bytes.
+TEST(NetClient, EndsExchangesWithTooManyFields) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string body = "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+  for (const int count : {200, 300}) {
+    std::string fields;
+    for (int i = 0; i < count; ++i) {
+      fields += "a:\r\n";
+    }
+    for (const std::string& response :
+         {head + fields + "Content-Length: 0\r\n\r\n",
+          head + body + fields + "\r\n"}) {
+      client_fixture fixture;
+      auto server = fixture.Connect();
+      server.Send(response);
+      CHECK_TRUE(fixture.Finished());
+      LONGS_EQUAL(count < 256, fixture.ended);
+    }
+  }
+}
