Use no engine whose entry lacks a named field

What callers saw: requests that may run only once ran at an engine of another service, which answered them with success (ROUTE).

Cause: DecodeTarget required only the fields that it uses, so an entry of another writer that lacks zone, version, cold_left_ms and seq, or has them of another type, named a target.

The fixtures of the tests and of the stand-ins got the fields, so that each odd entry in them is odd for the reason that its test names.

--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -24,7 +24,8 @@
   publication::view view;
   view.items["op/config"] = {configuration, 1, false};
   view.items["servers/i-1"] = {
-      R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":16,"state":"draining","born":9})",
+      R"({"service":"m","address":"10.0.0.1:80","zone":"a","slots":16,"state":"draining","born":9,)"
+      R"("version":"v1","cold_left_ms":0,"seq":1})",
       2, false};
   return view;
 }
@@ -69,12 +70,17 @@
   return std::string(levels, '[') + std::string(levels, ']');
 }
 
+// Fields of an entry that decide nothing but have to be there.
+const std::string kOtherFields =
+    R"("zone":"a","version":"v1","cold_left_ms":0,"seq":1)";
+
 std::string Entry(const std::string& service,
                   const std::string& address,
                   const std::string& slots,
                   const std::string& born) {
   return R"({"service":)" + service + R"(,"address":)" + address +
-         R"(,"slots":)" + slots + R"(,"born":)" + born + R"(,"state":"ready"})";
+         R"(,"slots":)" + slots + R"(,"born":)" + born +
+         R"(,"state":"ready",)" + kOtherFields + "}";
 }
 
 std::string Replaced(std::string text,
@@ -113,10 +119,14 @@
   publication::view view =
       View(R"({"version":8,"routes":[{"host":5}],"services":[]})");
   view.items["servers/i-2"] = {
-      R"({"service":"m","address":"x","slots":1,"state":"odd"})", 3, false};
+      R"({"service":"m","address":"10.0.0.2:80","slots":1,"state":"odd",)" +
+          kOtherFields + "}",
+      3, false};
   view.items["servers/i-3"] = {"\xff not json", 4, false};
   view.items["servers/i-4"] = {
-      R"({"service":"m","address":7,"slots":1,"state":"ready"})", 5, false};
+      R"({"service":"m","address":7,"slots":1,"state":"ready",)" +
+          kOtherFields + "}",
+      5, false};
   const decoded_view decoded = platform.protocol->DecodeDocuments(view, 0);
   CHECK_FALSE(decoded.table.has_value());
   LONGS_EQUAL(1, decoded.targets.size());
@@ -417,7 +427,7 @@
     return ranks.rank_of(
         "servers/i-1",
         R"({"service":"m","address":"10.0.0.1:1","slots":1,"state":")" + state +
-            R"(","born":)" + std::to_string(born) + "}");
+            R"(","born":)" + std::to_string(born) + "," + kOtherFields + "}");
   };
   CHECK_TRUE(rank("draining", 5) > rank("ready", 5));
   CHECK_TRUE(rank("ready", 6) > rank("draining", 5));
@@ -579,3 +589,43 @@
   STRCMP_EQUAL("servers/%0D%0AX:%201%C3%A9",
                after("servers/\r\nX: 1\xc3\xa9").c_str());
 }
+
+// Guards against an entry of another writer that lacks fields, or has them of
+// another type, and sends requests to an engine of another service. Found by
+// the review as its case 3.
+TEST(PlatformDialect, AnEntryWithoutANamedFieldNamesNoTarget) {
+  const fixture platform;
+  const auto targets_of = [&](const std::string& entry) {
+    publication::view view = View(kConfiguration);
+    view.items["servers/i-2"] = {entry, 3, false};
+    return platform.protocol->DecodeDocuments(view, 0).targets.size();
+  };
+  const std::string sound = Entry(R"("m")", R"("10.0.0.2:80")", "8", "5");
+  LONGS_EQUAL(2, targets_of(sound));
+  for (const std::string& field :
+       {R"("zone":"a")", R"("version":"v1")", R"("cold_left_ms":0)",
+        R"("seq":1)", R"("slots":8)", R"("state":"ready")"}) {
+    const std::string name = field.substr(0, field.find(':') + 1);
+    LONGS_EQUAL(1, targets_of(Replaced(sound, field, R"("other":1)")));
+    for (const std::string& odd : {"null", "true", "[]", "{}", "-1"}) {
+      LONGS_EQUAL(1, targets_of(Replaced(sound, field, name + odd)));
+    }
+  }
+  // Releases of engines that say more, or count in other ways, are sound.
+  LONGS_EQUAL(2,
+              targets_of(Replaced(sound, R"("cold_left_ms":0)",
+                                  R"("cold_left_ms":12.5,"more":{"a":[]})")));
+  LONGS_EQUAL(2, targets_of(Replaced(sound, R"("seq":1)",
+                                     R"("seq":18446744073709551615)")));
+}
+
+// Guards against an odd entry that takes the place of what is known of a sound
+// engine, which goes on under its own id.
+TEST(PlatformDialect, AnOddEntryRanksBelowASoundOne) {
+  const fixture platform;
+  const auto ranks = platform.protocol->DocumentRanks();
+  const std::string sound = Entry(R"("m")", R"("10.0.0.2:80")", "8", "5");
+  const std::string odd = Replaced(sound, R"("seq":1)", R"("other":1)");
+  CHECK_TRUE(ranks.rank_of("servers/i-2", odd) <
+             ranks.rank_of("servers/i-2", sound));
+}
--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -157,7 +157,8 @@
     published = {"op/config": config}
     for number, address in enumerate(targets):
         published["servers/i-%d" % number] = {
-            "service": "svc", "address": address, "zone": "a", "slots": 8, "state": "ready"}
+            "service": "svc", "address": address, "zone": "a", "slots": 8, "state": "ready",
+            "version": "v1", "cold_left_ms": 0, "seq": 1}
     return published
 
 
