Split the model of a fleet and the reducer's timeouts, share the start of daemons

Change: the callers and engines of the model and the handling of what is due have files of their own; entry_daemon.py starts the daemons for both tests. No logic changes.

Measured: the tests of HubFleet, Crashes, ForwardingReduce, ForwardingStreams and Silence, and the six process tests of the entry daemon, pass.

--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -359,6 +359,16 @@
                          time_point now,
                          effects& out);
 
+/** @brief Does what is due: fails the calls that are past their deadline,
+ * retries deferred placements, handles attempts without progress, judges lost
+ * exchanges, and forgets what has expired.
+ * @param input_read_until All input that had arrived by then has been handled;
+ * nobody counts as silent after it. */
+void HandleTimeouts(state& current,
+                    time_point input_read_until,
+                    time_point now,
+                    effects& out);
+
 /** @brief Records that a call was answered in full, which clears the evidence
  * against requests like it. */
 void RecordWhole(state& current,
--- a/test/process/entry_crashes.py
+++ b/test/process/entry_crashes.py
@@ -4,14 +4,13 @@
 import contextlib
 import socket
 import struct
-import subprocess
 import sys
 import threading
 import time
 from http.server import ThreadingHTTPServer
 
-from entry_daemon import (STAMP, Changes, Fleet, Handler, call, check, command_of, documents,
-                          free_ports, is_ready, make_store, serve, settings_file, wait_for, with_process)
+from entry_daemon import (STAMP, Changes, Handler, call, check, documents, is_ready, make_store,
+                          serve, wait_for, with_daemons)
 
 IPS = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
 TARGETS = 6
@@ -217,18 +216,7 @@
 def main():
     pool = Pool()
     _, store = serve(make_store(documents(pool.addresses()), pool.changes))
-    ports = tuple(free_ports(4))
-    seed = "%s:%d" % (IPS[0], ports[2])
-
-    def start(ips):
-        if not ips:
-            scenario(pool, *ports[:2])
-            return
-        with contextlib.closing(settings_file(ips[0], ports, store, seed)) as file:
-            with_process(subprocess.Popen(command_of(file), stdout=subprocess.DEVNULL), Fleet(),
-                         lambda _: start(ips[1:]))
-
-    start(IPS)
+    with_daemons(IPS, store, lambda callers, ready, _: scenario(pool, callers, ready))
 
 
 if __name__ == "__main__":
--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import contextlib
 import fcntl
 import http.client
 import json
@@ -317,6 +318,22 @@
     check(status("key1") == 200, "what is known is served on")
 
 
+def with_daemons(ips, store, scenario):
+    """Runs a scenario with a daemon at each address, all on the same ports."""
+    ports = tuple(free_ports(4))
+    seed = "%s:%d" % (ips[0], ports[2])
+
+    def start(left):
+        if not left:
+            scenario(*ports[:3])
+            return
+        with contextlib.closing(settings_file(left[0], ports, store, seed)) as file:
+            with_process(subprocess.Popen(command_of(file), stdout=subprocess.DEVNULL), Fleet(),
+                         lambda _: start(left[1:]))
+
+    start(ips)
+
+
 def with_process(daemon, fleet, scenario):
     try:
         scenario(daemon)
--- a/test/process/entry_limits.py
+++ b/test/process/entry_limits.py
@@ -1,11 +1,9 @@
 """Runs three entry daemons before targets that name how many requests they take."""
 
-import contextlib
-import subprocess
 import time
 
-from entry_daemon import (STAMP, Fleet, Handler, call, check, command_of, documents, free_ports,
-                          is_ready, make_store, serve, settings_file, wait_for, with_process)
+from entry_daemon import (STAMP, Handler, call, check, documents, is_ready, make_store, serve,
+                          wait_for, with_daemons)
 
 IPS = ["127.0.0.1", "127.0.0.2", "127.0.0.3"]
 LIMIT_PER_S = 2.0
@@ -77,18 +75,7 @@
     limits = Limits()
     targets = [serve(make_limited_target(limits, number))[1] for number in range(2)]
     _, store = serve(make_store(documents(targets)))
-    ports = tuple(free_ports(4))
-    seed = "%s:%d" % (IPS[0], ports[2])
-
-    def start(ips):
-        if not ips:
-            scenario(limits, *ports[:3])
-            return
-        with contextlib.closing(settings_file(ips[0], ports, store, seed)) as file:
-            with_process(subprocess.Popen(command_of(file), stdout=subprocess.DEVNULL), Fleet(),
-                         lambda _: start(ips[1:]))
-
-    start(IPS)
+    with_daemons(IPS, store, lambda *ports: scenario(limits, *ports))
 
 
 if __name__ == "__main__":
