Take no other process at its address for a target that is alive

Cause: read once more: any response to a later request dropped the lost exchanges of its target, also a 421, which says that another process is there.

Change: only responses that the target has run, or failed, count.

--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -110,10 +110,10 @@
                        pending->running_attempt->target_incarnation,
                        happened.availability, now, out);
     current.targets.RecordActivity(pending->running_attempt->target, now);
-    RecordAlive(current, *pending->running_attempt, out);
     if (happened.verdict == response_verdict::kServed ||
         happened.verdict == response_verdict::kFailed) {
       current.refusals.RecordTaken(pending->running_attempt->target, now);
+      RecordAlive(current, *pending->running_attempt, out);
     }
     switch (happened.verdict) {
       case response_verdict::kServed:
--- a/test/acaciaferry/forwarding/crashes_test.cpp
+++ b/test/acaciaferry/forwarding/crashes_test.cpp
@@ -199,6 +199,25 @@
   CHECK_TRUE(fleet.current.lost_exchanges.empty());
 }
 
+// Guards against a crash that is taken for a lost answer because another
+// process answers at the target's address.
+TEST(Crashes, AnotherProcessAtTheAddressIsNoProofOfLife) {
+  single_vm fleet;
+  const auto lost = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.Sent(lost);
+  fleet.now += milliseconds(20);
+  fleet.Post(attempt_failed{lost.id, 1, attempt_failure::kNoResponse});
+  fleet.now += milliseconds(5);
+  const auto later = fleet.Start(call_kind::kIdempotent, kService);
+  fleet.current.pending_calls.at(later.id).running_attempt->target =
+      lost.target;
+  fleet.Sent(later);
+  constexpr int kMisdirected = 421;
+  fleet.Post(response_started{
+      later.id, 1, response_verdict::kNotRun, kMisdirected, "", {}});
+  LONGS_EQUAL(1, fleet.current.lost_exchanges.size());
+}
+
 // Guards against crashes of a host that answers nothing at all, not even that a
 // connection is refused.
 TEST(Crashes, ATargetThatCanNotBeCheckedHasGone) {
