Copy the texts that tests build from literals

Cause: the compiler warns of loop variables that bind to temporaries, in three loops of the new tests.

Change: they are copies. What is checked is unchanged; format and the linter on both files are clean.

--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -383,7 +383,7 @@
 // Guards against an answer without end that takes the memory of the VM: it
 // fails when all answers together hold too much, long before its own bound.
 TEST(CallRelay, AnAnswerWithoutEndFailsWhenMemoryRunsOut) {
-  for (const std::string& framing :
+  for (const std::string framing :
        {"Transfer-Encoding: chunked\r\n", "Connection: close\r\n"}) {
     fixture call(forwarding::call_kind::kNonIdempotent);
     auto target = call.Attempt(1);
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -602,12 +602,12 @@
   };
   const std::string sound = Entry(R"("m")", R"("10.0.0.2:80")", "8", "5");
   LONGS_EQUAL(2, targets_of(sound));
-  for (const std::string& field :
+  for (const std::string field :
        {R"("zone":"a")", R"("version":"v1")", R"("cold_left_ms":0)",
         R"("seq":1)", R"("slots":8)", R"("state":"ready")"}) {
     const std::string name = field.substr(0, field.find(':') + 1);
     LONGS_EQUAL(1, targets_of(Replaced(sound, field, R"("other":1)")));
-    for (const std::string& odd : {"null", "true", "[]", "{}", "-1"}) {
+    for (const std::string odd : {"null", "true", "[]", "{}", "-1"}) {
       LONGS_EQUAL(1, targets_of(Replaced(sound, field, name + odd)));
     }
   }
