--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -40,7 +40,8 @@
     : plan_(plan),
       clock_(std::make_unique<virtual_clock>()),
       random_(plan.seed),
-      reaches_service_([](std::size_t) { return true; }) {
+      reaches_service_([](std::size_t) { return true; }),
+      is_partitioned_([](std::size_t) { return false; }) {
   clock_->now = time_point(std::chrono::seconds(100));
   table_.pools = {{internal::kHubFleetPool, internal::Engine(plan.slots)}};
   for (std::size_t domain = 0; domain < plan.domains; ++domain) {
@@ -113,7 +114,8 @@
           false,
           self.revision > 0,
           self.reads && reaches_service_(vm),
-          self.revision};
+          self.revision,
+          self.revision > 0 && !self.state->reach.IsAnyOutOfReach()};
 }
 
 void hub_fleet::Start(std::size_t vm) {
@@ -123,6 +125,7 @@
   self.revision = 0;
   self.reads = false;
   self.waiting.clear();
+  self.first_tries.clear();
   constexpr unsigned kRandomBits = 16;
   const std::uint64_t incarnation =
       next_incarnation_++ << kRandomBits | DrawBelow(random_, 1'000);
@@ -249,7 +252,10 @@
   std::size_t vm;
 
   void operator()(const forwarding::send_attempt& effect) const {
-    fleet.Serve(vm, effect);
+    fleet.Connect(vm, effect);
+  }
+  void operator()(const forwarding::probe_target& effect) const {
+    fleet.Probe(vm, effect);
   }
   void operator()(const forwarding::refuse_call& /*effect*/) const {
     ++fleet.refusals_;
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -34,9 +34,29 @@
   /** One way, between any two VMs. */
   duration network_delay{std::chrono::milliseconds(1)};
   std::uint64_t lost_percent{};
+  /** Whether callers leave when no event arrives for a while. */
+  bool callers_leave{};
   std::uint64_t seed{1};
 };
 
+/** What a partition does to the connections between VMs and engines. */
+enum class partition_kind {
+  /** Connections hang, and new ones are not established. */
+  kSilent,
+  /** Connections are reset, and so are new ones. */
+  kReset,
+  /** Connections live on; new ones are refused. */
+  kRefuse
+};
+
+/** A call of a caller that had not tried before. */
+struct first_try {
+  std::size_t vm{};
+  time_point at{};
+  /** Whether its answer was complete. */
+  bool served{};
+};
+
 /** What one VM has sent and received. */
 struct vm_traffic {
   std::uint64_t datagrams_sent{};
@@ -81,6 +101,14 @@
   /** @brief Cuts a failure domain's VMs off from all others; nothing to end it.
    */
   void SetCutOff(std::optional<std::size_t> domain) { cut_off_ = domain; }
+  /** @brief Partitions VMs from all engines.
+   * @param is_partitioned A function of a VM's index; nothing to end it. */
+  void SetPartition(std::function<bool(std::size_t vm)> is_partitioned,
+                    partition_kind kind);
+  /** @return All calls so far. */
+  [[nodiscard]] const std::vector<first_try>& FirstTries() const noexcept {
+    return first_tries_;
+  }
   /** @brief Sets the VMs that reach the configuration service, as a function of
    * their index. */
   void SetServiceReach(std::function<bool(std::size_t vm)> reaches) {
@@ -112,7 +140,7 @@
   [[nodiscard]] std::uint64_t Answered(std::uint64_t fingerprint) const;
   /** @return Number of streams that were broken off. */
   [[nodiscard]] std::uint64_t BrokenOff() const noexcept { return broken_off_; }
-  /** @brief Resets the traffic and the arrivals that were counted. */
+  /** @brief Resets what was counted: traffic, arrivals, calls and refusals. */
   void ResetCounts();
 
   [[nodiscard]] std::size_t VmCount() const noexcept { return vms_.size(); }
@@ -152,6 +180,7 @@
  private:
   struct vm;
   struct engine;
+  struct engine_exchange;
   class virtual_clock;
   struct effect_carrier;
 
@@ -180,7 +209,31 @@
   void SendCallTo(std::size_t vm,
                   std::uint64_t prompt_tokens,
                   std::uint64_t fingerprint);
+  /** @brief Connects to the engine of an attempt, directly or through the
+   * tunnel of another VM, and sends the request. */
+  void Connect(std::size_t vm, const forwarding::send_attempt& attempt);
+  /** @return The VM that dials the engine: this one, or that of the tunnel. */
+  [[nodiscard]] std::size_t DialerOf(
+      std::size_t vm,
+      const forwarding::send_attempt& attempt) const;
+  [[nodiscard]] bool IsPartitioned(std::size_t vm) const;
+  /** @brief Lets a connection fail after a time. */
+  void FailToConnect(std::size_t vm,
+                     const forwarding::send_attempt& attempt,
+                     duration after,
+                     forwarding::attempt_failure how);
   void Serve(std::size_t vm, const forwarding::send_attempt& attempt);
+  /** @brief Delivers an event of an engine's response, unless the connection
+   * hangs by then. */
+  void Respond(std::size_t vm,
+               const forwarding::send_attempt& attempt,
+               duration after,
+               const forwarding::event& happened);
+  void RecordServed(std::size_t vm, const forwarding::send_attempt& attempt);
+  void FailExchanges(const std::vector<engine_exchange>& broken);
+  /** @brief Fails the exchanges whose connections a condition selects. */
+  void BreakExchanges(const std::function<bool(std::size_t dialer)>& is_broken);
+  void Probe(std::size_t vm, const forwarding::probe_target& effect);
   [[nodiscard]] engine& FindEngine(const target_id& id);
   [[nodiscard]] mesh::local_status StatusOf(std::size_t vm) const;
   void Fetch(std::size_t vm, const mesh::view_source& source);
@@ -198,6 +251,9 @@
   std::optional<std::size_t> cut_off_;
   std::optional<std::size_t> callers_;
   std::function<bool(std::size_t)> reaches_service_;
+  std::function<bool(std::size_t)> is_partitioned_;
+  partition_kind partition_kind_{};
+  std::vector<first_try> first_tries_;
   std::uint64_t published_revision_{1};
   std::uint64_t next_incarnation_{1};
   std::uint64_t calls_{};
--- a/src/acaciaferry/experiment/hub_fleet_engines.cpp
+++ b/src/acaciaferry/experiment/hub_fleet_engines.cpp
@@ -14,13 +14,42 @@
 constexpr std::uint64_t kOutputTokens = 1'500;
 constexpr std::uint64_t kLongPrompt = 60'000;
 constexpr std::uint64_t kShortTokens = 5'000;
+// Time within which a VM connects to an engine, or to a tunnel, and within
+// which a tunnel and a probe connect.
+constexpr duration kConnectTime = std::chrono::milliseconds(600);
+constexpr duration kDialTime = std::chrono::milliseconds(500);
+constexpr duration kProbeTime = std::chrono::milliseconds(400);
+constexpr duration kRoundTrip = std::chrono::milliseconds(1);
+// A caller without an event leaves after this time, or after a multiple of its
+// latency objective if that is longer.
+constexpr duration kShortestPatience = std::chrono::seconds(2);
+constexpr int kPatienceInObjectives = 4;
 // A crashed engine is back after this time.
 constexpr duration kDownTime = std::chrono::seconds(3);
 
 }  // namespace
 }  // namespace internal
 
-void hub_fleet::Serve(std::size_t vm, const forwarding::send_attempt& attempt) {
+bool hub_fleet::IsPartitioned(std::size_t vm) const {
+  return is_partitioned_(vm);
+}
+
+std::size_t hub_fleet::DialerOf(std::size_t vm,
+                                const forwarding::send_attempt& attempt) const {
+  return attempt.tunnel.empty() ? vm : IndexOf(attempt.tunnel);
+}
+
+void hub_fleet::FailToConnect(std::size_t vm,
+                              const forwarding::send_attempt& attempt,
+                              duration after,
+                              forwarding::attempt_failure how) {
+  AfterAt(vm, after, [this, vm, attempt, how] {
+    Post(vm, forwarding::attempt_failed{attempt.id, attempt.attempt, how});
+  });
+}
+
+void hub_fleet::Connect(std::size_t vm,
+                        const forwarding::send_attempt& attempt) {
   auto& self = *vms_[vm];
   if (const auto at = self.waiting.find(attempt.id); at != self.waiting.end()) {
     longest_placement_ = std::max(longest_placement_, clock_->now - at->second);
@@ -29,37 +58,59 @@
   for (const forwarding::helper& each : attempt.helpers) {
     FindEngine(each.target).arrivals.push_back(clock_->now);
   }
-  engine& target = FindEngine(attempt.target);
-  if (target.down_until > clock_->now) {
-    AfterAt(vm, std::chrono::milliseconds(1), [this, vm, attempt] {
-      Post(vm, forwarding::attempt_failed{
-                   attempt.id, attempt.attempt,
-                   forwarding::attempt_failure::kNotConnected});
-    });
-    return;
+  const std::size_t dialer = DialerOf(vm, attempt);
+  if (!vms_[dialer]->running) {
+    FailToConnect(vm, attempt, internal::kRoundTrip,
+                  forwarding::attempt_failure::kNoTunnel);
+  } else if (IsPartitioned(dialer)) {
+    const duration silent =
+        attempt.tunnel.empty() ? internal::kConnectTime : internal::kDialTime;
+    FailToConnect(vm, attempt,
+                  partition_kind_ == partition_kind::kSilent
+                      ? silent
+                      : internal::kRoundTrip,
+                  forwarding::attempt_failure::kNotConnected);
+  } else if (FindEngine(attempt.target).down_until > clock_->now) {
+    FailToConnect(vm, attempt, internal::kRoundTrip,
+                  forwarding::attempt_failure::kNotConnected);
+  } else {
+    Serve(vm, attempt);
   }
+}
+
+void hub_fleet::Respond(std::size_t vm,
+                        const forwarding::send_attempt& attempt,
+                        duration after,
+                        const forwarding::event& happened) {
+  AfterAt(vm, after, [this, vm, dialer = DialerOf(vm, attempt), happened] {
+    if (!IsPartitioned(dialer) || partition_kind_ != partition_kind::kSilent) {
+      Post(vm, happened);
+    }
+  });
+}
+
+void hub_fleet::Serve(std::size_t vm, const forwarding::send_attempt& attempt) {
+  engine& target = FindEngine(attempt.target);
   target.arrivals.push_back(clock_->now);
   most_ = std::max(most_, ++target.running);
-  const auto& pending = self.state->pending_calls.at(attempt.id);
+  const auto& pending = vms_[vm]->state->pending_calls.at(attempt.id);
   const std::uint64_t fingerprint = pending.request.fingerprint;
-  target.exchanges.push_back({vm, self.life, attempt.id, attempt.attempt});
+  target.exchanges.push_back(
+      {vm, vms_[vm]->life, attempt.id, attempt.attempt, DialerOf(vm, attempt)});
   const duration first = pending.running_attempt->predicted_first_event +
                          std::chrono::milliseconds(5);
-  const forwarding::limit_statement limit{target.limit};
-  const forwarding::availability_statement availability{target.leaving, {}};
-  AfterAt(vm, std::chrono::milliseconds(1), [this, vm, attempt] {
-    Post(vm, forwarding::attempt_sent{attempt.id, attempt.attempt});
-  });
-  AfterAt(vm, first, [this, vm, attempt, limit, availability] {
-    Post(vm, forwarding::response_started{attempt.id,
-                                          attempt.attempt,
-                                          forwarding::response_verdict::kServed,
-                                          200,
-                                          "",
-                                          {},
-                                          limit,
-                                          availability});
-  });
+  Respond(vm, attempt, internal::kRoundTrip,
+          forwarding::attempt_sent{attempt.id, attempt.attempt});
+  Respond(vm, attempt, first,
+          forwarding::response_started{
+              attempt.id,
+              attempt.attempt,
+              forwarding::response_verdict::kServed,
+              200,
+              "",
+              {},
+              forwarding::limit_statement{target.limit},
+              forwarding::availability_statement{target.leaving, {}}});
   if (const auto at = crashing_.find(fingerprint); at != crashing_.end()) {
     const auto events = static_cast<std::int64_t>(at->second);
     After(first + events * internal::kEventInterval,
@@ -71,30 +122,88 @@
   for (duration at = first; at < first + internal::kAnswerTime;
        at += internal::kEventInterval) {
     ++event;
-    AfterAt(vm, at + std::chrono::milliseconds(1), [this, vm, attempt, event] {
-      // A stream that is resumed goes on after the last event.
-      Post(vm, forwarding::response_progressed{attempt.id, attempt.attempt,
-                                               attempt.resume_after + event});
-    });
+    // A stream that is resumed goes on after the last event.
+    Respond(vm, attempt, at + internal::kRoundTrip,
+            forwarding::response_progressed{attempt.id, attempt.attempt,
+                                            attempt.resume_after + event});
   }
-  AfterAt(vm, first + internal::kAnswerTime, [this, vm, attempt, fingerprint] {
-    const auto& calls = vms_[vm]->state->pending_calls;
-    const auto at = calls.find(attempt.id);
-    if (at != calls.end() && at->second.running_attempt &&
-        at->second.running_attempt->number == attempt.attempt) {
-      ++answered_[fingerprint];
-    }
-    Post(vm, forwarding::response_completed{attempt.id, attempt.attempt});
-  });
+  AfterAt(vm, first + internal::kAnswerTime,
+          [this, vm, attempt] { RecordServed(vm, attempt); });
+  Respond(vm, attempt, first + internal::kAnswerTime,
+          forwarding::response_completed{attempt.id, attempt.attempt});
   After(first + internal::kAnswerTime, [this, vm, attempt, &target] {
     --target.running;
-    std::erase_if(target.exchanges, [&](const engine::exchange& each) {
+    std::erase_if(target.exchanges, [&](const engine_exchange& each) {
       return each.vm == vm && each.call == attempt.id &&
              each.attempt == attempt.attempt;
     });
   });
 }
 
+void hub_fleet::RecordServed(std::size_t vm,
+                             const forwarding::send_attempt& attempt) {
+  const auto& calls = vms_[vm]->state->pending_calls;
+  const auto at = calls.find(attempt.id);
+  const bool is_heard = !IsPartitioned(DialerOf(vm, attempt)) ||
+                        partition_kind_ != partition_kind::kSilent;
+  if (is_heard && at != calls.end() && at->second.running_attempt &&
+      at->second.running_attempt->number == attempt.attempt) {
+    ++answered_[at->second.request.fingerprint];
+    first_tries_[vms_[vm]->first_tries.at(attempt.id)].served = true;
+  }
+}
+
+void hub_fleet::BreakExchanges(
+    const std::function<bool(std::size_t dialer)>& is_broken) {
+  std::vector<engine_exchange> broken;
+  for (engine& each : engines_) {
+    std::erase_if(each.exchanges, [&](const engine_exchange& running) {
+      const bool breaks = is_broken(running.dialer);
+      if (breaks) {
+        broken.push_back(running);
+      }
+      return breaks;
+    });
+  }
+  FailExchanges(broken);
+}
+
+void hub_fleet::FailExchanges(const std::vector<engine_exchange>& broken) {
+  for (const engine_exchange& each : broken) {
+    if (vms_[each.vm]->running && vms_[each.vm]->life == each.life) {
+      Post(each.vm,
+           forwarding::attempt_failed{each.call, each.attempt,
+                                      forwarding::attempt_failure::kBroken});
+    }
+  }
+}
+
+void hub_fleet::SetPartition(std::function<bool(std::size_t vm)> is_partitioned,
+                             partition_kind kind) {
+  is_partitioned_ = is_partitioned ? std::move(is_partitioned)
+                                   : [](std::size_t) { return false; };
+  partition_kind_ = kind;
+  if (kind == partition_kind::kReset) {
+    BreakExchanges(is_partitioned_);
+  }
+}
+
+void hub_fleet::Probe(std::size_t vm, const forwarding::probe_target& effect) {
+  const auto found =
+      std::find_if(engines_.begin(), engines_.end(), [&](const engine& each) {
+        return effect.address == each.id.value + ":1";
+      });
+  const bool is_up =
+      found != engines_.end() && found->down_until <= clock_->now;
+  const bool hangs =
+      IsPartitioned(vm) && partition_kind_ == partition_kind::kSilent;
+  AfterAt(
+      vm, hangs ? internal::kProbeTime : internal::kRoundTrip,
+      [this, vm, pool = effect.pool, reached = is_up && !IsPartitioned(vm)] {
+        Post(vm, forwarding::target_probed{pool, reached});
+      });
+}
+
 hub_fleet::engine& hub_fleet::FindEngine(const target_id& id) {
   return *std::find_if(engines_.begin(), engines_.end(),
                        [&](const engine& each) { return each.id == id; });
@@ -112,13 +221,7 @@
   }
   target.down_until = clock_->now + internal::kDownTime;
   crashes_.push_back(clock_->now);
-  for (const engine::exchange& each : std::exchange(target.exchanges, {})) {
-    if (vms_[each.vm]->running && vms_[each.vm]->life == each.life) {
-      Post(each.vm,
-           forwarding::attempt_failed{each.call, each.attempt,
-                                      forwarding::attempt_failure::kBroken});
-    }
-  }
+  FailExchanges(std::exchange(target.exchanges, {}));
 }
 
 void hub_fleet::SendCall(std::size_t vm, std::uint64_t fingerprint) {
@@ -160,6 +263,20 @@
   made.output_tokens = internal::kOutputTokens;
   made.fingerprint = fingerprint;
   vms_[vm]->waiting[made.id] = clock_->now;
+  vms_[vm]->first_tries[made.id] = first_tries_.size();
+  first_tries_.push_back({vm, clock_->now, false});
+  if (plan_.callers_leave) {
+    AfterAt(vm,
+            std::max(internal::kShortestPatience,
+                     internal::kPatienceInObjectives * made.latency_objective),
+            [this, vm, id = made.id] {
+              const auto& calls = vms_[vm]->state->pending_calls;
+              const auto at = calls.find(id);
+              if (at != calls.end() && !at->second.partially_delivered) {
+                Post(vm, forwarding::caller_disconnected{id});
+              }
+            });
+  }
   Post(vm, forwarding::call_arrived{made});
 }
 
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -23,20 +23,23 @@
   time_point now{};
 };
 
+/** A request that an engine runs, for one process of a VM. */
+struct hub_fleet::engine_exchange {
+  std::size_t vm{};
+  std::uint64_t life{};
+  forwarding::call_id call{};
+  std::uint32_t attempt{};
+  /** VM whose connection reaches the engine. */
+  std::size_t dialer{};
+};
+
 struct hub_fleet::engine {
-  /** A request that it runs, for one process of a VM. */
-  struct exchange {
-    std::size_t vm{};
-    std::uint64_t life{};
-    forwarding::call_id call{};
-    std::uint32_t attempt{};
-  };
   target_id id;
   std::size_t running{};
   std::vector<time_point> arrivals;
   std::optional<double> limit;
   bool leaving{};
-  std::vector<exchange> exchanges;
+  std::vector<engine_exchange> exchanges;
   time_point down_until{};
 };
 
@@ -54,6 +57,8 @@
   time_point wake_at{};
   vm_traffic traffic;
   std::map<forwarding::call_id, time_point> waiting;
+  /** Positions of its calls among all first tries. */
+  std::map<forwarding::call_id, std::size_t> first_tries;
   forwarding::call_id next_call{1};
 };
 
--- /dev/null
+++ b/test/acaciaferry/experiment/partitioned_fleet_test.cpp
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "acaciaferry/experiment/hub_fleet.hpp"
+
+#include <rapidcheck.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace acaciaferry;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint64_t kShortPrompt = 5'000;
+// Time that a fleet which starts together takes to find itself.
+constexpr duration kStartTime = seconds(4);
+// The users' bounds, contact_ms.
+constexpr duration kContactTime = seconds(4);
+constexpr duration kPartitionTime = seconds(10);
+constexpr duration kRestTime = seconds(4);
+
+// VMs that are partitioned from all engines, by index.
+using selection = std::vector<bool>;
+
+struct outcome_of_tries {
+  std::size_t tries{};
+  std::size_t served{};
+
+  [[nodiscard]] std::size_t Failed() const { return tries - served; }
+  [[nodiscard]] double Share() const {
+    return tries == 0
+               ? 1
+               : static_cast<double>(served) / static_cast<double>(tries);
+  }
+};
+
+struct partition_result {
+  outcome_of_tries partitioned;
+  outcome_of_tries others;
+
+  // The users' rule RECOVER.
+  [[nodiscard]] bool IsRecovered() const {
+    constexpr std::size_t kToleratedFailures = 10;
+    constexpr std::size_t kTriesPerToleratedFailure = 50;
+    return partitioned.Share() >= others.Share() * 2 / 3 ||
+           partitioned.Failed() <=
+               kToleratedFailures +
+                   partitioned.tries / kTriesPerToleratedFailure;
+  }
+};
+
+// A fleet of the size at which the users saw partitioned VMs serve almost
+// nobody, or of their large one.
+struct test_fleet {
+  explicit test_fleet(std::size_t domains,
+                      std::size_t vms_per_domain,
+                      std::uint64_t seed)
+      : random(seed), fleet(PlanOf(domains, vms_per_domain, seed)) {
+    fleet.Run(kStartTime, 0, 0);
+  }
+
+  static hub_fleet_plan PlanOf(std::size_t domains,
+                               std::size_t vms_per_domain,
+                               std::uint64_t seed) {
+    hub_fleet_plan plan;
+    plan.domains = domains;
+    plan.vms_per_domain = vms_per_domain;
+    plan.engines_per_domain = domains == 3 ? 15 : 22;
+    plan.large_vms_per_domain = 2;
+    plan.callers_leave = true;
+    plan.seed = seed;
+    return plan;
+  }
+
+  [[nodiscard]] double CallsPerS() const {
+    return fleet.VmCount() > 100 ? 200 : 93;
+  }
+
+  // Each VM with the given probability.
+  [[nodiscard]] selection Draw(std::uint64_t percent) {
+    selection drawn(fleet.VmCount());
+    for (std::size_t vm = 0; vm < drawn.size(); ++vm) {
+      drawn[vm] = DrawBelow(random, std::uint64_t{100}) < percent;
+    }
+    return drawn;
+  }
+
+  partition_result Partition(const selection& partitioned,
+                             partition_kind kind) {
+    const std::size_t before = fleet.FirstTries().size();
+    const time_point begun = fleet.Now();
+    fleet.SetPartition([&](std::size_t vm) { return partitioned[vm]; }, kind);
+    fleet.Run(kPartitionTime, CallsPerS(), kShortPrompt);
+    const time_point ended = fleet.Now();
+    fleet.SetPartition({}, kind);
+    fleet.Run(kRestTime, CallsPerS(), kShortPrompt);
+    partition_result result;
+    const auto& tries = fleet.FirstTries();
+    for (std::size_t index = before; index < tries.size(); ++index) {
+      const first_try& each = tries[index];
+      if (each.at >= begun + kContactTime && each.at < ended) {
+        outcome_of_tries& counted =
+            partitioned[each.vm] ? result.partitioned : result.others;
+        ++counted.tries;
+        counted.served += each.served ? 1 : 0;
+      }
+    }
+    return result;
+  }
+
+  random_engine random;
+  hub_fleet fleet;
+};
+
+constexpr partition_kind kKinds[] = {
+    partition_kind::kSilent, partition_kind::kReset, partition_kind::kRefuse};
+
+}  // namespace
+
+TEST_GROUP(PartitionedFleet){};
+
+// Guards against VMs that know no tunnel since both hubs of their failure
+// domain are partitioned from the engines as well.
+TEST(PartitionedFleet, VmsWhoseHubsArePartitionedTooAreServed) {
+  for (const auto& [domains, vms] :
+       {std::pair<std::size_t, std::size_t>{3, 27}, {5, 59}}) {
+    for (const partition_kind kind : kKinds) {
+      test_fleet played(domains, vms, 1);
+      selection partitioned = played.Draw(50);
+      for (std::size_t vm = 0; vm < partitioned.size(); ++vm) {
+        partitioned[vm] = partitioned[vm] || played.fleet.IsHub(vm);
+      }
+      const partition_result result = played.Partition(partitioned, kind);
+      CHECK_COMPARE(result.partitioned.tries, >, 50U);
+      CHECK_COMPARE(result.partitioned.Share(), >=, 0.9);
+      CHECK_COMPARE(result.others.Share(), >=, 0.9);
+    }
+  }
+}
+
+// Guards against drawn partitions of drawn length, one after the other, after
+// which the callers of partitioned VMs are served far worse than the others.
+// RC_PARAMS="max_success=1000" plays 3,000 of them.
+TEST(PartitionedFleet, DrawnPartitionsKeepTheRuleOfRecovery) {
+  const bool holds = rc::check([] {
+    const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+    const bool is_large = seed % 16 == 0;
+    test_fleet played(is_large ? 5 : 3, is_large ? 59 : 27, seed);
+    for (const partition_kind kind : kKinds) {
+      const std::uint64_t percent =
+          20 + DrawBelow(played.random, std::uint64_t{70});
+      RC_ASSERT(played.Partition(played.Draw(percent), kind).IsRecovered());
+    }
+  });
+  CHECK_TRUE(holds);
+}
