Name tunnels to the VMs whose hubs reach no targets either

Cause: a VM of a large fleet hears its hubs only, so it knew two tunnels at most. Where both hubs were cut off as well it had none, tried engine after engine directly, and its callers left. A VM tells at once that it lost its targets or found them again, and hubs answer it at once; calls that were connecting directly move on. A VM that is named none, as by old hubs, asks the seeds and first VMs. A direct connection that ends a detour is logged as targets_in_reach now.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -243,6 +243,7 @@
         state_.targets.SaidToLeave().size(),
         state_.refusals.Refusing(clock_.Now()).size(),
         state_.reach.IsAnyOutOfReach(),
+        state_.reach.Tunnels().size(),
         tunnels_.Count(),
         callers_.ConnectionCount(),
         answer_memory_.Held(),
--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -106,6 +106,9 @@
     self.peers_.Protocol().Broadcast(
         forwarding::limit_reports_received{effect.reports});
   }
+  void operator()(const forwarding::announce_reach& /*effect*/) const {
+    self.peers_.Protocol().AnnounceReach();
+  }
   void operator()(const forwarding::ask_planner& effect) const {
     self.peers_.Protocol().SendTo(effect.planner, effect.query);
   }
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -163,6 +163,7 @@
         std::to_string(gauges.refusing_targets));
   gauge("acaciaferry_targets_out_of_reach",
         gauges.targets_out_of_reach ? "1" : "0");
+  gauge("acaciaferry_known_tunnels", std::to_string(gauges.known_tunnels));
   gauge("acaciaferry_tunnels", std::to_string(gauges.tunnels));
   gauge("acaciaferry_connections", std::to_string(gauges.connections));
   gauge("acaciaferry_held_answer_bytes", std::to_string(gauges.held_bytes));
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -29,6 +29,8 @@
   std::size_t refusing_targets{};
   /** Whether no target can be reached directly. */
   bool targets_out_of_reach{};
+  /** VMs whose tunnels this VM may use. */
+  std::size_t known_tunnels{};
   /** Tunnels to targets that other VMs have open here. */
   std::size_t tunnels{};
   std::size_t connections{};
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -300,6 +300,9 @@
   void operator()(const forwarding::share_limits& effect) const {
     Protocol().Broadcast(forwarding::limit_reports_received{effect.reports});
   }
+  void operator()(const forwarding::announce_reach& /*effect*/) const {
+    Protocol().AnnounceReach();
+  }
   void operator()(const forwarding::ask_planner& effect) const {
     Protocol().SendTo(effect.planner, effect.query);
   }
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -35,6 +35,7 @@
       "went_back",
       "targets_out_of_reach",
       "targets_in_reach",
+      "tunnels_found",
       "exchange_lost",
       "target_alive",
       "target_gone",
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -116,6 +116,9 @@
   std::string address;
 };
 
+/** Tell the peers at once whether this VM reaches targets. */
+struct announce_reach {};
+
 /** Find out whether a target's process that lost an exchange is still there, by
  * connecting to it. */
 struct check_target {
@@ -176,6 +179,7 @@
   kWentBack,
   kTargetsOutOfReach,
   kTargetsInReach,
+  kTunnelsFound,
   kExchangeLost,
   kTargetAlive,
   kTargetGone,
@@ -220,6 +224,7 @@
                             ask_about_target,
                             answer_about_target,
                             probe_target,
+                            announce_reach,
                             record_decision>;
 using effects = std::vector<effect>;
 
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -113,6 +113,19 @@
                         time_point now,
                         effects& out);
 
+/** @brief Records that the running attempt has a connection. */
+void RecordConnection(state& current,
+                      const pending_call& pending,
+                      time_point now,
+                      effects& out);
+
+/** @brief Applies changed tunnels of other VMs. Calls that were connecting
+ * directly for want of one move on. */
+void ApplyTunnels(state& current,
+                  const tunnels_changed& changed,
+                  time_point now,
+                  effects& out);
+
 /** @brief Sends a probe that is due while targets are out of reach. */
 void ProbeTargets(state& current, time_point now, effects& out);
 
--- a/src/acaciaferry/forwarding/reach.cpp
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,16 +29,25 @@
          pending.running_attempt->tunnel.empty();
 }
 
-// What this VM has found out about the health of targets says nothing any more,
-// and the calls that are connecting would only wait for their timeout.
-void LeaveDirectConnections(state& current,
-                            call_id except,
-                            time_point now,
-                            effects& out) {
+void AnnounceOutOfReach(const state& current, effects& out) {
   LogDecision(out, decision_kind::kTargetsOutOfReach, current.self.first.value,
               {{"tunnels", std::to_string(current.reach.Tunnels().size())},
                {"pools", PoolsOutOfReach(current)}});
-  current.targets.TrustAll();
+  out.emplace_back(announce_reach{});
+}
+
+void AnnounceInReach(const state& current, const pool_id& pool, effects& out) {
+  LogDecision(out, decision_kind::kTargetsInReach, current.self.first.value,
+              {{"pool", pool.value}, {"still_out", PoolsOutOfReach(current)}});
+  out.emplace_back(announce_reach{});
+}
+
+// Calls that are connecting to targets out of reach would only wait for their
+// timeout.
+void LeaveDirectConnections(state& current,
+                            std::optional<call_id> except,
+                            time_point now,
+                            effects& out) {
   std::vector<call_id> connecting;
   for (const auto& [id, pending] : current.pending_calls) {
     if (id != except && IsConnectingOutOfReach(current, pending)) {
@@ -72,12 +82,43 @@
           {running.target, pool, current.targets.NotLeaving(pool).size(),
            running.started},
           now)) {
+    AnnounceOutOfReach(current, out);
+    // What this VM has found out about their health says nothing any more.
+    current.targets.TrustAll();
     LeaveDirectConnections(current, pending.request.id, now, out);
   } else {
     Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
   }
 }
 
+void RecordConnection(state& current,
+                      const pending_call& pending,
+                      time_point now,
+                      effects& out) {
+  const std::string& tunnel = pending.running_attempt->tunnel;
+  if (!tunnel.empty()) {
+    current.reach.RecordReachedThrough(tunnel);
+  } else if (current.reach.RecordReached(pending.request.pool, now)) {
+    AnnounceInReach(current, pending.request.pool, out);
+  }
+}
+
+void ApplyTunnels(state& current,
+                  const tunnels_changed& changed,
+                  time_point now,
+                  effects& out) {
+  const bool had_none = current.reach.Tunnels().empty();
+  current.reach.SetTunnels(changed.tunnels);
+  if (!current.reach.IsAnyOutOfReach() || had_none == changed.tunnels.empty()) {
+    return;
+  }
+  LogDecision(out, decision_kind::kTunnelsFound, current.self.first.value,
+              {{"tunnels", std::to_string(changed.tunnels.size())}});
+  if (had_none) {
+    LeaveDirectConnections(current, std::nullopt, now, out);
+  }
+}
+
 void ProbeTargets(state& current, time_point now, effects& out) {
   const auto due = current.reach.NextProbe();
   if (!due || *due > now) {
@@ -103,9 +144,7 @@
                 time_point now,
                 effects& out) {
   if (current.reach.RecordProbe(result.pool, result.reached, now)) {
-    LogDecision(
-        out, decision_kind::kTargetsInReach, current.self.first.value,
-        {{"pool", result.pool.value}, {"still_out", PoolsOutOfReach(current)}});
+    AnnounceInReach(current, result.pool, out);
   }
 }
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -86,11 +86,7 @@
     if (pending_call* pending =
             FindRunning(current, happened.id, happened.attempt)) {
       pending->running_attempt->sent = true;
-      if (pending->running_attempt->tunnel.empty()) {
-        current.reach.RecordReached(pending->request.pool, now);
-      } else {
-        current.reach.RecordReachedThrough(pending->running_attempt->tunnel);
-      }
+      RecordConnection(current, *pending, now, out);
       ++pending->sent_attempts;
       StartProgressTimeout(*pending, now);
     }
@@ -339,7 +335,7 @@
   }
 
   void operator()(const tunnels_changed& happened) {
-    current.reach.SetTunnels(happened.tunnels);
+    ApplyTunnels(current, happened, now, out);
   }
 
   void operator()(const target_probed& happened) {
--- a/src/acaciaferry/forwarding/target_reach.cpp
+++ b/src/acaciaferry/forwarding/target_reach.cpp
@@ -73,9 +73,14 @@
   return pool_lost || all_lost;
 }
 
-void target_reach::RecordReached(const pool_id& pool, time_point now) {
+bool target_reach::RecordReached(const pool_id& pool, time_point now) {
+  const bool was_out = IsOutOfReach(pool);
   AddReached(pools_[pool], now);
   AddReached(all_, now);
+  if (!IsAnyOutOfReach()) {
+    next_probe_.reset();
+  }
+  return was_out;
 }
 
 bool target_reach::RecordProbe(const pool_id& pool,
--- a/src/acaciaferry/forwarding/target_reach.hpp
+++ b/src/acaciaferry/forwarding/target_reach.hpp
@@ -40,9 +40,12 @@
    */
   bool RecordUnreachable(const trial& failed, time_point now);
 
-  /** @brief Records that a direct connection of a request was established, so
-   * that the pool is within reach. */
-  void RecordReached(const pool_id& pool, time_point now);
+  /**
+   * @brief Records that a direct connection of a request was established, so
+   * that the pool is within reach.
+   * @return Whether something is within reach again.
+   */
+  bool RecordReached(const pool_id& pool, time_point now);
 
   /**
    * @brief Records the result of a probe of a pool.
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -68,11 +68,15 @@
   /** Whether it reaches targets, and passes connections to them on for others
    * at its datagram address (TCP); not in older releases. */
   bool tunnels{};
+  /** Datagram addresses of other VMs that offer tunnels, at most
+   * kMaxKnownTunnels; not in older releases. */
+  std::vector<std::string> known_tunnels;
 
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
 
 inline constexpr std::size_t kMaxKnownPeers = 64;
+inline constexpr std::size_t kMaxKnownTunnels = 4;
 
 /** How much of what is published a VM knows. */
 struct view_position {
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -139,7 +139,8 @@
       wire.view_digest,
       ToSummaries(wire.first_vms),
       wire.asks_for_hubs,
-      wire.tunnels};
+      wire.tunnels,
+      wire.known_tunnels};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -54,8 +54,11 @@
                       from.view_digest,
                       {},
                       from.asks_for_hubs,
-                      from.tunnels};
+                      from.tunnels,
+                      from.known_tunnels};
   wire.known_peers.resize(std::min(wire.known_peers.size(), kMaxKnownPeers));
+  wire.known_tunnels.resize(
+      std::min(wire.known_tunnels.size(), kMaxKnownTunnels));
   for (const peer_summary& each : from.first_vms) {
     wire.first_vms.push_back({each.datagram_address, each.failure_domain.value,
                               each.incarnation, each.capacity});
--- a/src/acaciaferry/mesh/peer_protocol.cpp
+++ b/src/acaciaferry/mesh/peer_protocol.cpp
@@ -215,26 +215,44 @@
   std::vector<std::string> to_members;
   std::vector<std::string> to_hubs;
   std::vector<std::string> to_others;
+  std::vector<std::string> without_targets;
   for (const std::string& each : addresses) {
-    (contains(members, each) ? to_members
-     : contains(hubs, each)  ? to_hubs
-                             : to_others)
+    const bool is_member = contains(members, each);
+    (is_member && roster_.ReachesNoTargets(each) ? without_targets
+     : is_member                                 ? to_members
+     : contains(hubs, each)                      ? to_hubs
+                                                 : to_others)
         .push_back(each);
   }
   heartbeat made = MakeHeartbeat(now);
-  if (!roster_.IsLarge() || roster_.IsHub(now)) {
+  const bool is_hub = roster_.IsLarge() && roster_.IsHub(now);
+  if (!roster_.IsLarge() || is_hub) {
     made.first_vms = roster_.FirstVms(false, now);
   }
+  if (is_hub && !made.tunnels) {
+    // The hubs of other failure domains hear of tunnels in this one from it
+    // only.
+    made.known_tunnels = roster_.TunnelsToName({}, now);
+  }
   Send(Encode(made, now), to_hubs);
   if (!to_others.empty()) {
     made.first_vms = roster_.FirstVms(false, now);
     made.asks_for_hubs = asks_for_hubs && roster_.IsLarge();
+    if (roster_.IsLarge()) {
+      made.known_tunnels = roster_.TunnelsToName({}, now);
+    }
     Send(Encode(made, now), to_others);
     made.asks_for_hubs = false;
   }
-  if (!to_members.empty()) {
-    made.first_vms = roster_.FirstVms(true, now);
-    Send(Encode(made, now), to_members);
+  made.known_tunnels.clear();
+  if (to_members.empty() && without_targets.empty()) {
+    return;
+  }
+  made.first_vms = roster_.FirstVms(true, now);
+  Send(Encode(made, now), to_members);
+  for (const std::string& each : without_targets) {
+    made.known_tunnels = roster_.TunnelsToName(each, now);
+    Send(Encode(made, now), {each});
   }
 }
 
@@ -377,6 +395,25 @@
   SendLoad(news);
 }
 
+// Hubs of an older release name no tunnels of others.
+void peer_protocol::LookForTunnels(const std::vector<std::string>& contacted,
+                                   time_point now) {
+  if (!roster_.IsLarge() || !state_.reach.IsAnyOutOfReach() ||
+      !roster_.Tunnels(now).empty()) {
+    return;
+  }
+  std::vector<std::string> contacts = roster_.Contacts();
+  std::erase_if(contacts, [&](const std::string& each) {
+    return std::find(contacted.begin(), contacted.end(), each) !=
+           contacted.end();
+  });
+  SendHeartbeats(contacts, true);
+}
+
+void peer_protocol::AnnounceReach() {
+  SendHeartbeats(roster_.HubRecipients(clock_.Now()), false);
+}
+
 void peer_protocol::ReportTunnels(time_point now) {
   auto tunnels = roster_.Tunnels(now);
   if (tunnels != state_.reach.Tunnels()) {
@@ -402,6 +439,7 @@
   ReportMembership(now);
   const auto recipients = roster_.HeartbeatRecipients(now);
   SendHeartbeats(recipients, true);
+  LookForTunnels(recipients, now);
   SendLiveDispatches(roster_.IsLarge() && roster_.IsHub(now)
                          ? roster_.HubRecipients(now)
                          : recipients);
--- a/src/acaciaferry/mesh/peer_protocol.hpp
+++ b/src/acaciaferry/mesh/peer_protocol.hpp
@@ -100,6 +100,9 @@
   /** @brief Processes a datagram.
    * @param sender IP:PORT of its sender. */
   void OnDatagram(std::string_view bytes, const std::string& sender);
+  /** @brief Tells at once that this VM reaches no targets any more, or reaches
+   * them again. */
+  void AnnounceReach();
   /** @brief Sends the news that wait for other hubs. */
   void FlushNews();
 
@@ -184,6 +187,10 @@
   [[nodiscard]] bool ConcernsOtherDomains(const load_update& news) const;
   void ReportActiveTargets(time_point now);
   void ReportTunnels(time_point now);
+  /** @brief Asks further VMs for a heartbeat if this VM reaches no targets and
+   * knows no tunnel. */
+  void LookForTunnels(const std::vector<std::string>& contacted,
+                      time_point now);
   void FetchNewerView();
   /** @brief Has the view repaired if it differs from that of a hub for long. */
   void CompareDigests(const heartbeat& heartbeat, time_point now);
--- a/src/acaciaferry/mesh/peer_protocol_receive.cpp
+++ b/src/acaciaferry/mesh/peer_protocol_receive.cpp
@@ -95,7 +95,9 @@
     handlers_.post(forwarding::peer_lost{*change.replaced_incarnation});
   }
   std::vector<std::string> to_greet = change.addresses_to_greet;
-  if (heartbeat.asks_for_hubs && !change.is_new) {
+  const bool needs_tunnels =
+      change.has_lost_targets && roster_.IsLarge() && roster_.IsHub(now);
+  if ((heartbeat.asks_for_hubs || needs_tunnels) && !change.is_new) {
     to_greet.push_back(heartbeat.datagram_address);
   }
   if (!to_greet.empty()) {
@@ -112,6 +114,9 @@
     view_confirmed_at_ = now;
   }
   CompareDigests(heartbeat, now);
+  if (state_.reach.IsAnyOutOfReach()) {
+    ReportTunnels(now);
+  }
 }
 
 void peer_protocol::Handle(const load_update& update,
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -50,7 +50,7 @@
   if (!added && heard.incarnation < known.last_heartbeat.incarnation) {
     return {};
   }
-  heartbeat_result changed{added, {}, {}};
+  heartbeat_result changed{added, {}, {}, {}};
   if (added) {
     changed.addresses_to_greet.push_back(heard.datagram_address);
   }
@@ -61,6 +61,8 @@
       heard.leaving != known.last_heartbeat.leaving) {
     hubs_.computed_at.reset();
   }
+  changed.has_lost_targets = !added && known.last_heartbeat.tunnels &&
+                             !heard.tunnels && !heard.leaving;
   if (known.last_heartbeat.datagram_address != heard.datagram_address) {
     live_addresses_.erase(known.last_heartbeat.datagram_address);
     live_addresses_.insert(heard.datagram_address);
@@ -75,6 +77,7 @@
   }
   UpdateDomain(heard, now);
   TakeTold(heard, now, changed);
+  TakeNamedTunnels(heard, now);
   for (const std::string& address : heard.known_peers) {
     if (!IsLive(address) && address != self_ &&
         unconfirmed_.size() < internal::kMaxUnconfirmed &&
@@ -101,6 +104,7 @@
       if (at->second.last_heartbeat.failure_domain == domain_) {
         former_members_[at->second.last_heartbeat.datagram_address] = now;
       }
+      named_tunnels_.erase(at->first);
       dropped.push_back(at->second.last_heartbeat);
       at = members_.erase(at);
     } else {
@@ -224,21 +228,6 @@
   return silent;
 }
 
-std::vector<std::string> roster::Tunnels(time_point now) const {
-  std::vector<std::string> own;
-  std::vector<std::string> others;
-  for (const auto& [vm, each] : members_) {
-    const heartbeat& last = each.last_heartbeat;
-    if (last.tunnels && !last.leaving && IsFresh(each, now)) {
-      (last.failure_domain == domain_ ? own : others)
-          .push_back(last.datagram_address);
-    }
-  }
-  own.insert(own.end(), others.begin(), others.end());
-  own.resize(std::min(own.size(), kMaxTunnels));
-  return own;
-}
-
 std::optional<time_point> roster::OldestHeartbeatTime() const {
   const auto oldest = std::min_element(
       members_.begin(), members_.end(), [](const auto& a, const auto& b) {
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -62,6 +62,8 @@
     bool is_new{};
     /** Incarnation of the VM's previous process, if this one replaced it. */
     std::optional<std::uint64_t> replaced_incarnation;
+    /** Whether the VM no longer reaches targets, and did before. */
+    bool has_lost_targets{};
     /** Datagram addresses to send a heartbeat to at once: that of a new VM, and
      * those that it knows and this VM doesn't. */
     std::vector<std::string> addresses_to_greet;
@@ -143,9 +145,24 @@
   [[nodiscard]] service_contact ServiceContactOfHubs(time_point now) const;
 
   /** @return Addresses of the tunnels of VMs that are heard, those of this
-   * VM's failure domain first, at most kMaxTunnels. */
+   * VM's failure domain first, and then of those that others have named; at
+   * most kMaxTunnels. */
   [[nodiscard]] std::vector<std::string> Tunnels(time_point now) const;
 
+  /** @return Whether a live VM has said that it reaches no targets. */
+  [[nodiscard]] bool ReachesNoTargets(
+      const std::string& datagram_address) const;
+
+  /** @return The tunnels to name to another VM, those of this VM's failure
+   * domain first; VMs are named different ones, in turn. */
+  [[nodiscard]] std::vector<std::string> TunnelsToName(
+      const std::string& recipient,
+      time_point now) const;
+
+  /** @return Seeds, and VMs of which others have told, for a VM that hears
+   * none that it needs. */
+  [[nodiscard]] std::vector<std::string> Contacts() const;
+
   /** @return Number of live VMs of this VM's failure domain that are heard,
    * this one included. */
   [[nodiscard]] std::uint64_t HeardInDomain(time_point now) const;
@@ -207,7 +224,20 @@
     time_point told_at{};
   };
 
+  /** Tunnels that another VM has named. */
+  struct named_tunnels {
+    std::vector<std::string> addresses;
+    time_point named_at{};
+  };
+  /** Tunnels by how near they are. */
+  struct tunnel_lists {
+    std::vector<std::string> own_domain;
+    std::vector<std::string> other_domains;
+    std::vector<std::string> named;
+  };
+
   [[nodiscard]] bool IsFresh(const member& each, time_point now) const noexcept;
+  [[nodiscard]] tunnel_lists ListTunnels(time_point now) const;
   /** @return This VM and those that are heard or told of, as candidates for
    * hubs; of this VM's failure domain or of the others. */
   [[nodiscard]] std::vector<peer_summary> Candidates(bool own_domain,
@@ -216,6 +246,7 @@
   void TakeTold(const heartbeat& heard,
                 time_point now,
                 heartbeat_result& changed);
+  void TakeNamedTunnels(const heartbeat& heard, time_point now);
   /** Hubs as last computed. Between changes of membership they change with time
    * only, so they are kept for a short while. */
   struct hub_cache {
@@ -253,6 +284,8 @@
   bool leaving_{};
   /** By datagram address. */
   std::map<std::string, told_vm> told_;
+  /** By the VM that has named them. */
+  std::map<vm_id, named_tunnels> named_tunnels_;
   /** Datagram addresses of VMs of this failure domain that are no longer heard,
    * and when they last were: as a hub this VM looks for them, since they may
    * start again while no seed can be reached. */
--- a/src/acaciaferry/mesh/roster_hubs.cpp
+++ b/src/acaciaferry/mesh/roster_hubs.cpp
@@ -263,6 +263,20 @@
   return IsHub(now) ? total : std::max(total, told);
 }
 
+std::vector<std::string> roster::Contacts() const {
+  std::vector<std::string> contacts;
+  for (const std::string& each : seeds_) {
+    internal::AddMissing(contacts, each, self_);
+  }
+  const std::size_t most = contacts.size() + internal::kMaxContacts;
+  for (const auto& [address, told] : told_) {
+    if (contacts.size() < most) {
+      internal::AddMissing(contacts, address, self_);
+    }
+  }
+  return contacts;
+}
+
 void roster::AddFormerMembers(std::vector<std::string>& recipients,
                               time_point now) {
   std::erase_if(former_members_, [now](const auto& each) {
@@ -302,15 +316,9 @@
   }
   if (recipients.empty() || (is_hub && OwnHubs(now).size() == 1)) {
     // No other VM of the failure domain is known to be a hub.
-    for (const std::string& each : seeds_) {
+    for (const std::string& each : Contacts()) {
       add(each);
     }
-    const std::size_t most = recipients.size() + internal::kMaxContacts;
-    for (const auto& [address, told] : told_) {
-      if (recipients.size() < most) {
-        add(address);
-      }
-    }
   } else if (is_hub && rounds_sent_ % internal::kHubSeedRounds == 0) {
     for (const std::string& each : seeds_) {
       add(each);
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -78,6 +78,7 @@
   std::vector<peer_summary_wire> first_vms;
   bool asks_for_hubs{};
   bool tunnels{};
+  std::vector<std::string> known_tunnels;
   MSGPACK_DEFINE_ARRAY(vm,
                        failure_domain,
                        incarnation,
@@ -97,7 +98,8 @@
                        view_digest,
                        first_vms,
                        asks_for_hubs,
-                       tunnels)
+                       tunnels,
+                       known_tunnels)
 };
 
 struct job_wire {
--- a/test/acaciaferry/mesh/roster_test.cpp
+++ b/test/acaciaferry/mesh/roster_test.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/mesh/roster.hpp"
 
 #include <algorithm>
+#include <set>
 
 #include <CppUTest/TestHarness.h>
 
@@ -252,3 +253,62 @@
   }
   LONGS_EQUAL(24, made.HeartbeatRecipients(At(0)).size());
 }
+
+namespace {
+
+constexpr std::uint32_t kCapacity = 120;
+
+// A VM of a large fleet that reaches targets or doesn't.
+heartbeat Large(const char* vm, bool tunnels) {
+  heartbeat made = From(vm);
+  made.capacity = kCapacity;
+  made.peak_vm_count = 81;
+  made.plans = true;
+  made.tunnels = tunnels;
+  return made;
+}
+
+}  // namespace
+
+// Guards against a VM that knows no tunnel since the VMs that it hears reach no
+// targets either.
+TEST(Roster, TunnelsThatOthersNameAreUsedWhileTheyAreNamed) {
+  roster made("s1:1", {"s"}, {}, 7, kCapacity);
+  heartbeat hub = Large("s2", false);
+  hub.known_tunnels = {"s3:1", "s1:1", "s4:1"};
+  made.OnHeartbeat(hub, At(0));
+  CHECK_TRUE((made.Tunnels(At(0)) == std::vector<std::string>{"s3:1", "s4:1"}));
+  // What is heard of a VM itself goes first.
+  made.OnHeartbeat(Large("s4", false), At(100));
+  made.OnHeartbeat(Large("a1", true), At(100));
+  CHECK_TRUE(
+      (made.Tunnels(At(100)) == std::vector<std::string>{"a1:1", "s3:1"}));
+  CHECK_FALSE(Contains(made.Tunnels(At(3'000)), "s3:1"));
+  hub.known_tunnels.clear();
+  made.OnHeartbeat(hub, At(200));
+  CHECK_FALSE(Contains(made.Tunnels(At(200)), "s3:1"));
+}
+
+// Guards against one tunnel that all VMs of a failure domain are told to use,
+// and against tunnels between failure domains while there are nearer ones.
+TEST(Roster, TunnelsAreNamedInTurnTheNearestFirst) {
+  roster made("s1:1", {"s"}, {}, 7, kCapacity);
+  for (const char* vm : {"s2", "s3", "s4", "s5", "s6", "s7", "s8", "a1"}) {
+    made.OnHeartbeat(Large(vm, true), At(0));
+  }
+  made.OnHeartbeat(Large("s9", false), At(0));
+  CHECK_TRUE(made.ReachesNoTargets("s9:1"));
+  CHECK_FALSE(made.ReachesNoTargets("s2:1"));
+  std::set<std::string> named;
+  for (const char* recipient : {"s9:1", "s10:1", "s11:1", "s12:1", "s13:1",
+                                "s14:1", "s15:1", "s16:1"}) {
+    for (const std::string& each : made.TunnelsToName(recipient, At(0))) {
+      named.insert(each);
+    }
+  }
+  LONGS_EQUAL(kMaxKnownTunnels, made.TunnelsToName("s9:1", At(0)).size());
+  CHECK_COMPARE(named.size(), >, kMaxKnownTunnels);
+  CHECK_FALSE(named.contains("a1:1"));
+  CHECK_FALSE(named.contains("s9:1"));
+  CHECK_FALSE(Contains(made.TunnelsToName("s2:1", At(0)), "s2:1"));
+}
