Find out by probes that no target is reached

What callers saw: a VM that is cut off from all targets serves nobody until it has found that out, and one that is cut off from a small service often never did: calls to it failed for the whole cut. Cause: three calls had to fail within 3 s. A VM with one call a second, or a pool that gets a tenth of them and whose callers wait 0.8 s, gets there late or not at all. A VM without calls offers tunnels that lead nowhere. Change: the first target that is not reached has two further ones of the pool probed, those of the own failure domain first; a connection to any of them settles the check. Targets that a VM dials for others' tunnels count like its own.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -115,6 +115,10 @@
       drain_timer_(loop_) {
   state_.failure_domain = settings_.failure_domain;
   state_.max_unused_reservation = settings_.max_unused_reservation;
+  tunnels_.SetDialObserver(
+      [this](std::string_view address, bool reached, duration took) {
+        OnTunnelDialed(address, reached, took);
+      });
   callers_.SetMemory(answer_memory_);
   control_.SetMemory(answer_memory_);
   callers_.SetRefusalHandler([this](int status) {
@@ -264,6 +268,16 @@
   }
 }
 
+void entry_daemon::OnTunnelDialed(std::string_view address,
+                                  bool reached,
+                                  duration took) {
+  if (const forwarding::target* dialed =
+          state_.targets.FindByAddress(address)) {
+    Post(forwarding::target_probed{dialed->pool, reached, dialed->id,
+                                   clock_.Now() - took});
+  }
+}
+
 void entry_daemon::OnViewChanged() {
   decoded_view decoded =
       protocol_->DecodeDocuments(views_.View(), table_ ? table_->version : 0);
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -66,6 +66,9 @@
   void OnReadiness(const exchange& request);
   void OnControl(const exchange& request);
   void OnViewChanged();
+  /** @brief Takes a target that was dialled for another VM's tunnel as evidence
+   * of this VM's own reach. */
+  void OnTunnelDialed(std::string_view address, bool reached, duration took);
   void OnSignal();
   /** @brief Runs an event through the reducer and executes its effects. */
   void Post(const forwarding::event& event);
--- a/src/acaciaferry/entry/entry_effects.cpp
+++ b/src/acaciaferry/entry/entry_effects.cpp
@@ -124,8 +124,9 @@
   void operator()(const forwarding::probe_target& effect) const {
     net::ProbeConnection(
         self.loop_, effect.address, internal::kProbeTimeout,
-        [&daemon = self, pool = effect.pool](bool connected) {
-          daemon.Post(forwarding::target_probed{pool, connected});
+        [&daemon = self, effect, started = self.clock_.Now()](bool connected) {
+          daemon.Post(forwarding::target_probed{effect.pool, connected,
+                                                effect.target, started});
         });
   }
   void operator()(const forwarding::check_target& effect) const {
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kSeedStep = 7;
 constexpr duration kStartSpread = std::chrono::milliseconds(300);
 constexpr duration kOrderDelay = std::chrono::milliseconds(2);
+constexpr duration kProbeTime = std::chrono::milliseconds(400);
 constexpr duration kFetchDelay = std::chrono::milliseconds(20);
 
 forwarding::engine_properties Engine(std::uint32_t slots) {
@@ -255,7 +256,7 @@
     fleet.Connect(vm, effect);
   }
   void operator()(const forwarding::probe_target& effect) const {
-    fleet.Probe(vm, effect);
+    fleet.Probe(vm, effect.target, internal::kProbeTime);
   }
   void operator()(const forwarding::refuse_call& /*effect*/) const {
     ++fleet.refusals_;
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -233,7 +233,9 @@
   void FailExchanges(const std::vector<engine_exchange>& broken);
   /** @brief Fails the exchanges whose connections a condition selects. */
   void BreakExchanges(const std::function<bool(std::size_t dialer)>& is_broken);
-  void Probe(std::size_t vm, const forwarding::probe_target& effect);
+  /** @brief Connects to an engine without a request, for a probe or a tunnel.
+   */
+  void Probe(std::size_t vm, const target_id& target, duration timeout);
   [[nodiscard]] engine& FindEngine(const target_id& id);
   [[nodiscard]] mesh::local_status StatusOf(std::size_t vm) const;
   void Fetch(std::size_t vm, const mesh::view_source& source);
--- a/src/acaciaferry/experiment/hub_fleet_engines.cpp
+++ b/src/acaciaferry/experiment/hub_fleet_engines.cpp
@@ -59,6 +59,9 @@
     FindEngine(each.target).arrivals.push_back(clock_->now);
   }
   const std::size_t dialer = DialerOf(vm, attempt);
+  if (dialer != vm && vms_[dialer]->running) {
+    Probe(dialer, attempt.target, internal::kDialTime);
+  }
   if (!vms_[dialer]->running) {
     FailToConnect(vm, attempt, internal::kRoundTrip,
                   forwarding::attempt_failure::kNoTunnel);
@@ -188,20 +191,18 @@
   }
 }
 
-void hub_fleet::Probe(std::size_t vm, const forwarding::probe_target& effect) {
-  const auto found =
-      std::find_if(engines_.begin(), engines_.end(), [&](const engine& each) {
-        return effect.address == each.id.value + ":1";
-      });
-  const bool is_up =
-      found != engines_.end() && found->down_until <= clock_->now;
+void hub_fleet::Probe(std::size_t vm,
+                      const target_id& target,
+                      duration timeout) {
+  const bool reached =
+      FindEngine(target).down_until <= clock_->now && !IsPartitioned(vm);
   const bool hangs =
       IsPartitioned(vm) && partition_kind_ == partition_kind::kSilent;
-  AfterAt(
-      vm, hangs ? internal::kProbeTime : internal::kRoundTrip,
-      [this, vm, pool = effect.pool, reached = is_up && !IsPartitioned(vm)] {
-        Post(vm, forwarding::target_probed{pool, reached});
-      });
+  AfterAt(vm, hangs ? timeout : internal::kRoundTrip,
+          [this, vm, target, reached, started = clock_->now] {
+            Post(vm, forwarding::target_probed{internal::kHubFleetPool, reached,
+                                               target, started});
+          });
 }
 
 hub_fleet::engine& hub_fleet::FindEngine(const target_id& id) {
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -114,6 +114,7 @@
   pool_id pool;
   /** IP:PORT. */
   std::string address;
+  target_id target{};
 };
 
 /** Tell the peers at once whether this VM reaches targets. */
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -223,10 +223,14 @@
   std::vector<std::string> tunnels;
 };
 
-/** Whether a direct connection to a target could be established. */
+/** Whether a direct connection without a request could be established: that of
+ * a probe, or one that this VM dialled for another VM's tunnel. */
 struct target_probed {
   pool_id pool;
   bool reached{};
+  target_id target{};
+  /** When connecting began. */
+  time_point started{};
 };
 
 /** Whether a target's process that lost an exchange could be connected to. */
--- a/src/acaciaferry/forwarding/reach.cpp
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -60,6 +60,58 @@
   }
 }
 
+// Connects to further targets of a pool, so that a VM with few calls, or a pool
+// with few targets, does not wait for as many calls to fail.
+void CheckReach(state& current,
+                const pool_id& pool,
+                time_point now,
+                effects& out) {
+  if (!current.reach.StartCheck(pool, now)) {
+    return;
+  }
+  auto targets = current.targets.NotLeaving(pool);
+  std::erase_if(targets, [&](const target* each) {
+    return current.reach.IsUnreached(pool, each->id);
+  });
+  std::shuffle(targets.begin(), targets.end(), current.random);
+  // Those of other failure domains may be behind a partition between these.
+  std::stable_partition(targets.begin(), targets.end(),
+                        [&](const target* each) {
+                          return each->failure_domain == current.failure_domain;
+                        });
+  targets.resize(std::min(targets.size(), kProbesAtOnce));
+  for (const target* each : targets) {
+    out.emplace_back(probe_target{pool, each->address, each->id});
+  }
+}
+
+// Records that a target was not reached directly. Calls that are connecting
+// move on if that shows that its pool is out of reach.
+// @return Whether it does.
+bool RecordUnreached(state& current,
+                     const target_id& target,
+                     const pool_id& pool,
+                     time_point started,
+                     std::optional<call_id> except,
+                     time_point now,
+                     effects& out) {
+  const std::size_t pool_size = current.targets.NotLeaving(pool).size();
+  if (!current.reach.RecordUnreachable({target, pool, pool_size, started},
+                                       now)) {
+    // A failure of a connection that was begun before another one was
+    // established says nothing.
+    if (current.reach.IsUnreached(pool, target)) {
+      CheckReach(current, pool, now, out);
+    }
+    return false;
+  }
+  AnnounceOutOfReach(current, out);
+  // What this VM has found out about their health says nothing any more.
+  current.targets.TrustAll();
+  LeaveDirectConnections(current, except, now, out);
+  return true;
+}
+
 }  // namespace
 
 void RecordNoConnection(state& current,
@@ -77,17 +129,10 @@
     Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
     return;
   }
-  const pool_id& pool = pending.request.pool;
-  if (current.reach.RecordUnreachable(
-          {running.target, pool, current.targets.NotLeaving(pool).size(),
-           running.started},
-          now)) {
-    AnnounceOutOfReach(current, out);
-    // What this VM has found out about their health says nothing any more.
-    current.targets.TrustAll();
-    LeaveDirectConnections(current, pending.request.id, now, out);
-  } else {
-    Distrust(current, running.target, distrust_reason::kUnreachable, now, out);
+  const target_id target = running.target;
+  if (!RecordUnreached(current, target, pending.request.pool, running.started,
+                       pending.request.id, now, out)) {
+    Distrust(current, target, distrust_reason::kUnreachable, now, out);
   }
 }
 
@@ -134,7 +179,8 @@
     const std::size_t first = DrawBelow(current.random, targets.size());
     for (std::size_t i = 0; i < std::min(kProbesAtOnce, targets.size()); ++i) {
       out.emplace_back(
-          probe_target{pool, targets[(first + i) % targets.size()]->address});
+          probe_target{pool, targets[(first + i) % targets.size()]->address,
+                       targets[(first + i) % targets.size()]->id});
     }
   }
 }
@@ -143,8 +189,15 @@
                 const target_probed& result,
                 time_point now,
                 effects& out) {
-  if (current.reach.RecordProbe(result.pool, result.reached, now)) {
-    AnnounceInReach(current, result.pool, out);
+  if (current.reach.IsOutOfReach(result.pool)) {
+    if (current.reach.RecordProbe(result.pool, result.reached, now)) {
+      AnnounceInReach(current, result.pool, out);
+    }
+  } else if (result.reached) {
+    current.reach.RecordReached(result.pool, now);
+  } else if (!result.target.empty()) {
+    RecordUnreached(current, result.target, result.pool, result.started,
+                    std::nullopt, now, out);
   }
 }
 
--- a/src/acaciaferry/forwarding/target_reach.cpp
+++ b/src/acaciaferry/forwarding/target_reach.cpp
@@ -12,6 +12,8 @@
 // Failures that lie further apart have different causes.
 constexpr duration kFailureWindow = std::chrono::seconds(3);
 constexpr duration kProbeInterval = std::chrono::milliseconds(500);
+// Probes have a result by then.
+constexpr duration kCheckTime = std::chrono::milliseconds(450);
 // One connection may be that of a target which is not behind the partition.
 constexpr int kProbesToReturn = 2;
 // A VM that no longer reaches targets has told so within this time.
@@ -46,6 +48,7 @@
 
 void target_reach::AddReached(evidence& known, time_point now) {
   known.last_reached = now;
+  known.check_ends = {};
   known.unreachable.clear();
   known.out_of_reach = false;
 }
@@ -94,6 +97,21 @@
   return pool_back || all_back;
 }
 
+bool target_reach::StartCheck(const pool_id& pool, time_point now) {
+  evidence& known = pools_[pool];
+  if (IsOutOfReach(pool) || now < known.check_ends) {
+    return false;
+  }
+  known.check_ends = now + internal::kCheckTime;
+  return true;
+}
+
+bool target_reach::IsUnreached(const pool_id& pool,
+                               const target_id& target) const {
+  const auto at = pools_.find(pool);
+  return at != pools_.end() && at->second.unreachable.contains(target);
+}
+
 bool target_reach::IsOutOfReach(const pool_id& pool) const {
   const auto at = pools_.find(pool);
   return all_.out_of_reach || (at != pools_.end() && at->second.out_of_reach);
--- a/src/acaciaferry/forwarding/target_reach.hpp
+++ b/src/acaciaferry/forwarding/target_reach.hpp
@@ -53,6 +53,18 @@
    */
   bool RecordProbe(const pool_id& pool, bool reached, time_point now);
 
+  /**
+   * @brief Begins a check of whether targets of a pool can be reached at all,
+   * unless one is under way or the pool is out of reach.
+   * @return Whether the check begins: some targets are to be probed.
+   */
+  bool StartCheck(const pool_id& pool, time_point now);
+
+  /** @return Whether no connection to a target was found since the last one to
+   * any target of its pool. */
+  [[nodiscard]] bool IsUnreached(const pool_id& pool,
+                                 const target_id& target) const;
+
   /** @return Whether no target of a pool can be reached directly. */
   [[nodiscard]] bool IsOutOfReach(const pool_id& pool) const;
   /** @return Whether that holds for any pool. */
@@ -98,6 +110,8 @@
     time_point last_reached{};
     bool out_of_reach{};
     int reached_probes{};
+    /** When the check that is under way has ended. */
+    time_point check_ends{};
   };
   /** A tunnel through which connections failed. */
   struct tunnel_fault {
--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -64,6 +64,7 @@
 
   void ParseHead();
   void Dial(const std::string& address);
+  void TellDialed(bool reached);
   void Open();
   void ReadClient();
   void OnClientRead(const boost::system::error_code& error, std::size_t bytes);
@@ -83,6 +84,9 @@
   // The head, and later the bytes that came with it.
   std::string head_;
   std::string reply_;
+  /** Address of the target, and when dialling it began. */
+  std::string dialed_;
+  std::chrono::steady_clock::time_point dial_started_;
   std::array<char, internal::kTunnelBufferBytes> from_client_{};
   std::array<char, internal::kTunnelBufferBytes> from_target_{};
   phase phase_{phase::kReadingHead};
@@ -130,16 +134,25 @@
     return;
   }
   phase_ = phase::kDialing;
+  dialed_ = address;
+  dial_started_ = std::chrono::steady_clock::now();
   SetTimer(internal::kDialTimeout);
   target_.async_connect(*endpoint, [self = shared_from_this()](
                                        const boost::system::error_code& error) {
     if (self->closed_ || self->phase_ != phase::kDialing) {
       return;
     }
+    self->TellDialed(!error);
     error ? self->Refuse(internal::kBadGateway) : self->Open();
   });
 }
 
+void tunnel::TellDialed(bool reached) {
+  server_->on_dialed_(dialed_, reached,
+                      std::chrono::duration_cast<duration>(
+                          std::chrono::steady_clock::now() - dial_started_));
+}
+
 void tunnel::Open() {
   phase_ = phase::kOpen;
   timer_.cancel();
@@ -308,6 +321,7 @@
     case phase::kDialing: {
       boost::system::error_code ignored;
       target_.close(ignored);
+      TellDialed(false);
       Refuse(internal::kBadGateway);
       break;
     }
--- a/src/acaciaferry/net/tunnel.hpp
+++ b/src/acaciaferry/net/tunnel.hpp
@@ -13,6 +13,8 @@
 #include <string>
 #include <string_view>
 
+#include "acaciaferry/core/time.hpp"
+
 namespace acaciaferry::net {
 
 class tunnel;
@@ -33,6 +35,10 @@
  public:
   /** Tells whether the target at IP:PORT may be dialled. */
   using permission = std::function<bool(std::string_view address)>;
+  /** Called with the result of dialling the target at IP:PORT, and the time
+   * that it took. */
+  using dial_observer = std::function<
+      void(std::string_view address, bool reached, duration took)>;
 
   tunnel_server(boost::asio::io_context& loop,
                 permission may_dial,
@@ -49,6 +55,11 @@
   [[nodiscard]] std::optional<std::string> Listen(const std::string& address);
   [[nodiscard]] std::uint16_t Port() const;
 
+  /** @brief Sets who is told of each target that was dialled. */
+  void SetDialObserver(dial_observer on_dialed) {
+    on_dialed_ = std::move(on_dialed);
+  }
+
   /** @return Number of tunnels that are open or being set up. */
   [[nodiscard]] std::size_t Count() const;
 
@@ -68,6 +79,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
   permission may_dial_;
+  dial_observer on_dialed_{[](std::string_view, bool, duration) {}};
   std::size_t max_tunnels_;
   std::list<std::shared_ptr<tunnel>> tunnels_;
 };
--- a/test/acaciaferry/forwarding/reach_test.cpp
+++ b/test/acaciaferry/forwarding/reach_test.cpp
@@ -216,3 +216,56 @@
   sound.PostAt(1'900, timer_fired{});
   LONGS_EQUAL(6, sound.vm.targets.Usable({"pool"}, sound.now).size());
 }
+
+// Guards against a VM with few calls, or a pool with few targets, that finds
+// out late or never that it reaches no targets.
+TEST(Reach, OneCallThatIsNotConnectedIsEnough) {
+  fixture cut;
+  cut.PostAt(500, tunnels_changed{{"vm2:1"}});
+  cut.Call(1'000, 1);
+  cut.PostAt(1'600, attempt_failed{1, 1, attempt_failure::kNotConnected});
+  const auto probes = cut.All<probe_target>();
+  LONGS_EQUAL(2, probes.size());
+  CHECK_TRUE(probes[0].target != probes[1].target);
+  for (const probe_target& each : probes) {
+    CHECK_FALSE(cut.vm.reach.IsOutOfReach({"pool"}));
+    cut.PostAt(2'000, target_probed{each.pool, false, each.target, At(1'600)});
+  }
+  CHECK_TRUE(cut.vm.reach.IsOutOfReach({"pool"}));
+  LONGS_EQUAL(1, cut.All<announce_reach>().size());
+  // The call goes on through the tunnel.
+  STRCMP_EQUAL("vm2:1", cut.All<send_attempt>().front().tunnel.c_str());
+}
+
+// Guards against a crashed target that is taken for a partition, and against
+// probes for each of many calls that it fails.
+TEST(Reach, AProbeThatReachesATargetSettlesTheCheck) {
+  fixture sound;
+  sound.Call(1'000, 1);
+  sound.Call(1'000, 2);
+  sound.PostAt(1'001, attempt_failed{1, 1, attempt_failure::kNotConnected});
+  const auto probes = sound.All<probe_target>();
+  LONGS_EQUAL(2, probes.size());
+  sound.PostAt(1'001, attempt_failed{2, 1, attempt_failure::kNotConnected});
+  LONGS_EQUAL(0, sound.All<probe_target>().size());
+  sound.PostAt(1'002,
+               target_probed{{"pool"}, true, probes[0].target, At(1'001)});
+  sound.PostAt(1'401,
+               target_probed{{"pool"}, false, probes[1].target, At(1'001)});
+  CHECK_FALSE(sound.vm.reach.IsOutOfReach({"pool"}));
+  LONGS_EQUAL(0, sound.All<probe_target>().size());
+}
+
+// Guards against a VM that offers tunnels without reaching targets, since it
+// has no calls of its own.
+TEST(Reach, TargetsThatAreDialedForOthersCount) {
+  fixture idle;
+  idle.PostAt(1'000, target_probed{{"pool"}, false, {"s0"}, At(500)});
+  const auto probes = idle.All<probe_target>();
+  LONGS_EQUAL(2, probes.size());
+  for (const probe_target& each : probes) {
+    CHECK_TRUE(each.target != target_id{"s0"});
+    idle.PostAt(1'400, target_probed{each.pool, false, each.target, At(1'000)});
+  }
+  CHECK_TRUE(idle.vm.reach.IsOutOfReach({"pool"}));
+}
