Find tunnels beside hubs of a release that names none

Cause: while VMs are replaced, hubs may be of 8382474, which names no tunnels. A member whose hubs reach no targets asked the seeds and first VMs, but only once it knew no tunnel any more. Change: it asks again while what it knows still lasts. The model has VMs whose heartbeats lack the named tunnels in both directions.

--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -30,6 +30,18 @@
   return engine;
 }
 
+std::string WithoutNamedTunnels(const std::string& bytes, time_point now) {
+  const auto message = mesh::Decode(bytes, now);
+  const auto* sent =
+      message ? std::get_if<mesh::heartbeat>(&*message) : nullptr;
+  if (sent == nullptr) {
+    return bytes;
+  }
+  mesh::heartbeat old = *sent;
+  old.known_tunnels.clear();
+  return mesh::Encode(old, now).front();
+}
+
 failure_domain_id DomainId(std::size_t domain) {
   return {"domain-" + std::to_string(domain)};
 }
@@ -87,6 +99,8 @@
   made->capacity = index / plan_.domains < plan_.large_vms_per_domain
                        ? internal::kLargeCapacity
                        : internal::kSmallCapacity;
+  made->names_no_tunnels = plan_.large_vms_name_no_tunnels &&
+                           made->capacity == internal::kLargeCapacity;
   if (plan_.old_release_every > 0 && index % plan_.old_release_every == 0) {
     made->capacity = 0;
   }
@@ -228,8 +242,12 @@
       DrawBelow(random_, kHundredPercent) < plan_.lost_percent) {
     return;
   }
+  const bool is_old = sender.names_no_tunnels || vms_[to]->names_no_tunnels;
   AfterAt(to, plan_.network_delay,
-          [this, to, bytes, sender_address = sender.address] {
+          [this, to,
+           bytes = is_old ? internal::WithoutNamedTunnels(bytes, clock_->now)
+                          : bytes,
+           sender_address = sender.address] {
             ++vms_[to]->traffic.datagrams_received;
             vms_[to]->traffic.bytes_received += bytes.size();
             vms_[to]->traffic.received_by_kind[mesh::KindOf(bytes)] +=
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -29,6 +29,9 @@
   /** Each VM whose index is a multiple of this is of a release without hubs; 0
    * for none. */
   std::size_t old_release_every{};
+  /** Whether the VMs with the larger share of a core are of release 8382474,
+   * which names no tunnels of others. */
+  bool large_vms_name_no_tunnels{};
   /** Index of the first seed; others follow in the next failure domains. */
   std::size_t first_seed{};
   /** One way, between any two VMs. */
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -47,6 +47,8 @@
   std::size_t domain{};
   std::string address;
   std::uint32_t capacity{};
+  /** Whether it neither sends nor reads the names of other VMs' tunnels. */
+  bool names_no_tunnels{};
   bool running{};
   /** Counts the starts of its process. */
   std::uint64_t life{};
--- a/src/acaciaferry/mesh/peer_protocol.cpp
+++ b/src/acaciaferry/mesh/peer_protocol.cpp
@@ -395,11 +395,12 @@
   SendLoad(news);
 }
 
-// Hubs of an older release name no tunnels of others.
+// Hubs of an older release name no tunnels of others. What is known must last
+// until the next interval.
 void peer_protocol::LookForTunnels(const std::vector<std::string>& contacted,
                                    time_point now) {
   if (!roster_.IsLarge() || !state_.reach.IsAnyOutOfReach() ||
-      !roster_.Tunnels(now).empty()) {
+      !roster_.Tunnels(now + kHeartbeatInterval).empty()) {
     return;
   }
   std::vector<std::string> contacts = roster_.Contacts();
--- a/test/acaciaferry/experiment/partitioned_fleet_test.cpp
+++ b/test/acaciaferry/experiment/partitioned_fleet_test.cpp
@@ -56,12 +56,14 @@
 // A fleet of the size at which the users saw partitioned VMs serve almost
 // nobody, or of their large one.
 struct test_fleet {
-  explicit test_fleet(std::size_t domains,
-                      std::size_t vms_per_domain,
-                      std::uint64_t seed)
-      : random(seed), fleet(PlanOf(domains, vms_per_domain, seed)) {
+  explicit test_fleet(const hub_fleet_plan& plan)
+      : random(plan.seed), fleet(plan) {
     fleet.Run(kStartTime, 0, 0);
   }
+  test_fleet(std::size_t domains,
+             std::size_t vms_per_domain,
+             std::uint64_t seed)
+      : test_fleet(PlanOf(domains, vms_per_domain, seed)) {}
 
   static hub_fleet_plan PlanOf(std::size_t domains,
                                std::size_t vms_per_domain,
@@ -161,6 +163,25 @@
   }
 }
 
+// Guards against VMs that find no tunnel while the hubs of their failure domain
+// are of a release that names none.
+TEST(PartitionedFleet, MembersOfOldHubsFindTunnels) {
+  hub_fleet_plan plan = test_fleet::PlanOf(3, 27, 1);
+  plan.large_vms_name_no_tunnels = true;
+  for (const partition_kind kind : kKinds) {
+    test_fleet played(plan);
+    selection partitioned = played.Draw(50);
+    for (std::size_t vm = 0; vm < partitioned.size(); ++vm) {
+      partitioned[vm] = played.fleet.DomainOf(vm) == 0 &&
+                        (partitioned[vm] || played.fleet.IsHub(vm));
+    }
+    const partition_result result = played.Partition(partitioned, kind);
+    CHECK_COMPARE(result.partitioned.tries, >, 50U);
+    CHECK_COMPARE(result.partitioned.Share(), >=, 0.9);
+    CHECK_COMPARE(result.others.Share(), >=, 0.9);
+  }
+}
+
 // Guards against drawn partitions, one after the other, in which the callers of
 // partitioned VMs are served far worse than the others.
 TEST(PartitionedFleet, DrawnPartitionsKeepTheRuleOfRecovery) {
