--- a/src/acaciaferry/experiment/hub_fleet_engines.cpp
+++ b/src/acaciaferry/experiment/hub_fleet_engines.cpp
@@ -60,6 +60,7 @@
   }
   const std::size_t dialer = DialerOf(vm, attempt);
   if (dialer != vm && vms_[dialer]->running) {
+    // The VM of a tunnel learns from it whether it reaches the engine itself.
     Probe(dialer, attempt.target, internal::kDialTime);
   }
   if (!vms_[dialer]->running) {
--- a/test/acaciaferry/net/tunnel_test.cpp
+++ b/test/acaciaferry/net/tunnel_test.cpp
@@ -154,6 +154,23 @@
              exchange_failure::kNoTunnel);
 }
 
+// A VM that dials targets for others must learn from it which it reaches.
+TEST(NetTunnel, TellsWhichTargetsItHasReached) {
+  tunnel_fixture fixture;
+  std::vector<std::pair<std::string, bool>> dialed;
+  fixture.tunnels.SetDialObserver(
+      [&](std::string_view address, bool reached, duration /*took*/) {
+        dialed.emplace_back(address, reached);
+      });
+  const std::string closed = fixture.ClosedAddress();
+  CHECK_TRUE(fixture.FailureTo(closed) == exchange_failure::kNotConnected);
+  recorded_exchange exchange(fixture.loop);
+  const auto target = fixture.Connect(exchange);
+  const std::vector<std::pair<std::string, bool>> expected{
+      {closed, false}, {fixture.listener.Address(), true}};
+  CHECK_TRUE(dialed == expected);
+}
+
 // A server that dials any address would be an open proxy.
 TEST(NetTunnel, DoesNotDialTargetsThatAreNotPermitted) {
   tunnel_fixture fixture;
