--- a/test/acaciaferry/experiment/partitioned_fleet_test.cpp
+++ b/test/acaciaferry/experiment/partitioned_fleet_test.cpp
@@ -85,8 +85,8 @@
   // Each VM with the given probability.
   [[nodiscard]] selection Draw(std::uint64_t percent) {
     selection drawn(fleet.VmCount());
-    for (std::size_t vm = 0; vm < drawn.size(); ++vm) {
-      drawn[vm] = DrawBelow(random, std::uint64_t{100}) < percent;
+    for (auto&& vm : drawn) {
+      vm = DrawBelow(random, std::uint64_t{100}) < percent;
     }
     return drawn;
   }
