Apply removals after an outage at once

Cause: whatever disappeared within 3 s after a failed call was kept as missing for 2.2 s from when it was seen, one failed call counted as an outage, and the timer for the end was set for one entry only. Nothing expired on a VM whose own calls fail. Change: an outage lasts 0.7 s or more, and the grace period ends 2.2 s after the first response that follows it. Removals that a watch reports more than 1 s after that response, removals by peers, and those of targets that said that they leave apply at once. A peer that still keeps an entry doesn't bring it back. The timer is set again whenever it fires.

--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -155,9 +155,10 @@
   call_timer_.cancel();
   if (call_) {
     call_->Cancel();
-    reader_.AbandonRequest();
   }
   has_next_call_ = false;
+  reader_.StopRequests(clock_.Now());
+  ScheduleExpiry();
 }
 
 bool view_keeper::ReadsService() const {
@@ -277,23 +278,31 @@
     log_.WriteEvent("document_refused",
                     {{"key", key}, {"why", "a later one is known"}});
   }
-  if (const auto expiry = reader_.NextExpiry()) {
-    expiry_timer_.expires_at(*expiry);
-    expiry_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error && reader_.Expire(clock_.Now())) {
-        digest_ = publication::DigestOf(reader_.View());
-        on_changed_();
-      }
-    });
-  }
+  ScheduleExpiry();
   if (changed) {
     digest_ = publication::DigestOf(reader_.View());
     on_changed_();
   }
 }
 
+// Each item has its own time, so the timer is set again when it fires.
+void view_keeper::ScheduleExpiry() {
+  const auto expiry = reader_.NextExpiry();
+  if (!expiry) {
+    expiry_timer_.cancel();
+    return;
+  }
+  expiry_timer_.expires_at(*expiry);
+  expiry_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      OnViewUpdated(reader_.Expire(clock_.Now()));
+    }
+  });
+}
+
 void view_keeper::OnCallFailed(publication::request_failure failure) {
   reader_.HandleResult(failure, clock_.Now());
+  ScheduleExpiry();
   if (!service_lost_ && failure != publication::request_failure::kHistoryGone) {
     service_lost_ = true;
     log_.WriteEvent("service_lost",
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -104,6 +104,7 @@
   void LogEra(std::uint64_t era);
   void OnResponse(bool changed);
   void OnViewUpdated(bool changed);
+  void ScheduleExpiry();
   void OnCallFailed(publication::request_failure failure);
   void ScheduleNextCall(time_point time);
   void OnFetched(const mesh::view_source& source,
--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -32,9 +32,15 @@
 // VMs whose watches are long list at random times within this one, so that not
 // all list at once; VMs with short ones tell them what they find.
 constexpr duration kMaxListingDelay = std::chrono::milliseconds(400);
-// An item that is removed during an outage or within this time after it is kept
-// as missing.
-constexpr duration kOutageRecoveryTime = std::chrono::milliseconds(3'000);
+// A service that isn't heard for this long after a failed call has been away. A
+// call that is made at once after a single failure gets its response earlier.
+constexpr duration kMinOutage = std::chrono::milliseconds(700);
+// Leases that were not renewed during an outage may also run out this soon
+// after it. Removals that are reported later mean that the item is gone. The
+// first response comes at most kMaxBackoff and its jitter, 1.8 s, after the
+// service is back, so this ends within the 3 s after which its changes have to
+// be followed.
+constexpr duration kLateLapse = std::chrono::milliseconds(1'000);
 
 }  // namespace internal
 
@@ -61,6 +67,7 @@
   if (now < not_before_) {
     return wait_until{not_before_};
   }
+  long_watch_sent_.reset();
   if (listing_) {
     return list_request{prefixes_[prefix_index_], page_after_};
   }
@@ -70,19 +77,63 @@
     return watch_request{view_.revision, internal::kProbeWait,
                          internal::kShortWatchGrace};
   }
-  return short_watches_
-             ? watch_request{view_.revision, internal::kShortWatchWait,
-                             internal::kShortWatchGrace}
-             : watch_request{view_.revision, internal::kWatchWait,
-                             internal::kWatchGrace};
+  if (short_watches_) {
+    return watch_request{view_.revision, internal::kShortWatchWait,
+                         internal::kShortWatchGrace};
+  }
+  long_watch_sent_ = now;
+  return watch_request{view_.revision, internal::kWatchWait,
+                       internal::kWatchGrace};
 }
 
 void reader::RecordResponse(time_point now) {
-  if (consecutive_failures_ > 0) {
+  EndFailures(now);
+  not_before_ = now;
+}
+
+// A peer that has newer changes has heard the service meanwhile.
+bool reader::WasOutage(time_point now) const {
+  return failing_since_ &&
+         now - std::max(*failing_since_,
+                        peer_news_at_.value_or(*failing_since_)) >=
+             internal::kMinOutage;
+}
+
+void reader::EndFailures(time_point now) {
+  if (WasOutage(now)) {
     outage_ended_ = now;
+    ExtendHeldPeriods(now);
   }
   consecutive_failures_ = 0;
-  not_before_ = now;
+  failing_since_.reset();
+}
+
+// A VM that is turned away hears of the end of an outage from its peers.
+void reader::RecordPeerNews(time_point now) {
+  const bool is_first =
+      failing_since_ && (!peer_news_at_ || *peer_news_at_ < *failing_since_);
+  if (is_first && WasOutage(now)) {
+    outage_ended_ = now;
+    ExtendHeldPeriods(now);
+  }
+  peer_news_at_ = now;
+}
+
+// What disappeared around an earlier outage could not come back in this one.
+void reader::ExtendHeldPeriods(time_point now) {
+  for (auto& [key, period] : missing_) {
+    if (IsHeld(period)) {
+      period.until = std::max(period.until, now + internal::kMissingGrace);
+    }
+  }
+}
+
+// While the service is away it can't tell whether an item is there again. Items
+// that disappeared since the failures began were told of by a peer that hears
+// the service.
+bool reader::IsHeld(const grace_period& each) const {
+  return failing_since_ && each.since < *failing_since_ &&
+         (!peer_news_at_ || *peer_news_at_ < *failing_since_);
 }
 
 bool reader::IsWatched(const std::string& key) const {
@@ -177,7 +228,7 @@
     }
   }
   for (const std::string& key : removed_keys) {
-    changed = RemoveItem(key, now) || changed;
+    changed = RemoveItem(key, absence::kUnlisted, now) || changed;
   }
   const bool same_era = newer.era == view_.era;
   view_.era = newer.era;
@@ -190,10 +241,11 @@
   return changed;
 }
 
-void reader::AbandonRequest() {
+void reader::StopRequests(time_point now) {
   if (listing_) {
     StartListing();
   }
+  EndFailures(now);
 }
 
 bool reader::IsPermanent(const std::string& key) const {
@@ -233,10 +285,10 @@
     return false;
   }
   if (value.missing) {
-    missing_until_.try_emplace(key, now + internal::kMissingGrace);
+    missing_.try_emplace(key, grace_period{now, now + internal::kMissingGrace});
   } else {
-    missing_until_.erase(key);
-    returning_until_.erase(key);
+    missing_.erase(key);
+    returning_.erase(key);
   }
   const bool changed =
       known.value != value.value || known.missing != value.missing;
@@ -251,14 +303,17 @@
     // The copy is older than the removal: what was known last is kept, such as
     // that a target leaves, until it turns out that the entry is not only a
     // copy.
-    if (RankOf(key, value.value) < RankOf(key, removed->second.value)) {
-      value.value = removed->second.value;
+    if (RankOf(key, value.value) < RankOf(key, removed->second.last.value)) {
+      value.value = removed->second.last.value;
       value.era = removed->second.era;
     }
     value.missing = true;
-    returning_until_[key] = now + internal::kCopyExpiry;
+    returning_[key] = {now, now + internal::kCopyExpiry};
   } else if (value.missing) {
-    missing_until_.try_emplace(key, now + internal::kMissingGrace);
+    if (IsRemovedHere(key, value)) {
+      return false;
+    }
+    missing_.try_emplace(key, grace_period{now, now + internal::kMissingGrace});
   }
   view_.items.emplace(key, std::move(value));
   return true;
@@ -297,7 +352,7 @@
     const auto at = view_.items.find(each.key);
     if (at != view_.items.end() && !IsPermanent(each.key) &&
         (at->second.era != view_.era || at->second.revision <= each.revision)) {
-      changed = RemoveItem(each.key, now) || changed;
+      changed = RemoveItem(each.key, absence::kReported, now) || changed;
     }
   }
   view_.revision = std::max(view_.revision, response.revision);
@@ -312,24 +367,47 @@
   }
 }
 
-bool reader::RemoveItem(const std::string& key, time_point now) {
-  const bool is_copy = returning_until_.contains(key);
-  if (IsOutageRecent(now) && !is_copy) {
-    const bool added =
-        missing_until_.try_emplace(key, now + internal::kMissingGrace).second;
+// Peers keep what may come back themselves, and send it as missing.
+bool reader::MayComeBack(const std::string& key,
+                         absence how,
+                         time_point now) const {
+  const auto at = view_.items.find(key);
+  const bool is_ending = ranks_.is_ending && at != view_.items.end() &&
+                         ranks_.is_ending(key, at->second.value);
+  if (how == absence::kRemovedByPeer || is_ending || !outage_ended_ ||
+      returning_.contains(key)) {
+    return false;
+  }
+  const duration since_outage = now - *outage_ended_;
+  return since_outage < (how == absence::kReported ? internal::kLateLapse
+                                                   : internal::kMissingGrace);
+}
+
+// Counted from the first response after the outage, so that a removal which is
+// seen later doesn't add to the time by which that response was late.
+bool reader::RemoveItem(const std::string& key, absence how, time_point now) {
+  if (MayComeBack(key, how, now)) {
+    const grace_period period{now, *outage_ended_ + internal::kMissingGrace};
     view_.items[key].missing = true;
-    return added;
+    return missing_.try_emplace(key, period).second;
   }
   EraseItem(key, now);
   return true;
 }
 
+// A peer may keep an item as missing that this VM knows to be gone.
+bool reader::IsRemovedHere(const std::string& key, const item& value) const {
+  const auto at = removed_.find(key);
+  return at != removed_.end() && at->second.last.era == value.era &&
+         value.revision <= at->second.last.revision;
+}
+
 void reader::EraseItem(const std::string& key, time_point now) {
-  missing_until_.erase(key);
-  returning_until_.erase(key);
+  missing_.erase(key);
+  returning_.erase(key);
   const auto at = view_.items.find(key);
   if (at != view_.items.end()) {
-    removed_[key] = {std::move(at->second.value), view_.era, now};
+    removed_[key] = {std::move(at->second), view_.era, now};
     view_.items.erase(at);
   }
   std::erase_if(removed_, [now](const auto& each) {
@@ -337,12 +415,6 @@
   });
 }
 
-bool reader::IsOutageRecent(time_point now) const {
-  return consecutive_failures_ > 0 ||
-         (outage_ended_ &&
-          now - *outage_ended_ < internal::kOutageRecoveryTime);
-}
-
 void reader::HandleResult(request_failure failure, time_point now) {
   if (failure == request_failure::kHistoryGone) {
     RecordResponse(now);
@@ -352,6 +424,13 @@
     }
     return;
   }
+  if (!failing_since_) {
+    // A call that fails at once fails because the service is away, or only
+    // itself. A long watch without any response hides a whole outage.
+    const bool hid_outage =
+        long_watch_sent_ && now - *long_watch_sent_ >= internal::kWatchWait;
+    failing_since_ = hid_outage ? *long_watch_sent_ : now;
+  }
   ++consecutive_failures_;
   const duration backoff = std::min(
       internal::kMinBackoff * (1U << std::min(consecutive_failures_ - 1, 8U)),
@@ -366,37 +445,35 @@
 }
 
 bool reader::Expire(time_point now) {
-  if (consecutive_failures_ > 0) {
-    return false;
-  }
   std::vector<std::string> gone;
-  for (const auto& [key, until] : missing_until_) {
-    if (until <= now) {
+  for (const auto& [key, period] : missing_) {
+    if (period.until <= now && !IsHeld(period)) {
       gone.push_back(key);
     }
   }
   for (const std::string& key : gone) {
     EraseItem(key, now);
   }
-  const std::size_t valid =
-      std::erase_if(returning_until_, [&](const auto& each) {
-        if (each.second > now) {
-          return false;
-        }
-        const auto at = view_.items.find(each.first);
-        if (at != view_.items.end()) {
-          at->second.missing = false;
-        }
-        return true;
-      });
+  const std::size_t valid = std::erase_if(returning_, [&](const auto& each) {
+    if (each.second.until > now || IsHeld(each.second)) {
+      return false;
+    }
+    const auto at = view_.items.find(each.first);
+    if (at != view_.items.end()) {
+      at->second.missing = false;
+    }
+    return true;
+  });
   return !gone.empty() || valid > 0;
 }
 
 std::optional<time_point> reader::NextExpiry() const {
   std::optional<time_point> next;
-  for (const auto* times : {&missing_until_, &returning_until_}) {
-    for (const auto& [key, at] : *times) {
-      next = next ? std::min(*next, at) : at;
+  for (const auto* periods : {&missing_, &returning_}) {
+    for (const auto& [key, period] : *periods) {
+      if (!IsHeld(period)) {
+        next = next ? std::min(*next, period.until) : period.until;
+      }
     }
   }
   return next;
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -136,9 +136,9 @@
   [[nodiscard]] view_update UpdateSince(std::uint64_t era,
                                         std::uint64_t revision) const;
 
-  /** @brief Forgets a request whose response will not arrive, without counting
-   * it as failed. */
-  void AbandonRequest();
+  /** @brief Forgets the request in flight, if there is one, and earlier
+   * failures: from now on the view follows those of peers. */
+  void StopRequests(time_point now);
 
   /** @brief Ends the grace periods that are over: items that disappeared are
    * removed, items that came back with an older copy are valid. @return Whether
@@ -155,7 +155,8 @@
   [[nodiscard]] std::optional<time_point> LastResponseTime() const noexcept {
     return last_response_;
   }
-  /** @return When the next grace period of a missing item ends. */
+  /** @return When Expire is due next. It changes with each response, failure
+   * and view of a peer, and with Expire. */
   [[nodiscard]] std::optional<time_point> NextExpiry() const;
   /** @return Keys of documents that were not taken since the last call, since
    * a higher rank of them is known. */
@@ -166,12 +167,37 @@
  private:
   /** A document that was removed. */
   struct removed_item {
-    std::string value;
+    item last;
+    /** Era of the view that it was removed from. */
     std::uint64_t era{};
     time_point removed_at{};
   };
+  /** How it became known that a document is not there any more. */
+  enum class absence {
+    /** A watch has reported the removal. */
+    kReported,
+    /** A listing or the whole view of a peer lacks it. */
+    kUnlisted,
+    /** A peer has removed it. */
+    kRemovedByPeer,
+  };
+  /** Time for which an item is kept. */
+  struct grace_period {
+    time_point since{};
+    time_point until{};
+  };
+  using grace_periods = std::map<std::string, grace_period>;
 
-  [[nodiscard]] bool IsOutageRecent(time_point now) const;
+  [[nodiscard]] bool WasOutage(time_point now) const;
+  void EndFailures(time_point now);
+  void RecordPeerNews(time_point now);
+  void ExtendHeldPeriods(time_point now);
+  [[nodiscard]] bool IsHeld(const grace_period& each) const;
+  [[nodiscard]] bool MayComeBack(const std::string& key,
+                                 absence how,
+                                 time_point now) const;
+  [[nodiscard]] bool IsRemovedHere(const std::string& key,
+                                   const item& value) const;
   [[nodiscard]] bool IsPermanent(const std::string& key) const;
   [[nodiscard]] document_rank RankOf(const std::string& key,
                                      const std::string& value) const;
@@ -180,7 +206,7 @@
                                 const item& known) const;
   bool TakeItem(const std::string& key, item value, time_point now);
   bool AddItem(const std::string& key, item value, time_point now);
-  bool RemoveItem(const std::string& key, time_point now);
+  bool RemoveItem(const std::string& key, absence how, time_point now);
   void EraseItem(const std::string& key, time_point now);
   bool ReplaceView(const view& newer, time_point now);
   bool TakeHigherRanks(const view& older, time_point now);
@@ -213,12 +239,20 @@
   std::uint32_t consecutive_failures_{};
   time_point not_before_{};
   std::optional<time_point> last_response_;
+  /** When the watch in flight was sent, if it is a long one. */
+  std::optional<time_point> long_watch_sent_;
+  /** Since when the service may be away, as the failures since the last
+   * response say. */
+  std::optional<time_point> failing_since_;
+  /** When a peer last had a newer view. */
+  std::optional<time_point> peer_news_at_;
+  /** When the service was first heard after the last outage. */
   std::optional<time_point> outage_ended_;
-  /** Items that disappeared around an outage, and when they are removed. */
-  std::map<std::string, time_point> missing_until_;
+  /** Items that disappeared around an outage, and until when they are kept. */
+  grace_periods missing_;
   /** Items that had been removed and came back with an older copy, and when
    * they are valid if they are not removed again. */
-  std::map<std::string, time_point> returning_until_;
+  grace_periods returning_;
   std::map<std::string, removed_item> removed_;
   std::vector<std::string> outranked_keys_;
   /** The latest changes: revisions, ascending, and keys. */
--- a/src/acaciaferry/publication/reader_peers.cpp
+++ b/src/acaciaferry/publication/reader_peers.cpp
@@ -69,6 +69,7 @@
       latest.last_change_revision <= view_.last_change_revision) {
     return false;
   }
+  RecordPeerNews(now);
   bool changed = false;
   for (const auto& [key, value] : latest.items) {
     changed = TakeItem(key, value, now) || changed;
@@ -77,7 +78,7 @@
     const auto at = view_.items.find(key);
     if (at != view_.items.end() && !IsPermanent(key) &&
         at->second.revision <= latest.last_change_revision) {
-      changed = RemoveItem(key, now) || changed;
+      changed = RemoveItem(key, absence::kRemovedByPeer, now) || changed;
     }
   }
   view_.last_change_revision = latest.last_change_revision;
@@ -99,6 +100,7 @@
   if (!is_newer) {
     return TakeHigherRanks(peer_view, now);
   }
+  RecordPeerNews(now);
   EnterEra(peer_view.era, now);
   const bool has_listed_nothing = prefix_index_ == 0 && page_after_.empty();
   if (listing_ && (peer_view.era != view_.era || has_listed_nothing)) {
--- a/src/acaciaferry/publication/view.hpp
+++ b/src/acaciaferry/publication/view.hpp
@@ -75,6 +75,9 @@
   /** Whether a document is never removed, so that its highest rank holds
    * whatever the revisions say. */
   std::function<bool(std::string_view key)> is_permanent;
+  /** Whether a document says that what it describes is about to end, so that it
+   * isn't expected back once it is removed. */
+  std::function<bool(std::string_view key, std::string_view value)> is_ending;
 };
 
 }  // namespace acaciaferry::publication
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -90,6 +90,193 @@
   CHECK_FALSE(made.View().items.contains("t/1"));
 }
 
+namespace {
+
+// The service rejects calls from 1 s to 3 s and is heard again at 4.5 s.
+reader AfterAnOutage() {
+  reader made({"t/"}, 7);
+  made.HandleResult(
+      Page({{"t/1", {"x", 3}}, {"t/2", {"x", 4}}, {"t/3", {"x", 5}}}, 10),
+      At(0));
+  for (const int ms : {1'000, 1'200, 2'000, 3'000}) {
+    made.HandleResult(request_failure::kRefused, At(ms));
+  }
+  made.HandleResult(changes{{}, 10}, At(4'500));
+  return made;
+}
+
+}  // namespace
+
+// Guards against a target that leaves after an outage and gets requests as the
+// last one of its pool: a watch has reported its removal.
+TEST(PublicationReader, TargetsThatLeaveAfterAnOutageAreGoneAtOnce) {
+  reader made = AfterAnOutage();
+  CHECK_TRUE(made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(5'800)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
+// Guards against a removal that is seen some time after the first response and
+// adds its own grace period to the time by which that response was late.
+TEST(PublicationReader, GracePeriodsCountFromTheEndOfTheOutage) {
+  reader made = AfterAnOutage();
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(5'300));
+  CHECK_TRUE(IsMissing(made, "t/1"));
+  CHECK_TRUE(made.NextExpiry() == At(6'700));
+  CHECK_TRUE(made.Expire(At(6'700)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
+// Guards against a cut watch that is taken for an outage, so that a target that
+// leaves afterwards gets requests.
+TEST(PublicationReader, OneFailedCallIsNoOutage) {
+  for (const bool are_short : {true, false}) {
+    reader made = Listed();
+    made.SetShortWatches(are_short);
+    static_cast<void>(made.Next(At(1'000)));
+    made.HandleResult(request_failure::kSilent, At(1'500));
+    made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(1'830));
+    CHECK_FALSE(made.View().items.contains("t/1"));
+  }
+}
+
+// Guards against entries that are dropped because their leases ran out while a
+// long watch waited on a connection that the service had lost.
+TEST(PublicationReader, ALongWatchWithoutResponseMayHideAnOutage) {
+  reader made = Listed();
+  made.SetShortWatches(false);
+  static_cast<void>(made.Next(At(1'000)));
+  made.HandleResult(request_failure::kSilent, At(12'500));
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(12'830));
+  CHECK_TRUE(IsMissing(made, "t/1"));
+  // A listing that fails later has nothing to do with that watch.
+  reader listing = Listed();
+  listing.SetShortWatches(false);
+  static_cast<void>(listing.Next(At(1'000)));
+  listing.HandleResult(request_failure::kHistoryGone, At(11'000));
+  static_cast<void>(listing.Next(At(12'000)));
+  listing.HandleResult(request_failure::kSilent, At(12'100));
+  listing.HandleResult(Page({}, 30), At(12'400));
+  listing.HandleResult(Page({}, 30), At(12'401));
+  CHECK_FALSE(listing.View().items.contains("t/1"));
+}
+
+// Guards against dropping entries whose leases ran out in the outage, or before
+// they could be renewed after it.
+TEST(PublicationReader, LapsedEntriesStayUsableAfterAnOutage) {
+  reader made({"t/"}, 7);
+  made.HandleResult(Page({{"t/1", {"x", 3}}, {"t/2", {"x", 4}}}, 10), At(0));
+  made.HandleResult(request_failure::kRefused, At(1'000));
+  made.HandleResult(request_failure::kRefused, At(3'000));
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(4'000));
+  made.HandleResult(changes{{{"t/2", {}, 21}}, 21}, At(4'500));
+  CHECK_TRUE(IsMissing(made, "t/1"));
+  CHECK_TRUE(IsMissing(made, "t/2"));
+  CHECK_TRUE(made.NextExpiry() == At(6'200));
+  made.HandleResult(changes{{{"t/1", "x", 22}}, 22}, At(6'000));
+  CHECK_FALSE(IsMissing(made, "t/1"));
+  CHECK_TRUE(made.Expire(At(6'200)));
+  CHECK_TRUE(made.View().items.contains("t/1"));
+  CHECK_FALSE(made.View().items.contains("t/2"));
+}
+
+// Guards against an entry that a listing lacks after an outage and that is
+// dropped before it can be there again.
+TEST(PublicationReader, EntriesThatAListingLacksAfterAnOutageAreKept) {
+  reader made = AfterAnOutage();
+  made.HandleResult(request_failure::kHistoryGone, At(5'500));
+  made.HandleResult(Page({{"t/2", {"x", 4}}, {"t/3", {"x", 5}}}, 30),
+                    At(6'000));
+  CHECK_TRUE(IsMissing(made, "t/1"));
+  CHECK_TRUE(made.Expire(At(6'700)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
+// Guards against entries that are never dropped because a timer was set for the
+// first of them only.
+TEST(PublicationReader, EachMissingEntryHasAnExpiry) {
+  reader made = AfterAnOutage();
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(4'800));
+  view peer = made.View();
+  peer.items["t/2"].missing = true;
+  peer.last_change_revision = 21;
+  made.Adopt({peer, {}, {}}, At(5'000));
+  CHECK_TRUE(made.NextExpiry() == At(6'700));
+  CHECK_TRUE(made.Expire(At(6'700)));
+  CHECK_TRUE(made.NextExpiry() == At(7'200));
+  CHECK_TRUE(made.Expire(At(7'200)));
+  CHECK_FALSE(made.NextExpiry().has_value());
+  LONGS_EQUAL(1, made.View().items.size());
+}
+
+// Guards against entries that stay missing on a VM that the service turns away
+// and that hears of them from its peers, or that stops reading.
+TEST(PublicationReader, MissingEntriesExpireOnVmsThatHearPeersOnly) {
+  reader turned_away = Listed();
+  turned_away.HandleResult(request_failure::kRefused, At(1'000));
+  turned_away.HandleResult(request_failure::kRefused, At(2'000));
+  view peer = turned_away.View();
+  peer.items["t/1"].missing = true;
+  peer.last_change_revision = 20;
+  turned_away.Adopt({peer, {}, {}}, At(3'000));
+  CHECK_TRUE(IsMissing(turned_away, "t/1"));
+  turned_away.HandleResult(request_failure::kRefused, At(4'000));
+  CHECK_TRUE(turned_away.NextExpiry() == At(5'200));
+  CHECK_TRUE(turned_away.Expire(At(5'200)));
+  // Its calls failed after it had heard of the missing entry.
+  reader stopped = Listed();
+  stopped.Adopt({peer, {}, {}}, At(500));
+  stopped.HandleResult(request_failure::kRefused, At(1'000));
+  CHECK_FALSE(stopped.Expire(At(3'000)));
+  CHECK_FALSE(stopped.NextExpiry().has_value());
+  stopped.StopRequests(At(3'000));
+  CHECK_TRUE(stopped.NextExpiry().has_value());
+  CHECK_TRUE(stopped.Expire(At(5'200)));
+}
+
+// Guards against entries that are dropped at the end of a second outage, in
+// which they could not come back.
+TEST(PublicationReader, MissingEntriesOutlastAFurtherOutage) {
+  reader made = AfterAnOutage();
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(4'800));
+  made.HandleResult(request_failure::kRefused, At(5'000));
+  made.HandleResult(request_failure::kRefused, At(6'000));
+  CHECK_FALSE(made.Expire(At(7'000)));
+  made.HandleResult(changes{{}, 20}, At(8'000));
+  CHECK_FALSE(made.Expire(At(8'001)));
+  CHECK_TRUE(made.Expire(At(10'200)));
+}
+
+// Guards against a target that is gone here and gets requests again because a
+// peer, such as one of an older release, keeps it as missing.
+TEST(PublicationReader, PeersDontBringBackWhatIsGone) {
+  reader made = AfterAnOutage();
+  made.HandleResult(changes{{{"t/1", {}, 20}}, 20}, At(6'000));
+  view peer = made.View();
+  peer.items["t/1"] = {"x", 3, true};
+  peer.items["t/2"] = {"y", 21};
+  peer.last_change_revision = 21;
+  CHECK_TRUE(made.Adopt({peer, {}, {}}, At(6'500)));
+  STRCMP_EQUAL("y", made.View().items.at("t/2").value.c_str());
+  CHECK_FALSE(made.View().items.contains("t/1"));
+  // It has been written again.
+  peer.items["t/1"] = {"x", 22};
+  peer.last_change_revision = 22;
+  CHECK_TRUE(made.Adopt({peer, {}, {}}, At(7'000)));
+  CHECK_TRUE(made.View().items.contains("t/1"));
+}
+
+// Guards against a VM in an outage of its own that keeps what a peer has
+// removed: the peer keeps what may come back.
+TEST(PublicationReader, RemovalsByPeersApplyAtOnce) {
+  reader made = AfterAnOutage();
+  made.HandleResult(request_failure::kRefused, At(5'000));
+  view_update update{made.View(), 5, {"t/1"}};
+  update.latest.items.clear();
+  update.latest.last_change_revision = 20;
+  CHECK_TRUE(made.Adopt(update, At(6'000)));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+}
+
 // Guards against a loop of stale listings and watches whose history is gone.
 TEST(PublicationReader, ListsAgainWhenTheHistoryIsGone) {
   reader made = Listed();
@@ -188,7 +375,10 @@
             }
             return rank;
           },
-          [](std::string_view key) { return key == "c"; }};
+          [](std::string_view key) { return key == "c"; },
+          [](std::string_view, std::string_view value) {
+            return value.ends_with("/leaving");
+          }};
 }
 
 using items = std::vector<std::pair<std::string, item>>;
@@ -259,6 +449,20 @@
   CHECK_FALSE(made.View().items.contains("t/2"));
 }
 
+// Guards against a target that leaves during an outage, as its entry says, and
+// is kept as one whose lease has run out.
+TEST(PublicationReader, TargetsThatSaidToLeaveAreGoneAfterAnOutage) {
+  reader made = InFirstEra();
+  made.HandleResult(changes{{{"t/1", "5/leaving", 31}}, 31, 1}, At(600));
+  made.HandleResult(request_failure::kRefused, At(1'000));
+  made.HandleResult(request_failure::kRefused, At(3'000));
+  static_cast<void>(made.Next(At(4'900)));
+  made.HandleResult(changes{{{"t/1", {}, 32}, {"t/2", {}, 33}}, 33, 1},
+                    At(5'000));
+  CHECK_FALSE(made.View().items.contains("t/1"));
+  CHECK_TRUE(IsMissing(made, "t/2"));
+}
+
 // Guards against a target that is never used again because the copy is older
 // than its end by a lapsed lease, after which it had come back.
 TEST(PublicationReader, TargetsThatTheCopyKeepsAreUsedInTheEnd) {
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -434,6 +434,22 @@
   CHECK_TRUE(rank("odd", 9) < rank("ready", 5));
 }
 
+// Guards against a target that said that it leaves, and is expected back when
+// its entry is removed.
+TEST(PlatformDialect, ReadsFromADocumentWhetherItsTargetLeaves) {
+  const fixture platform;
+  const auto ranks = platform.protocol->DocumentRanks();
+  const auto is_ending = [&](const std::string& key, const std::string& state) {
+    return ranks.is_ending(
+        key, R"({"service":"m","address":"10.0.0.1:1","slots":1,"state":")" +
+                 state + R"(","born":5,)" + kOtherFields + "}");
+  };
+  CHECK_TRUE(is_ending("servers/i-1", "draining"));
+  CHECK_FALSE(is_ending("servers/i-1", "ready"));
+  CHECK_FALSE(ranks.is_ending("servers/i-1", "{}"));
+  CHECK_FALSE(ranks.is_ending("op/config", kConfiguration));
+}
+
 // Guards against revisions that are compared although the service has come back
 // from an older copy.
 TEST(PlatformDialect, ReadsTheEraOfTheService) {
