Send no requests to evacuated failure domains

The operator can't take a failure domain out of service: VMs have no notion of an evacuation, so its targets get requests until their entries go.

The event domains_evacuated sets the evacuated failure domains. A pool without other targets is refused with pool_evacuated. Prefill at evacuated targets does not count as utilization.

--- a/src/acaciaferry/core/failure.cpp
+++ b/src/acaciaferry/core/failure.cpp
@@ -72,6 +72,8 @@
      "The request did not finish before its deadline."},
     {"caller_gone", 499, StatusCode::kCancelled, false,
      "The caller closed its connection."},
+    {"pool_evacuated", 503, StatusCode::kUnavailable, true,
+     "All targets of the pool are in failure domains that are evacuated."},
 }};
 
 }  // namespace internal
--- a/src/acaciaferry/core/failure.hpp
+++ b/src/acaciaferry/core/failure.hpp
@@ -52,10 +52,11 @@
   kAnswerCorrupt,
   kDeadlineExceeded,
   kCallerGone,
+  kPoolEvacuated,
 };
 
 inline constexpr std::size_t kFailureCodeCount =
-    static_cast<std::size_t>(failure_code::kCallerGone) + 1;
+    static_cast<std::size_t>(failure_code::kPoolEvacuated) + 1;
 
 /**
  * @brief Fixed properties of a failure code.
--- a/src/acaciaferry/forwarding/availability.cpp
+++ b/src/acaciaferry/forwarding/availability.cpp
@@ -1,5 +1,6 @@
 #include <string>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 
 namespace acaciaferry::forwarding::internal {
@@ -41,7 +42,7 @@
 }
 
 bool TakesRequests(const state& current, const target_id& id, time_point now) {
-  return !current.targets.IsLeaving(id) &&
+  return !current.targets.IsLeaving(id) && !IsEvacuated(current, id) &&
          current.refusals.NextRequestAt(id, now) <= now;
 }
 
--- a/src/acaciaferry/forwarding/candidates.cpp
+++ b/src/acaciaferry/forwarding/candidates.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 
 namespace acaciaferry::forwarding::internal {
@@ -9,6 +10,10 @@
 // together from returning together.
 constexpr duration kMinRetryAfter = std::chrono::milliseconds(250);
 constexpr std::uint64_t kRetryAfterJitterMs = 250;
+// The same for callers of a pool that is evacuated: VMs learn of the end within
+// about a second, which is not near in most cases.
+constexpr duration kEvacuatedRetryAfter = std::chrono::milliseconds(1'000);
+constexpr std::uint64_t kEvacuatedJitterMs = 1'000;
 
 // Drops the targets that don't satisfy a condition, unless that would drop all.
 template <typename Condition>
@@ -48,8 +53,9 @@
                                             const pool_id& pool,
                                             time_point now) {
   auto usable = current.targets.Usable(pool, now);
+  RemoveEvacuated(current, usable);
   if (usable.empty()) {
-    usable = current.targets.NotLeaving(pool);
+    usable = StayingTargets(current, pool);
   }
   Prefer(usable, [&](const target* each) {
     return std::find(current.cut_off.begin(), current.cut_off.end(),
@@ -83,6 +89,10 @@
 duration RetryAfter(state& current,
                     const pending_call& pending,
                     time_point now) {
+  if (IsPoolEvacuated(current, pending.request.pool)) {
+    return kEvacuatedRetryAfter + std::chrono::milliseconds(DrawBelow(
+                                      current.random, kEvacuatedJitterMs));
+  }
   const duration shortest =
       kMinRetryAfter +
       std::chrono::milliseconds(DrawBelow(current.random, kRetryAfterJitterMs));
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -41,7 +41,10 @@
       "target_gone",
       "request_held_back",
       "request_tested",
-      "request_cleared"};
+      "request_cleared",
+      "domain_evacuated",
+      "domain_drained",
+      "evacuation_ended"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/dispatch.cpp
+++ b/src/acaciaferry/forwarding/dispatch.cpp
@@ -44,6 +44,21 @@
   return reservations;
 }
 
+std::vector<failure_domain_id> DomainsOf(const state& current,
+                                         const placement& at) {
+  std::vector<failure_domain_id> domains;
+  const auto add = [&](const target_id& id) {
+    const target* found = current.targets.Find(id);
+    if (found != nullptr && std::find(domains.begin(), domains.end(),
+                                      found->failure_domain) == domains.end()) {
+      domains.push_back(found->failure_domain);
+    }
+  };
+  add(at.decode_target);
+  std::for_each(at.helpers.begin(), at.helpers.end(), add);
+  return domains;
+}
+
 job MakeDecodeJob(const state& current,
                   const pending_call& pending,
                   dispatch_id key,
@@ -137,6 +152,7 @@
   if (const target* to = current.targets.Find(placed.at.decode_target)) {
     started.target_incarnation = to->incarnation;
   }
+  started.failure_domains = DomainsOf(current, placed.at);
   const dispatch_id key =
       DispatchIdOf(current, pending.request.id, started.number);
   started.reservations = MakeReservations(current, placed, key, now);
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -187,10 +187,13 @@
   kRequestHeldBack,
   kRequestTested,
   kRequestCleared,
+  kDomainEvacuated,
+  kDomainDrained,
+  kEvacuationEnded,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kRequestCleared) + 1;
+    static_cast<std::size_t>(decision_kind::kEvacuationEnded) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -197,6 +197,11 @@
   std::vector<failure_domain_id> domains;
 };
 
+/** The failure domains that the operator has ordered to be evacuated. */
+struct domains_evacuated {
+  std::vector<failure_domain_id> domains;
+};
+
 /** A peer's process has ended, was replaced by a newer one, or is unreachable.
  */
 struct peer_lost {
@@ -258,6 +263,7 @@
                            targets_published,
                            peer_load_update,
                            domains_cut_off,
+                           domains_evacuated,
                            peer_lost,
                            peer_live_dispatches,
                            vm_count_updated,
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -27,8 +27,8 @@
                                                     const pending_call& pending,
                                                     time_point now);
 
-/** @return The targets of a pool that are not leaving, the reachable ones if
- * there are any. */
+/** @return The targets of a pool that are neither leaving nor evacuated, the
+ * reachable ones if there are any. */
 [[nodiscard]] std::vector<const target*> ReachableTargets(const state& current,
                                                           const pool_id& pool,
                                                           time_point now);
@@ -439,7 +439,7 @@
                          effects& out);
 
 /** @return Whether a target that was chosen still takes a request: it has not
- * said that it leaves, or that it wants none now. */
+ * said that it leaves, or that it wants none now, and is not evacuated. */
 [[nodiscard]] bool TakesRequests(const state& current,
                                  const target_id& id,
                                  time_point now);
--- a/src/acaciaferry/forwarding/fwd.hpp
+++ b/src/acaciaferry/forwarding/fwd.hpp
@@ -2,6 +2,7 @@
 
 namespace acaciaferry::forwarding {
 
+class evacuation_table;
 class load_ledger;
 class retry_allowance;
 class routing_table;
--- a/src/acaciaferry/forwarding/load_ledger.cpp
+++ b/src/acaciaferry/forwarding/load_ledger.cpp
@@ -189,6 +189,32 @@
   }
 }
 
+void load_ledger::RecordPrefill(const job& added, time_point now) {
+  if (uncounted_.contains(added.target)) {
+    return;
+  }
+  recent_prefills_.push_back({now, added.prefill_time, added.target});
+  recent_prefill_time_ += added.prefill_time;
+  while (recent_prefills_.front().at + internal::kUtilizationWindow < now) {
+    recent_prefill_time_ -= recent_prefills_.front().time;
+    recent_prefills_.pop_front();
+  }
+}
+
+void load_ledger::SetUncounted(std::set<target_id> targets) {
+  uncounted_ = std::move(targets);
+  if (uncounted_.empty()) {
+    return;
+  }
+  std::erase_if(recent_prefills_, [this](const recent_prefill& each) {
+    const bool is_uncounted = uncounted_.contains(each.target);
+    if (is_uncounted) {
+      recent_prefill_time_ -= each.time;
+    }
+    return is_uncounted;
+  });
+}
+
 void load_ledger::Add(const job& added, time_point now) {
   const auto [at, fresh] = queues_.try_emplace(added.target);
   queue& target_queue = at->second;
@@ -202,13 +228,7 @@
   Advance(target_queue, now);
   target_queue.jobs.push_back(added);
   if (added.prefill_time > duration{}) {
-    recent_prefills_.emplace_back(now, added.prefill_time);
-    recent_prefill_time_ += added.prefill_time;
-    while (recent_prefills_.front().first + internal::kUtilizationWindow <
-           now) {
-      recent_prefill_time_ -= recent_prefills_.front().second;
-      recent_prefills_.pop_front();
-    }
+    RecordPrefill(added, now);
     const pending_prefill prefill{added.key,
                                   added.prefill_time,
                                   added.is_part,
@@ -334,11 +354,11 @@
 
 double load_ledger::Utilization(std::size_t targets, time_point now) const {
   duration total = recent_prefill_time_;
-  for (const auto& [at, prefill_time] : recent_prefills_) {
-    if (at + internal::kUtilizationWindow >= now) {
+  for (const recent_prefill& each : recent_prefills_) {
+    if (each.at + internal::kUtilizationWindow >= now) {
       break;
     }
-    total -= prefill_time;
+    total -= each.time;
   }
   return targets == 0
              ? 0
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -152,6 +153,10 @@
    */
   [[nodiscard]] target_load Load(const target_id& id, time_point now) const;
 
+  /** @brief Sets the targets whose prefills don't count as utilization. Those
+   * that were dispatched to them before don't count any more. */
+  void SetUncounted(std::set<target_id> targets);
+
   /**
    * @brief Measures how busy a number of targets are with prefill.
    * @param targets The number of targets.
@@ -194,6 +199,8 @@
       queue& target_queue,
       bool is_part);
   static void MarkExceededGaps(queue& target_queue);
+  /** @brief Counts a prefill as utilization. */
+  void RecordPrefill(const job& added, time_point now);
   [[nodiscard]] static duration RemainingPrefill(const queue& target_queue,
                                                  const job& wanted);
   static void RemovePrefills(queue& target_queue,
@@ -215,9 +222,16 @@
 
   std::unordered_map<dispatch_id, dispatch> dispatches_;
   std::size_t jobs_{};
-  /** Time and prefill time of the latest prefills. */
-  std::deque<std::pair<time_point, duration>> recent_prefills_;
+  struct recent_prefill {
+    time_point at{};
+    duration time{};
+    target_id target;
+  };
+
+  /** The latest prefills at targets that count. */
+  std::deque<recent_prefill> recent_prefills_;
   duration recent_prefill_time_{};
+  std::set<target_id> uncounted_;
 };
 
 /**
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -2,6 +2,7 @@
 #include <string>
 #include <variant>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 
 namespace acaciaferry::forwarding::internal {
@@ -29,7 +30,10 @@
   const auto room = NextRoom(
       current, ReachableTargets(current, pending.request.pool, now), now);
   if (!room) {
-    return refused_call{failure_code::kNoLiveTarget, {}};
+    return refused_call{IsPoolEvacuated(current, pending.request.pool)
+                            ? failure_code::kPoolEvacuated
+                            : failure_code::kNoLiveTarget,
+                        {}};
   }
   if (pending.may_have_run && CanWaitForRoom(pending, *room, now)) {
     return deferred_call{
@@ -126,7 +130,12 @@
   }
   void operator()(const refused_call& refused) const {
     pending.promised_return = refused.retry_after;
-    FailCall(current, pending, refused.code, now, out);
+    // Planners don't name this code.
+    const bool is_evacuated = refused.code == failure_code::kNoLiveTarget &&
+                              IsPoolEvacuated(current, pending.request.pool);
+    FailCall(current, pending,
+             is_evacuated ? failure_code::kPoolEvacuated : refused.code, now,
+             out);
   }
 };
 
@@ -226,8 +235,13 @@
   } else if (auto* deferred = std::get_if<deferred_call>(&answer.verdict)) {
     deferred->wait = std::max(deferred->wait, kMinRemoteWait);
   } else {
-    std::get<refused_call>(answer.verdict).retry_after =
-        RetryAfter(current, pending, now);
+    auto& refused = std::get<refused_call>(answer.verdict);
+    refused.retry_after = RetryAfter(current, pending, now);
+    // VMs of release f1be9e1 don't read verdicts with newer codes. They would
+    // place the call themselves.
+    if (refused.code == failure_code::kPoolEvacuated) {
+      refused.code = failure_code::kNoLiveTarget;
+    }
   }
   out.emplace_back(answer_query{asked.asker, std::move(answer)});
 }
--- a/src/acaciaferry/forwarding/published_targets.cpp
+++ b/src/acaciaferry/forwarding/published_targets.cpp
@@ -1,6 +1,7 @@
 #include <string>
 #include <string_view>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 #include "acaciaferry/forwarding/state.hpp"
 
@@ -56,6 +57,7 @@
     }
   }
   SetEngines(current);
+  SetCountedTargets(current);
 }
 
 }  // namespace internal
--- a/src/acaciaferry/forwarding/reach.cpp
+++ b/src/acaciaferry/forwarding/reach.cpp
@@ -3,6 +3,7 @@
 #include <string>
 #include <vector>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 
 namespace acaciaferry::forwarding::internal {
@@ -69,7 +70,7 @@
   if (!current.reach.StartCheck(pool, now)) {
     return;
   }
-  auto targets = current.targets.NotLeaving(pool);
+  auto targets = StayingTargets(current, pool);
   std::erase_if(targets, [&](const target* each) {
     return current.reach.IsUnreached(pool, each->id);
   });
@@ -95,7 +96,7 @@
                      std::optional<call_id> except,
                      time_point now,
                      effects& out) {
-  const std::size_t pool_size = current.targets.NotLeaving(pool).size();
+  const std::size_t pool_size = StayingTargets(current, pool).size();
   if (!current.reach.RecordUnreachable({target, pool, pool_size, started},
                                        now)) {
     // A failure of a connection that was begun before another one was
@@ -171,7 +172,7 @@
   }
   current.reach.ScheduleProbe(now);
   for (const auto& [pool, engine] : current.pools) {
-    const auto targets = current.targets.NotLeaving(pool);
+    const auto targets = StayingTargets(current, pool);
     if (!current.reach.IsOutOfReach(pool) || targets.empty()) {
       continue;
     }
@@ -195,7 +196,8 @@
     }
   } else if (result.reached) {
     current.reach.RecordReached(result.pool, now);
-  } else if (!result.target.empty()) {
+  } else if (!result.target.empty() && !IsEvacuated(current, result.target)) {
+    // Evacuated targets may be stopped.
     RecordUnreached(current, result.target, result.pool, result.started,
                     std::nullopt, now, out);
   }
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -2,6 +2,7 @@
 #include <set>
 #include <utility>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 #include "acaciaferry/forwarding/state.hpp"
 
@@ -270,6 +271,10 @@
     current.cut_off.assign(after.begin(), after.end());
   }
 
+  void operator()(const domains_evacuated& happened) {
+    ApplyEvacuations(current, happened, now, out);
+  }
+
   void operator()(const peer_lost& happened) {
     current.ledger.EndProcess(ProcessPrefix(happened.incarnation), now);
   }
@@ -431,6 +436,7 @@
   if (!progress) {
     std::visit(step, happened);
   }
+  internal::ReportDrained(current, now, step.out);
   return std::move(step.out);
 }
 
--- a/src/acaciaferry/forwarding/reservations.cpp
+++ b/src/acaciaferry/forwarding/reservations.cpp
@@ -2,6 +2,7 @@
 #include <iterator>
 #include <string>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
 #include "acaciaferry/forwarding/flights.hpp"
 
 namespace acaciaferry::forwarding::internal {
@@ -77,10 +78,11 @@
   }
 }
 
-// Targets may say that they leave, or that they want no requests, while the
-// reservations are made.
+// Targets may say that they leave, or that they want no requests, or may be
+// evacuated, while the reservations are made.
 bool TakesPrompt(const state& current, const attempt& running, time_point now) {
-  return TakesRequests(current, running.target, now) &&
+  return !IsEvacuated(current, running) &&
+         TakesRequests(current, running.target, now) &&
          std::all_of(running.helpers.begin(), running.helpers.end(),
                      [&](const helper& each) {
                        return TakesRequests(current, each.target, now);
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -8,6 +8,7 @@
 
 #include "acaciaferry/core/random.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
+#include "acaciaferry/forwarding/evacuation/evacuation_table.hpp"
 #include "acaciaferry/forwarding/event.hpp"
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/placement.hpp"
@@ -53,6 +54,8 @@
   /** The target's process to which the request goes. */
   std::uint64_t target_incarnation{};
   std::vector<helper> helpers;
+  /** Those of its target and its helpers, without duplicates. */
+  std::vector<failure_domain_id> failure_domains;
   std::vector<reservation> reservations;
   time_point started{};
   bool sent{};
@@ -151,6 +154,7 @@
   /** Failure domains that are cut off, sorted. Their targets are chosen only if
    * there are no others. */
   std::vector<failure_domain_id> cut_off;
+  evacuation_table evacuations;
   load_ledger ledger;
   retry_allowance allowance;
   quarantine_state quarantine;
