Read evacuations from the configuration service

A VM listed op/config only, so keys op/evacuate/ZONE were not known.

It lists all of op/ now and decodes the keys by their presence. The daemon posts the evacuations with each view, before the targets. Gauges name the evacuated failure domains and the VM's attempts that still run there. document_ranks gets outlives_copies, which is true for these keys.

--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -82,6 +82,8 @@
    * the known one. */
   std::optional<forwarding::routing_table> table;
   std::vector<forwarding::target> targets;
+  /** Failure domains that the operator has ordered to be evacuated. */
+  std::vector<failure_domain_id> evacuated_domains;
   std::vector<document_fault> faults;
 };
 
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -8,6 +8,8 @@
 #include <sstream>
 #include <utility>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
+
 namespace acaciaferry::entry {
 namespace internal {
 
@@ -259,7 +261,8 @@
         views_.ServiceCalls(),
         age_of(table_accepted_at_),
         age_of(peers_.Protocol().LastLoadReceivedAt()),
-        age_of(peers_.Protocol().Roster().OldestHeartbeatTime())};
+        age_of(peers_.Protocol().Roster().OldestHeartbeatTime()),
+        EvacuationGauges()};
     request->Reply(internal::kOk,
                    {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.ToPrometheusText(log_, gauges));
@@ -268,6 +271,14 @@
   }
 }
 
+std::vector<evacuation_gauge> entry_daemon::EvacuationGauges() const {
+  std::vector<evacuation_gauge> gauges;
+  for (const failure_domain_id& each : state_.evacuations.Domains()) {
+    gauges.push_back({each, forwarding::CountAttemptsIn(state_, each)});
+  }
+  return gauges;
+}
+
 void entry_daemon::OnTunnelDialed(std::string_view address,
                                   bool reached,
                                   duration took) {
@@ -303,6 +314,8 @@
     new_limits.idle_timeout = limits.idle_timeout;
     callers_.SetLimits(new_limits);
   }
+  // Targets of evacuated failure domains must not be chosen in between.
+  Post(forwarding::domains_evacuated{std::move(decoded.evacuated_domains)});
   Post(forwarding::targets_published{std::move(decoded.targets)});
 }
 
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/entry/call_relay.hpp"
@@ -85,6 +86,7 @@
   [[nodiscard]] duration DrainAcceptPeriod() const;
   void ReloadSettings();
   [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] std::vector<evacuation_gauge> EvacuationGauges() const;
   /** @return Whether the view may lack recently published changes. */
   [[nodiscard]] bool ViewMayBeStale() const;
 
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -88,6 +88,37 @@
           std::string(name) + " " + value + "\n";
 }
 
+// Escapes a label's value as the text format requires.
+std::string EscapeLabel(std::string_view value) {
+  std::string escaped;
+  for (const char character : value) {
+    if (character == '\n') {
+      escaped += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') {
+      escaped += '\\';
+    }
+    escaped += character;
+  }
+  return escaped;
+}
+
+// One series for each evacuated failure domain.
+void AppendEvacuations(std::string& text,
+                       const std::vector<evacuation_gauge>& evacuations) {
+  std::string attempts;
+  text += "# TYPE acaciaferry_domain_evacuated gauge\n";
+  for (const evacuation_gauge& each : evacuations) {
+    const std::string label =
+        "{domain=\"" + EscapeLabel(each.domain.value) + "\"} ";
+    text += "acaciaferry_domain_evacuated" + label + "1\n";
+    attempts += "acaciaferry_evacuated_attempts" + label +
+                std::to_string(each.attempts) + "\n";
+  }
+  text += "# TYPE acaciaferry_evacuated_attempts gauge\n" + attempts;
+}
+
 }  // namespace internal
 
 class entry_metrics::histograms {
@@ -179,6 +210,7 @@
         std::to_string(gauges.load_update_age_s));
   gauge("acaciaferry_oldest_hello_age_seconds",
         std::to_string(gauges.oldest_heartbeat_age_s));
+  internal::AppendEvacuations(text, gauges.evacuations);
   internal::AppendHistogram(text, "acaciaferry_queued_seconds",
                             histograms_->queued);
   internal::AppendHistogram(text, "acaciaferry_first_event_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -5,14 +5,23 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "acaciaferry/core/failure.hpp"
+#include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/entry/decision_log.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
 
 namespace acaciaferry::entry {
 
+/** What is under way in a failure domain that is evacuated. */
+struct evacuation_gauge {
+  failure_domain_id domain;
+  /** Attempts of this VM that still run there. */
+  std::size_t attempts{};
+};
+
 /**
  * @brief Values sampled when the metrics are scraped. Ages are negative while
  * unknown.
@@ -55,6 +64,7 @@
    * longest.
    */
   double oldest_heartbeat_age_s{-1};
+  std::vector<evacuation_gauge> evacuations{};
 };
 
 /** @brief Counters and latency histograms of forwarded calls. */
--- a/src/acaciaferry/publication/view.hpp
+++ b/src/acaciaferry/publication/view.hpp
@@ -75,6 +75,8 @@
   /** Whether a document is never removed, so that its highest rank holds
    * whatever the revisions say. */
   std::function<bool(std::string_view key)> is_permanent;
+  /** Whether a document stays in force although an older copy lacks it. */
+  std::function<bool(std::string_view key)> outlives_copies;
 };
 
 }  // namespace acaciaferry::publication
--- a/test/acaciaferry/entry/entry_metrics_test.cpp
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -60,3 +60,16 @@
   CHECK_TRUE(Contains(text, "acaciaferry_load_news_age_seconds 1.500000"));
   CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
 }
+
+// Guards against an operator who can't see which failure domains a VM takes for
+// evacuated and what still runs there, and against names that break the format.
+TEST(EntryMetrics, ReportsEvacuations) {
+  const entry_metrics metrics;
+  entry_gauges gauges;
+  gauges.evacuations = {{{"a"}, 3}, {{"b\"\\\n"}, 0}};
+  const std::string text = metrics.ToPrometheusText(decision_log("vm"), gauges);
+  CHECK_TRUE(Contains(text, "acaciaferry_domain_evacuated{domain=\"a\"} 1"));
+  CHECK_TRUE(Contains(text, "acaciaferry_evacuated_attempts{domain=\"a\"} 3"));
+  CHECK_TRUE(Contains(
+      text, "acaciaferry_evacuated_attempts{domain=\"b\\\"\\\\\\n\"} 0"));
+}
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -1,5 +1,7 @@
 #include "platform_dialect.hpp"
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace acaciaferry;
@@ -629,3 +631,41 @@
   CHECK_TRUE(ranks.rank_of("servers/i-2", odd) <
              ranks.rank_of("servers/i-2", sound));
 }
+
+// Guards against an order to evacuate that is not obeyed because of its value,
+// or because an older copy of the documents lacks it, and against a key without
+// a name that takes all targets out of service.
+TEST(PlatformDialect, ThePresenceOfAKeyOrdersAnEvacuation) {
+  const fixture platform;
+  publication::view view = View(kConfiguration);
+  view.items["op/evacuate/a"] = {"{}", 3, false};
+  view.items["op/evacuate/b c/d"] = {"no JSON", 4, false};
+  view.items["op/evacuate/gone"] = {"", 5, true};
+  view.items["op/evacuate/"] = {"{}", 6, false};
+  view.items["op/evacuated"] = {"{}", 7, false};
+  const decoded_view decoded = platform.protocol->DecodeDocuments(view, 0);
+  CHECK_TRUE((decoded.evacuated_domains ==
+              std::vector<failure_domain_id>{{"a"}, {"b c/d"}, {"gone"}}));
+  LONGS_EQUAL(1, decoded.faults.size());
+  STRCMP_EQUAL("op/evacuate/", decoded.faults.front().key.c_str());
+  CHECK_TRUE(decoded.table.has_value());
+  LONGS_EQUAL(1, decoded.targets.size());
+  const auto ranks = platform.protocol->DocumentRanks();
+  CHECK_TRUE(ranks.outlives_copies("op/evacuate/a"));
+  CHECK_FALSE(ranks.outlives_copies("op/config"));
+  CHECK_FALSE(ranks.outlives_copies("servers/op/evacuate/a"));
+  CHECK_FALSE(ranks.is_permanent("op/evacuate/a"));
+}
+
+// Guards against a VM that starts and does not learn of an evacuation, since
+// its listings leave the key out.
+TEST(PlatformDialect, ListingsHaveTheEvacuations) {
+  const fixture platform;
+  const auto prefixes = platform.protocol->DocumentPrefixes();
+  LONGS_EQUAL(2, prefixes.size());
+  for (const std::string key : {"servers/i-1", "op/config", "op/evacuate/a"}) {
+    CHECK_TRUE(std::any_of(
+        prefixes.begin(), prefixes.end(),
+        [&](const std::string& each) { return key.starts_with(each); }));
+  }
+}
