--- a/src/acaciaferry/publication/view.hpp
+++ b/src/acaciaferry/publication/view.hpp
@@ -78,6 +78,8 @@
   /** Whether a document says that what it describes is about to end, so that it
    * isn't expected back once it is removed. */
   std::function<bool(std::string_view key, std::string_view value)> is_ending;
+  /** Whether a document stays in force although an older copy lacks it. */
+  std::function<bool(std::string_view key)> outlives_copies;
 };
 
 }  // namespace acaciaferry::publication
