--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -10,11 +10,11 @@
 
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/limits/target_limits.hpp"
+#include "acaciaferry/forwarding/limits/target_refusals.hpp"
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/planning.hpp"
 #include "acaciaferry/forwarding/routing_table.hpp"
-#include "acaciaferry/forwarding/target_limits.hpp"
-#include "acaciaferry/forwarding/target_refusals.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
 #include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
--- a/src/acaciaferry/forwarding/target_limits.cpp
+++ b/src/acaciaferry/forwarding/limits/target_limits.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/forwarding/target_limits.hpp"
+#include "acaciaferry/forwarding/limits/target_limits.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/test/acaciaferry/forwarding/target_refusals_test.cpp
+++ b/test/acaciaferry/forwarding/target_refusals_test.cpp
@@ -1,4 +1,4 @@
-#include "acaciaferry/forwarding/target_refusals.hpp"
+#include "acaciaferry/forwarding/limits/target_refusals.hpp"
 
 #include <CppUTest/TestHarness.h>
 
