--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -149,7 +149,7 @@
   report_(forwarding::response_started{
       request_.call.id, attempt, classified.verdict, head.status,
       classified.at_fault, classified.load, classified.limit,
-      classified.availability});
+      classified.availability, classified.cold_for});
   return true;
 }
 
--- a/src/acaciaferry/entry/dialect.hpp
+++ b/src/acaciaferry/entry/dialect.hpp
@@ -48,6 +48,9 @@
   std::optional<forwarding::limit_statement> limit;
   /** What the response says of whether the target takes further requests. */
   forwarding::availability_statement availability;
+  /** For how much longer the target is cold, if the response says that it is.
+   */
+  std::optional<duration> cold_for;
   /**
    * False when the response carries the id of another request; such a response
    * is skipped.
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -244,6 +244,7 @@
         state_.ledger.JobCount(),
         state_.targets.size(),
         state_.limits.Count(),
+        state_.limits.ColdCount(clock_.Now()),
         state_.targets.SaidToLeave().size(),
         state_.refusals.Refusing(clock_.Now()).size(),
         state_.reach.IsAnyOutOfReach(),
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -158,6 +158,7 @@
   gauge("acaciaferry_jobs", std::to_string(gauges.jobs));
   gauge("acaciaferry_targets", std::to_string(gauges.targets));
   gauge("acaciaferry_limited_targets", std::to_string(gauges.limited_targets));
+  gauge("acaciaferry_cold_targets", std::to_string(gauges.cold_targets));
   gauge("acaciaferry_leaving_targets", std::to_string(gauges.leaving_targets));
   gauge("acaciaferry_refusing_targets",
         std::to_string(gauges.refusing_targets));
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -23,6 +23,8 @@
   std::size_t targets{};
   /** Targets that have named a limit. */
   std::size_t limited_targets{};
+  /** Targets that get less since they are cold, or were a short while ago. */
+  std::size_t cold_targets{};
   /** Targets that have said that they leave. */
   std::size_t leaving_targets{};
   /** Targets that want no request from this VM now. */
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -17,6 +17,8 @@
 constexpr duration kOrderDelay = std::chrono::milliseconds(2);
 constexpr duration kProbeTime = std::chrono::milliseconds(400);
 constexpr duration kFetchDelay = std::chrono::milliseconds(20);
+// VMs see a change of the documents within this time.
+constexpr duration kWatchDelay = std::chrono::milliseconds(100);
 
 forwarding::engine_properties Engine(std::uint32_t slots) {
   forwarding::engine_properties engine;
@@ -56,7 +58,8 @@
       reaches_service_([](std::size_t) { return true; }),
       is_partitioned_([](std::size_t) { return false; }) {
   clock_->now = time_point(std::chrono::seconds(100));
-  table_.pools = {{internal::kHubFleetPool, internal::Engine(plan.slots)}};
+  table_.pools = {
+      {internal::kHubFleetPool, internal::Engine(plan.slots), plan.cold}};
   for (std::size_t domain = 0; domain < plan.domains; ++domain) {
     for (std::size_t index = 0; index < plan.engines_per_domain; ++index) {
       engine made;
@@ -185,8 +188,17 @@
           std::find(seeds_.begin(), seeds_.end(), self.address) != seeds_.end(),
           self.capacity},
       *self.state, *clock_, std::move(handlers));
+  self.publication = publications_;
+  Post(vm, forwarding::targets_published{PublishedTargets()});
+  OnInterval(vm);
+}
+
+std::vector<forwarding::target> hub_fleet::PublishedTargets() const {
   std::vector<forwarding::target> targets;
   for (std::size_t index = 0; index < engines_.size(); ++index) {
+    if (engines_[index].withdrawn) {
+      continue;
+    }
     forwarding::target made;
     made.id = engines_[index].id;
     made.pool = internal::kHubFleetPool;
@@ -194,10 +206,34 @@
     made.failure_domain = internal::DomainId(
         index / std::max<std::size_t>(plan_.engines_per_domain, 1));
     made.slots = plan_.slots;
+    made.incarnation = engines_[index].incarnation;
+    made.cold_for = engines_[index].published_cold;
     targets.push_back(std::move(made));
   }
-  Post(vm, forwarding::targets_published{std::move(targets)});
-  OnInterval(vm);
+  return targets;
+}
+
+void hub_fleet::PublishTargets() {
+  const auto targets = PublishedTargets();
+  const std::uint64_t publication = ++publications_;
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    const auto seen_after = static_cast<std::int64_t>(DrawBelow(
+        random_, static_cast<std::uint64_t>(internal::kWatchDelay.count())));
+    AfterAt(vm, duration(seen_after), [this, vm, targets, publication] {
+      if (vms_[vm]->publication < publication) {
+        vms_[vm]->publication = publication;
+        Post(vm, forwarding::targets_published{targets});
+      }
+    });
+  }
+}
+
+void hub_fleet::EndEvacuation(std::size_t domain) {
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    if (vms_[vm]->running) {
+      MarkDomainCold(*vms_[vm]->state, internal::DomainId(domain), clock_->now);
+    }
+  }
 }
 
 void hub_fleet::Stop(std::size_t vm) {
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -39,6 +39,8 @@
   std::uint64_t lost_percent{};
   /** Whether callers leave when no event arrives for a while. */
   bool callers_leave{};
+  /** What engines take after a start; nothing if as much as later. */
+  std::optional<forwarding::cold_start> cold{};
   std::uint64_t seed{1};
 };
 
@@ -125,6 +127,22 @@
   /** @brief Lets an engine name a limit in its responses, in requests a second
    * of all VMs. */
   void SetLimit(std::size_t engine, std::optional<double> requests_per_s);
+  /** @brief Removes the entries of engines, which end when they have done their
+   * work. */
+  void Withdraw(const std::vector<std::size_t>& engines);
+  /**
+   * @brief Lets engines be cold, all at once, and publishes the entries that
+   * say so; those that were withdrawn are back as new processes. Their entries
+   * change every 1.2 s as long as they are cold. Responses say it, too.
+   */
+  void SetCold(const std::vector<std::size_t>& engines, duration cold_for);
+  /** @brief Ends the evacuation of a failure domain on all VMs. */
+  void EndEvacuation(std::size_t domain);
+  /** @return Largest number of requests that reached an engine within a second
+   * from `since` on, without those after `until`. */
+  [[nodiscard]] std::size_t MostInASecond(std::size_t engine,
+                                          time_point since,
+                                          time_point until) const;
   /** @brief Lets an engine say in its responses that it leaves. */
   void SetLeaving(std::size_t engine);
   /** @brief Lets each engine that runs a request crash after some events of
@@ -208,6 +226,13 @@
   void Post(std::size_t vm, const forwarding::event& happened);
   void ScheduleWake(std::size_t vm);
   void OnInterval(std::size_t vm);
+  /** @return The entries of the engines. */
+  [[nodiscard]] std::vector<forwarding::target> PublishedTargets() const;
+  /** @brief Publishes the entries of the engines; VMs see them at different
+   * times. */
+  void PublishTargets();
+  /** @brief Lets cold engines write their entries until all are warm. */
+  void WriteColdEntries();
   void StartCall(std::uint64_t prompt_tokens);
   void SendCallTo(std::size_t vm,
                   std::uint64_t prompt_tokens,
@@ -260,6 +285,8 @@
   partition_kind partition_kind_{};
   std::vector<first_try> first_tries_;
   std::uint64_t published_revision_{1};
+  /** Changes of the engines' entries. */
+  std::uint64_t publications_{};
   std::uint64_t next_incarnation_{1};
   std::uint64_t calls_{};
   std::uint64_t refusals_{};
--- a/src/acaciaferry/experiment/hub_fleet_engines.cpp
+++ b/src/acaciaferry/experiment/hub_fleet_engines.cpp
@@ -26,6 +26,8 @@
 constexpr int kPatienceInObjectives = 4;
 // A crashed engine is back after this time.
 constexpr duration kDownTime = std::chrono::seconds(3);
+// A cold engine writes its entry this often.
+constexpr duration kEntryInterval = std::chrono::milliseconds(1'200);
 
 }  // namespace
 }  // namespace internal
@@ -103,6 +105,7 @@
       {vm, vms_[vm]->life, attempt.id, attempt.attempt, DialerOf(vm, attempt)});
   const duration first = pending.running_attempt->predicted_first_event +
                          std::chrono::milliseconds(5);
+  const duration cold_for = target.cold_until - clock_->now - first;
   Respond(vm, attempt, internal::kRoundTrip,
           forwarding::attempt_sent{attempt.id, attempt.attempt});
   Respond(vm, attempt, first,
@@ -114,7 +117,8 @@
               "",
               {},
               forwarding::limit_statement{target.limit},
-              forwarding::availability_statement{target.leaving, {}}});
+              forwarding::availability_statement{target.leaving, {}},
+              cold_for > duration{} ? std::optional(cold_for) : std::nullopt});
   if (const auto at = crashing_.find(fingerprint); at != crashing_.end()) {
     const auto events = static_cast<std::int64_t>(at->second);
     After(first + events * internal::kEventInterval,
@@ -287,6 +291,53 @@
   engines_[index].limit = requests_per_s;
 }
 
+void hub_fleet::Withdraw(const std::vector<std::size_t>& engines) {
+  for (const std::size_t index : engines) {
+    engines_[index].withdrawn = true;
+  }
+  PublishTargets();
+}
+
+void hub_fleet::SetCold(const std::vector<std::size_t>& engines,
+                        duration cold_for) {
+  for (const std::size_t index : engines) {
+    engine& cold = engines_[index];
+    if (std::exchange(cold.withdrawn, false)) {
+      ++cold.incarnation;
+    }
+    cold.cold_until = clock_->now + cold_for;
+  }
+  WriteColdEntries();
+}
+
+void hub_fleet::WriteColdEntries() {
+  bool any_changed = false;
+  for (engine& each : engines_) {
+    const duration before = each.published_cold;
+    each.published_cold = std::max(each.cold_until - clock_->now, duration{});
+    any_changed = any_changed || each.published_cold != before;
+  }
+  if (any_changed) {
+    PublishTargets();
+    After(internal::kEntryInterval, [this] { WriteColdEntries(); });
+  }
+}
+
+std::size_t hub_fleet::MostInASecond(std::size_t index,
+                                     time_point since,
+                                     time_point until) const {
+  const auto& all = engines_[index].arrivals;
+  const auto end = std::lower_bound(all.begin(), all.end(), until);
+  std::size_t most = 0;
+  for (auto first = std::lower_bound(all.begin(), end, since); first != end;
+       ++first) {
+    const auto last =
+        std::lower_bound(first, end, *first + std::chrono::seconds(1));
+    most = std::max(most, static_cast<std::size_t>(last - first));
+  }
+  return most;
+}
+
 void hub_fleet::SetLeaving(std::size_t index) {
   engines_[index].leaving = true;
 }
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -41,6 +41,11 @@
   bool leaving{};
   std::vector<engine_exchange> exchanges;
   time_point down_until{};
+  bool withdrawn{};
+  std::uint64_t incarnation{};
+  time_point cold_until{};
+  /** As its entry says. */
+  duration published_cold{};
 };
 
 struct hub_fleet::vm {
@@ -55,6 +60,8 @@
   std::unique_ptr<forwarding::state> state;
   std::unique_ptr<mesh::peer_protocol> protocol;
   std::uint64_t revision{};
+  /** Newest change of the engines' entries that it has seen. */
+  std::uint64_t publication{};
   bool reads{};
   time_point wake_at{};
   vm_traffic traffic;
--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -41,7 +41,9 @@
       "target_gone",
       "request_held_back",
       "request_tested",
-      "request_cleared"};
+      "request_cleared",
+      "target_cold",
+      "target_warm"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/dispatch.cpp
+++ b/src/acaciaferry/forwarding/dispatch.cpp
@@ -109,7 +109,11 @@
     current.ledger.Add(each, now);
     current.refusals.CountRequest(each.target, now);
   }
-  CountAgainstLimits(current, jobs, now);
+  CountAgainstLimits(current, jobs,
+                     source == told_by::kThisVm
+                         ? target_limits::placed_by::kThisVm
+                         : target_limits::placed_by::kOther,
+                     now);
   if (source == told_by::kThisVm) {
     out.emplace_back(notify_peers{std::move(jobs), {}, {}});
   }
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -187,10 +187,12 @@
   kRequestHeldBack,
   kRequestTested,
   kRequestCleared,
+  kTargetCold,
+  kTargetWarm,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kRequestCleared) + 1;
+    static_cast<std::size_t>(decision_kind::kTargetWarm) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -107,6 +107,9 @@
   /** Nothing if the response is not known to come from the target. */
   std::optional<limit_statement> limit{};
   availability_statement availability{};
+  /** For how much longer the target is cold; nothing if the response does not
+   * say that it is. */
+  std::optional<duration> cold_for{};
 };
 
 /** One or more complete events of a stream were passed on to the caller. */
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -407,8 +407,32 @@
  * that have gone or restarted. */
 void ApplyPublishedTargets(state& current,
                            const targets_published& published,
+                           time_point now,
                            effects& out);
 
+/** @brief Limits the published targets whose entries say that they are cold. */
+void ApplyStatedColdTimes(state& current,
+                          const targets_published& published,
+                          time_point now,
+                          effects& out);
+
+/** @brief Records that a response of a target says for how much longer it is
+ * cold, and tells the peers if that is news. A response of another process of
+ * the target than the published one, by its incarnation, says nothing. */
+void RecordCold(state& current,
+                const target_id& id,
+                std::uint64_t incarnation,
+                duration cold_for,
+                time_point now,
+                effects& out);
+
+/** @brief Sets the part of a cold target's limit that this VM uses by the
+ * number of VMs that place calls. */
+void UpdateOwnShare(state& current, time_point now);
+
+/** @brief Forgets limits that have ended. */
+void ExpireLimits(state& current, time_point now, effects& out);
+
 /** @brief Records what a response says of its target's limit, and tells the
  * peers of a change. */
 void RecordLimit(state& current,
@@ -448,6 +472,7 @@
  * targets. */
 void CountAgainstLimits(state& current,
                         std::span<const job> jobs,
+                        target_limits::placed_by source,
                         time_point now);
 
 /** @return Whether a target takes a request now: its limit leaves room for it,
@@ -463,12 +488,13 @@
     std::span<const target* const> targets,
     time_point now);
 
-/** @return Those of some targets that have named a limit. Parts of prompts are
- * read elsewhere if possible: each uses up one of the requests that the target
- * takes. */
+/** @return Those of some targets that have a limit, as cold ones have. Parts of
+ * prompts are read elsewhere if possible: each uses up one of the requests that
+ * the target takes. */
 [[nodiscard]] std::vector<target_id> LimitedAmong(
     const state& current,
-    std::span<const target* const> targets);
+    std::span<const target* const> targets,
+    time_point now);
 
 /** @return How long a refused caller should wait until a pool without room
  * takes its call. */
--- a/src/acaciaferry/forwarding/limits/target_limits.hpp
+++ b/src/acaciaferry/forwarding/limits/target_limits.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <unordered_map>
@@ -28,6 +29,9 @@
   duration age{};
   /** Requests that were sent beyond the limit; see target_limits. */
   double debt{};
+  /** For how much longer the target is cold; 0 if it isn't, or if the VM that
+   * tells it doesn't know of cold targets. */
+  duration cold_for{};
 
   [[nodiscard]] bool operator==(const limit_report&) const = default;
 };
@@ -44,11 +48,19 @@
  * for it. The count is a debt, in requests: each request adds one, and time
  * reduces it at the rate of the limit. A VM that hears only a part of the fleet
  * reduces it by that part of the rate, since the others may send as well.
+ *
+ * A cold target has a limit as well, which rises after the cold time and is
+ * then lifted. Such a target does not survive what a limited one does, so the
+ * requests that this VM places itself have a second debt, which is reduced at
+ * this VM's own part of the rate: all VMs together stay near the limit before
+ * they find out that they don't hear each other.
  */
 class target_limits {
  public:
   /** What a report or a response changed. */
   enum class change { kNone, kMinor, kNamed, kChanged, kEnded };
+  /** Which VM has placed a request. */
+  enum class placed_by { kThisVm, kOther };
 
   explicit target_limits(std::uint64_t seed) : random_(seed) {}
 
@@ -63,25 +75,58 @@
   /** @brief Applies the report of a peer. What a later response said, or one of
    * a later incarnation, stays. */
   change Merge(const limit_report& report, time_point now);
-  /** @brief Forgets the limit of a target that has restarted. */
-  void Forget(const target_id& id) { entries_.erase(id); }
+  /** @brief Forgets the limit of a target that has restarted.
+   * @param incarnation Its new process, of which peers may have told already.
+   */
+  void Forget(const target_id& id, std::uint64_t incarnation);
+
+  /**
+   * @brief Limits a target while it is cold. What is known of the same process
+   * is extended, and its debt stays.
+   * @param requests_per_s Above 0.
+   * @param until End of the cold time.
+   * @param ramp_end When the limit is lifted, which has risen to kRampFactor
+   * times the rate then; not before `until`.
+   * @return Whether the target wasn't limited as cold.
+   */
+  bool SetCold(const target_id& id,
+               std::uint64_t incarnation,
+               double requests_per_s,
+               time_point until,
+               time_point ramp_end,
+               time_point now);
+  /** @brief Lifts the limits of the cold targets that a condition selects. */
+  void EndCold(const std::function<bool(const target_id&)>& selects);
+  /** @return For how much longer a target is cold, without the time in which
+   * its limit rises. */
+  [[nodiscard]] duration ColdFor(const target_id& id, time_point now) const;
 
   /** @brief Counts a request to a target; each dispatch counts once. */
-  void CountRequest(const target_id& id, dispatch_id key, time_point now);
+  void CountRequest(const target_id& id,
+                    dispatch_id key,
+                    placed_by source,
+                    time_point now);
 
   /**
    * @brief Sets the part of the VMs that this VM hears.
    * @param share Above 0, at most 1.
    */
   void SetShare(double share, time_point now);
+  /**
+   * @brief Sets the part of a cold target's limit up to which this VM places
+   * requests, whatever it hears of others.
+   * @param share Above 0, at most 1.
+   */
+  void SetOwnShare(double share, time_point now);
 
-  /** @return Whether a target has named a limit. */
-  [[nodiscard]] bool IsLimited(const target_id& id) const;
-  /** @return The limit of a target in requests a second, if it has one. */
+  /** @return Whether a target has named a limit, or has one as a cold target.
+   */
+  [[nodiscard]] bool IsLimited(const target_id& id, time_point now) const;
+  /** @return The limit that a target has named, in requests a second. */
   [[nodiscard]] std::optional<double> LimitOf(const target_id& id) const;
   /** @return Requests a second that all VMs together send to a target at most;
    * 0 for one without a limit. */
-  [[nodiscard]] double FleetRate(const target_id& id) const;
+  [[nodiscard]] double FleetRate(const target_id& id, time_point now) const;
   /** @return When the limit of a target leaves room for a request: `now` or
    * later. */
   [[nodiscard]] time_point NextRequestAt(const target_id& id,
@@ -103,24 +148,53 @@
   /** @return What this VM knows of all limits. */
   [[nodiscard]] std::vector<limit_report> Reports(time_point now) const;
   /** @brief Forgets limits that have ended, and those of targets of which
-   * nothing was heard for long. */
-  void Expire(time_point now);
-  /** @return Number of targets with a limit. */
+   * nothing was heard for long.
+   * @return The targets that were cold and have no such limit any more. */
+  std::vector<target_id> Expire(time_point now);
+  /** @return Number of targets that have named a limit. */
   [[nodiscard]] std::size_t Count() const;
+  /** @return Number of targets that are limited as cold ones. */
+  [[nodiscard]] std::size_t ColdCount(time_point now) const;
+  /** @return Number of requests that are kept so that none counts twice. */
+  [[nodiscard]] std::size_t CountedRequests() const;
+
+  /** The limit of a cold target is lifted at this many times its rate. */
+  static constexpr double kRampFactor = 4;
+  /** Part of a cold target's limit that a VM uses before it knows how many
+   * share it: as of a VM among 16. */
+  static constexpr double kFirstOwnShare = 1.0 / 16;
 
  private:
+  struct cold_limit {
+    double requests_per_s{};
+    time_point until{};
+    time_point ramp_end{};
+    /** Requests that this VM has placed beyond its own part of the limit. */
+    double own_debt{};
+  };
   struct entry {
     std::uint64_t incarnation{};
     std::optional<double> requests_per_s;
     time_point observed_at{};
     double debt{};
+    /** When the debts were as stated. */
     time_point debt_at{};
+    std::optional<cold_limit> cold;
     /** Dispatches that were counted, and when. */
     std::unordered_map<dispatch_id, time_point> counted;
   };
 
-  [[nodiscard]] double Rate(const entry& of) const;
+  [[nodiscard]] static bool IsCold(const entry& of, time_point now);
+  [[nodiscard]] static bool IsLimited(const entry& of, time_point now);
+  [[nodiscard]] static double LimitAt(const entry& of, time_point now);
+  [[nodiscard]] static double Allowance(const entry& of,
+                                        bool cold_only,
+                                        time_point from,
+                                        time_point until);
+  static void Restart(entry& of, std::uint64_t incarnation, time_point now);
+  [[nodiscard]] double Rate(const entry& of, time_point now) const;
   [[nodiscard]] double DebtAt(const entry& of, time_point now) const;
+  [[nodiscard]] double OwnDebtAt(const entry& of, time_point now) const;
   void Settle(entry& of, time_point now) const;
   change Apply(const target_id& id,
                std::uint64_t incarnation,
@@ -133,6 +207,7 @@
   std::map<pool_id, time_point> promised_room_;
   random_engine random_;
   double share_{1};
+  double own_share_{kFirstOwnShare};
 };
 
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -221,7 +221,7 @@
     for (const job& each : jobs) {
       current.ledger.Add(each, now);
     }
-    CountAgainstLimits(current, jobs, now);
+    CountAgainstLimits(current, jobs, target_limits::placed_by::kThisVm, now);
     out.emplace_back(notify_peers{std::move(jobs), {}, {}});
   } else if (auto* deferred = std::get_if<deferred_call>(&answer.verdict)) {
     deferred->wait = std::max(deferred->wait, kMinRemoteWait);
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -66,7 +66,7 @@
           1,
           RemainingLatency(pending, now),
           pending.request.gap_objective,
-          LimitedAmong(current, candidates)};
+          LimitedAmong(current, candidates, now)};
 }
 
 std::uint64_t ReservableTokens(const state& current,
--- a/src/acaciaferry/forwarding/published_targets.cpp
+++ b/src/acaciaferry/forwarding/published_targets.cpp
@@ -29,6 +29,7 @@
 
 void ApplyPublishedTargets(state& current,
                            const targets_published& published,
+                           time_point now,
                            effects& out) {
   using type = target_table::change::type;
   for (const auto& change : current.targets.Update(published.targets)) {
@@ -48,7 +49,9 @@
         break;
       case type::kRestarted:
         current.ledger.RemoveTarget(change.id);
-        current.limits.Forget(change.id);
+        if (const target* restarted = current.targets.Find(change.id)) {
+          current.limits.Forget(change.id, restarted->incarnation);
+        }
         current.refusals.Forget(change.id);
         LogTargetChange(out, decision_kind::kTargetRestarted, change.id,
                         "new_incarnation");
@@ -56,15 +59,28 @@
     }
   }
   SetEngines(current);
+  for (const target& each : published.targets) {
+    current.target_domains.insert(each.failure_domain);
+  }
+  UpdateOwnShare(current, now);
+  ApplyStatedColdTimes(current, published, now, out);
 }
 
 }  // namespace internal
 
 void SetPools(state& current, const routing_table& table) {
   current.pools.clear();
+  current.cold_pools.clear();
   for (const pool& each : table.pools) {
     current.pools.emplace(each.name, each.engine);
+    if (each.cold) {
+      current.cold_pools.emplace(each.name, *each.cold);
+    }
   }
+  current.limits.EndCold([&current](const target_id& id) {
+    const target* at = current.targets.Find(id);
+    return at != nullptr && !current.cold_pools.contains(at->pool);
+  });
   internal::SetEngines(current);
 }
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -102,6 +102,11 @@
       RecordLimit(current, pending->running_attempt->target, *happened.limit,
                   now, out);
     }
+    if (happened.cold_for) {
+      RecordCold(current, pending->running_attempt->target,
+                 pending->running_attempt->target_incarnation,
+                 *happened.cold_for, now, out);
+    }
     RecordAvailability(current, pending->running_attempt->target,
                        pending->running_attempt->target_incarnation,
                        happened.availability, now, out);
@@ -225,14 +230,15 @@
   }
 
   void operator()(const targets_published& happened) {
-    ApplyPublishedTargets(current, happened, out);
+    ApplyPublishedTargets(current, happened, now, out);
   }
 
   void operator()(const peer_load_update& happened) {
     for (const job& each : happened.jobs) {
       current.ledger.Add(each, now);
     }
-    CountAgainstLimits(current, happened.jobs, now);
+    CountAgainstLimits(current, happened.jobs, target_limits::placed_by::kOther,
+                       now);
     for (const dispatch_id key : happened.ended) {
       current.ledger.End(key, now);
     }
@@ -292,6 +298,7 @@
     current.limits.SetShare(
         static_cast<double>(heard) / static_cast<double>(current.vm_count),
         now);
+    UpdateOwnShare(current, now);
   }
 
   void operator()(const limit_reports_received& happened) {
@@ -323,6 +330,7 @@
     current.planners = happened.addresses;
     current.is_large_fleet = happened.is_large_fleet;
     current.is_hub = happened.is_hub;
+    UpdateOwnShare(current, now);
   }
 
   void operator()(const target_asked& happened) {
--- a/src/acaciaferry/forwarding/routing_table.hpp
+++ b/src/acaciaferry/forwarding/routing_table.hpp
@@ -43,6 +43,17 @@
   double mean_prompt_tokens{};
 };
 
+/**
+ * @brief What the targets of a pool can take after a start.
+ */
+struct cold_start {
+  /** Time that a target is cold, above 0. */
+  duration period{};
+  /** Requests a second that a cold target takes from all VMs together, above 0.
+   */
+  double requests_per_s{};
+};
+
 /**
  * @brief The targets that serve one model or one plain service.
  */
@@ -50,6 +61,8 @@
   pool_id name;
   /** Empty for a plain service. */
   std::optional<engine_properties> engine;
+  /** Empty if cold targets take as much as others. */
+  std::optional<cold_start> cold{};
 };
 
 struct weighted_pool {
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -137,6 +138,15 @@
   std::optional<std::vector<target_id>> refusing_asker;
 };
 
+/** The cold time of a target as its entry states it. */
+struct stated_cold_time {
+  /** See target::incarnation. */
+  std::uint64_t incarnation{};
+  duration cold_for{};
+  /** Counted from when this VM first saw the entry. */
+  time_point until{};
+};
+
 /**
  * @brief The state from which decisions on forwarded calls are made.
  */
@@ -147,7 +157,13 @@
   failure_domain_id failure_domain;
   /** Pools of the accepted routing table, by name. */
   std::map<pool_id, std::optional<engine_properties>> pools;
+  /** Those of them whose cold targets take less. */
+  std::map<pool_id, cold_start> cold_pools;
   target_table targets;
+  /** Cold times of published targets. */
+  std::map<target_id, stated_cold_time> stated_cold_times;
+  /** Failure domains that have had targets, over the life of the process. */
+  std::set<failure_domain_id> target_domains;
   /** Failure domains that are cut off, sorted. Their targets are chosen only if
    * there are no others. */
   std::vector<failure_domain_id> cut_off;
@@ -183,6 +199,15 @@
  */
 void SetPools(state& current, const routing_table& table);
 
+/**
+ * @brief Counts all targets of a failure domain that may have been cold without
+ * saying so as cold, for the cold time of their pools; those of pools without
+ * cold figures aren't concerned.
+ */
+void MarkDomainCold(state& current,
+                    const failure_domain_id& domain,
+                    time_point now);
+
 /**
  * @brief Processes one event.
  * @param current The state, updated in place.
--- a/src/acaciaferry/forwarding/target_table.hpp
+++ b/src/acaciaferry/forwarding/target_table.hpp
@@ -31,6 +31,9 @@
   /** Whether its entry disappeared around an outage of the configuration
    * service. Such a target is chosen only if the pool has no other. */
   bool missing{};
+  /** For how much longer the target was cold when its entry was written; 0 if
+   * it wasn't. */
+  duration cold_for{};
 
   [[nodiscard]] bool operator==(const target&) const = default;
 };
--- a/src/acaciaferry/forwarding/timeouts.cpp
+++ b/src/acaciaferry/forwarding/timeouts.cpp
@@ -64,7 +64,7 @@
       current.ledger.Expire(now);
       ExpireSuspects(current.quarantine, now);
       ApplyVerdicts(ExpireParts(current.parts, now), out);
-      current.limits.Expire(now);
+      ExpireLimits(current, now, out);
       current.refusals.Expire(now);
     }
   }
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -226,7 +226,8 @@
                                     ? std::nullopt
                                     : std::optional(each.requests_per_s),
                                 FromMillis(each.age_ms),
-                                each.debt});
+                                each.debt,
+                                FromMillis(each.cold_ms)});
   }
   return received;
 }
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -203,7 +203,7 @@
   for (const forwarding::limit_report& each : from.reports) {
     wire.push_back({each.target.value, each.incarnation,
                     each.requests_per_s.value_or(kNoLimit), ToMillis(each.age),
-                    each.debt});
+                    each.debt, ToMillis(each.cold_for)});
     if (wire.size() == kLimitsPerDatagram) {
       datagrams.push_back(Pack(kLimits, wire));
       wire.clear();
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -283,7 +283,14 @@
   double requests_per_s{};
   std::int64_t age_ms{};
   double debt{};
-  MSGPACK_DEFINE_ARRAY(target, incarnation, requests_per_s, age_ms, debt)
+  // Not sent by older VMs, which take the rest as it is.
+  std::int64_t cold_ms{};
+  MSGPACK_DEFINE_ARRAY(target,
+                       incarnation,
+                       requests_per_s,
+                       age_ms,
+                       debt,
+                       cold_ms)
 };
 
 }  // namespace acaciaferry::mesh::internal
--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -1,6 +1,7 @@
 #include "acaciaferry/experiment/hub_fleet.hpp"
 
 #include <algorithm>
+#include <functional>
 
 #include <CppUTest/TestHarness.h>
 
@@ -552,3 +553,161 @@
     }
   }
 }
+
+namespace {
+
+// The figures and the rule of the users' deployment kueg: a target that is cold
+// for 3 s gets at most 14 * 1.5 + 5 requests in any second.
+constexpr duration kColdTime = seconds(3);
+constexpr double kColdPerS = 14;
+constexpr std::size_t kMostWhileCold = 26;
+constexpr std::size_t kColdDomain = 2;
+constexpr double kUsualCallsPerS = 100;
+constexpr double kBurstCallsPerS = 600;
+// VMs have seen a published entry after this time.
+constexpr duration kSeenAfter = milliseconds(100);
+
+hub_fleet_plan ColdPlan(std::uint64_t seed) {
+  hub_fleet_plan plan;
+  plan.domains = 3;
+  plan.vms_per_domain = 20;
+  plan.engines_per_domain = 27;
+  plan.slots = 12;
+  plan.cold = forwarding::cold_start{kColdTime, kColdPerS};
+  plan.seed = seed;
+  return plan;
+}
+
+// The engines of one failure domain.
+std::vector<std::size_t> EnginesOf(const hub_fleet_plan& plan,
+                                   std::size_t domain) {
+  std::vector<std::size_t> engines;
+  for (std::size_t index = 0; index < plan.engines_per_domain; ++index) {
+    engines.push_back(domain * plan.engines_per_domain + index);
+  }
+  return engines;
+}
+
+std::size_t MostAtColdEngine(const hub_fleet& fleet,
+                             const std::vector<std::size_t>& engines,
+                             time_point since,
+                             time_point until) {
+  std::size_t most = 0;
+  for (const std::size_t engine : engines) {
+    most = std::max(most, fleet.MostInASecond(engine, since, until));
+  }
+  return most;
+}
+
+std::size_t ArrivalsSince(const hub_fleet& fleet,
+                          const std::vector<std::size_t>& engines,
+                          time_point since) {
+  std::size_t count = 0;
+  for (const std::size_t engine : engines) {
+    const auto& all = fleet.Arrivals(engine);
+    count += static_cast<std::size_t>(
+        all.end() - std::lower_bound(all.begin(), all.end(), since));
+  }
+  return count;
+}
+
+// Lets the engines of one failure domain return at once, beside a burst, and
+// checks the rule while they are cold. `fails` is called as they return.
+void CheckReturn(const hub_fleet_plan& plan,
+                 const std::function<void(hub_fleet&)>& fails) {
+  large_fleet started(plan);
+  hub_fleet& fleet = started.fleet;
+  const auto cold = EnginesOf(plan, kColdDomain);
+  fleet.Withdraw(cold);
+  fleet.Run(seconds(3), kUsualCallsPerS, kShortPrompt);
+  const time_point since = fleet.Now();
+  fleet.SetCold(cold, kColdTime);
+  fails(fleet);
+  fleet.Run(kColdTime, kBurstCallsPerS, kShortPrompt);
+  CHECK_COMPARE(MostAtColdEngine(fleet, cold, since, since + kColdTime), <=,
+                kMostWhileCold);
+  // They are neither left out while they are cold, nor afterwards.
+  CHECK_COMPARE(ArrivalsSince(fleet, cold, since), >, cold.size());
+  fleet.Run(seconds(4), kUsualCallsPerS, kShortPrompt);
+  const time_point warm = fleet.Now();
+  fleet.Run(seconds(2), kBurstCallsPerS, kShortPrompt);
+  LONGS_EQUAL(0, fleet.StateOf(0).limits.ColdCount(fleet.Now()));
+  CHECK_COMPARE(ArrivalsSince(fleet, cold, warm), >, 0U);
+}
+
+}  // namespace
+
+// Guards against engines that crash since all VMs send to them as soon as they
+// return.
+TEST(HubFleet, EnginesThatReturnBesideABurstGetWhatColdOnesTake) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    CheckReturn(ColdPlan(seed), [](hub_fleet&) {});
+  }
+}
+
+// Guards against planners that each use up the limit before they hear of each
+// other's requests.
+TEST(HubFleet, PlannersThatHearEachOtherLateSpareColdEngines) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    hub_fleet_plan plan = ColdPlan(seed);
+    plan.network_delay = milliseconds(20);
+    plan.lost_percent = 2;
+    CheckReturn(plan, [](hub_fleet&) {});
+  }
+}
+
+// Guards against VMs without a planner that each use up the limit.
+TEST(HubFleet, ColdEnginesAreSparedWithoutPlanners) {
+  for (const std::size_t planners : {1U, 2U}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+      CheckReturn(ColdPlan(seed), [planners](hub_fleet& fleet) {
+        const auto hubs = HubsOfDomain(fleet, 1);
+        for (std::size_t index = 0; index < planners; ++index) {
+          fleet.Stop(hubs[index]);
+        }
+      });
+    }
+  }
+}
+
+// Guards against parts of the fleet that each use up the limit, before and
+// after they find out that they don't hear each other.
+TEST(HubFleet, ColdEnginesAreSparedWhileADomainIsCutOff) {
+  for (const std::size_t domain : {0U, 2U}) {
+    for (const std::uint64_t seed : {1U, 2U, 3U}) {
+      CheckReturn(ColdPlan(seed),
+                  [domain](hub_fleet& fleet) { fleet.SetCutOff(domain); });
+    }
+  }
+}
+
+// Guards against VMs that have just started and don't know what the others have
+// sent, or how many these are.
+TEST(HubFleet, VmsThatHaveJustStartedSpareColdEngines) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    CheckReturn(ColdPlan(seed),
+                [](hub_fleet& fleet) { RestartHubsAndAThird(fleet); });
+  }
+}
+
+// Guards against an engine that is cold again in the middle of its streams and
+// gets what a warm one gets, and against one that returns after an evacuation
+// and has not said yet that it is cold.
+TEST(HubFleet, EnginesThatAreColdAgainAreSpared) {
+  for (const bool by_evacuation : {false, true}) {
+    const hub_fleet_plan plan = ColdPlan(1);
+    large_fleet started(plan);
+    hub_fleet& fleet = started.fleet;
+    fleet.Run(seconds(3), kBurstCallsPerS / 2, kShortPrompt);
+    const auto cold = EnginesOf(plan, kColdDomain);
+    const time_point since = fleet.Now() + kSeenAfter;
+    if (by_evacuation) {
+      fleet.EndEvacuation(kColdDomain);
+    } else {
+      fleet.SetCold(cold, kColdTime);
+    }
+    fleet.Run(kColdTime, kBurstCallsPerS, kShortPrompt);
+    CHECK_COMPARE(MostAtColdEngine(fleet, cold, since, fleet.Now()), <=,
+                  kMostWhileCold);
+  }
+}
--- a/test/acaciaferry/forwarding/limited_fleet.cpp
+++ b/test/acaciaferry/forwarding/limited_fleet.cpp
@@ -81,6 +81,28 @@
   }
 }
 
+void limited_fleet::SetColdStart(std::optional<cold_start> cold) {
+  table_.pools.front().cold = cold;
+  for (state& vm : vms_) {
+    SetPools(vm, table_);
+  }
+}
+
+void limited_fleet::PublishCold(std::size_t targets, duration cold_for) {
+  for (std::size_t target = 0; target < published_.size(); ++target) {
+    published_[target].cold_for = target < targets ? cold_for : duration{};
+  }
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    if (!stopped_.contains(vm)) {
+      Post(vm, targets_published{published_});
+    }
+  }
+}
+
+void limited_fleet::SetColdInResponses(std::size_t target, duration cold_for) {
+  cold_in_responses_[TargetId(target)] = cold_for;
+}
+
 void limited_fleet::SetFailing(std::size_t target, bool fails) {
   if (fails) {
     failing_.insert(TargetId(target));
@@ -190,6 +212,7 @@
     reach(kStep, attempt_sent{sent->id, sent->attempt});
     const auto limit = limits_.find(sent->target);
     const bool fails = failing_.contains(sent->target);
+    const auto cold = cold_in_responses_.find(sent->target);
     reach(kResponseDelay,
           response_started{
               sent->id,
@@ -199,7 +222,10 @@
               "",
               {},
               limit_statement{limit == limits_.end() ? std::nullopt
-                                                     : limit->second}});
+                                                     : limit->second},
+              {},
+              cold == cold_in_responses_.end() ? std::nullopt
+                                               : std::optional(cold->second)});
     reach(kResponseLength, response_completed{sent->id, sent->attempt});
   } else if (const auto* order = std::get_if<reserve_memory>(&caused)) {
     pending_.emplace(now_ + kOrderDelay,
--- a/test/acaciaferry/forwarding/limited_fleet.hpp
+++ b/test/acaciaferry/forwarding/limited_fleet.hpp
@@ -29,6 +29,22 @@
   /** @brief Limits a number of targets, of which all VMs have heard. */
   void SetKnownLimits(std::size_t targets, double requests_per_s);
 
+  /** @brief Publishes what cold targets of the pool take. */
+  void SetColdStart(std::optional<cold_start> cold);
+
+  /** @brief Publishes the first targets as cold for a time, the others as warm.
+   */
+  void PublishCold(std::size_t targets, duration cold_for);
+
+  /** @brief Sets for how long the responses of a target say that it is cold. */
+  void SetColdInResponses(std::size_t target, duration cold_for);
+
+  /** @brief Cuts VMs off from those of other groups, without their finding out.
+   */
+  void SetUnnoticedGroups(std::vector<std::size_t> groups) {
+    groups_ = std::move(groups);
+  }
+
   /** @brief Delays what VMs tell their peers, and loses some of it. */
   void SetPeerNetwork(duration delay, unsigned lost_percent);
 
@@ -55,6 +71,7 @@
                                      time_point since,
                                      time_point until) const;
   [[nodiscard]] time_point Now() const noexcept { return now_; }
+  [[nodiscard]] const state& StateOf(std::size_t vm) const { return vms_[vm]; }
   [[nodiscard]] const std::vector<refuse_call>& Refusals() const noexcept {
     return refusals_;
   }
@@ -73,6 +90,7 @@
   std::vector<std::size_t> groups_;
   pool_id pool_{"pool"};
   std::map<target_id, std::optional<double>> limits_;
+  std::map<target_id, duration> cold_in_responses_;
   std::set<target_id> failing_;
   std::map<target_id, std::vector<time_point>> arrivals_;
   /** Events by the time at which they reach a VM. */
--- a/test/acaciaferry/forwarding/target_limits_test.cpp
+++ b/test/acaciaferry/forwarding/target_limits_test.cpp
@@ -232,3 +232,264 @@
   // Three prompts, each on two engines or more.
   CHECK_COMPARE(sent, >=, 6U);
 }
+
+namespace {
+
+// The users' figures and rule for cold targets: at most one and a half times
+// what one takes, and 5 requests, in any second.
+constexpr cold_start kCold{seconds(3), 14};
+constexpr std::size_t kMostWhileCold = 26;
+constexpr time_point kStart{seconds(1'000)};
+const target_id kTarget{"t"};
+
+time_point After(int millis) {
+  return kStart + milliseconds(millis);
+}
+
+// Sends whenever there is room and returns the number of requests in a time.
+std::size_t SendWithRoom(target_limits& limits,
+                         dispatch_id& key,
+                         int from_ms,
+                         int until_ms) {
+  std::size_t sent = 0;
+  for (int now = from_ms; now < until_ms; ++now) {
+    while (limits.NextRequestAt(kTarget, After(now)) <= After(now)) {
+      limits.CountRequest(kTarget, ++key, target_limits::placed_by::kThisVm,
+                          After(now));
+      ++sent;
+    }
+  }
+  return sent;
+}
+
+// Limits of a VM that places all calls.
+target_limits LimitsOfOneVm() {
+  target_limits limits(1);
+  limits.SetOwnShare(1, kStart);
+  return limits;
+}
+
+}  // namespace
+
+// Guards against a limit that ends with the cold time, without a ramp, and
+// against one that is never lifted.
+TEST(TargetLimits, TheLimitOfAColdTargetRisesAndIsLifted) {
+  target_limits limits = LimitsOfOneVm();
+  CHECK_TRUE(
+      limits.SetCold(kTarget, 1, 14, After(3'000), After(6'000), kStart));
+  dispatch_id key = 0;
+  const std::size_t cold = SendWithRoom(limits, key, 0, 3'000);
+  CHECK_COMPARE(cold, >=, 38U);
+  CHECK_COMPARE(cold, <=, 42U);
+  // From 14 to 56 a second, so 35 on average.
+  const std::size_t rising = SendWithRoom(limits, key, 3'000, 6'000);
+  CHECK_COMPARE(rising, >=, 95U);
+  CHECK_COMPARE(rising, <=, 107U);
+  CHECK_TRUE(limits.IsLimited(kTarget, After(5'999)));
+  CHECK_FALSE(limits.IsLimited(kTarget, After(6'000)));
+  CHECK_TRUE(limits.NextRequestAt(kTarget, After(6'000)) == After(6'000));
+  LONGS_EQUAL(1, limits.Expire(After(6'000)).size());
+  LONGS_EQUAL(0, limits.ColdCount(After(6'000)));
+}
+
+// Guards against entries that change every 1.2 s and reset what was sent.
+TEST(TargetLimits, AChangedEntryKeepsTheDebtOfAColdTarget) {
+  target_limits limits = LimitsOfOneVm();
+  dispatch_id key = 0;
+  std::size_t sent = 0;
+  for (int now = 0; now < 3'000; now += 100) {
+    limits.SetCold(kTarget, 1, 14, After(3'000 + now % 3), After(6'000),
+                   After(now));
+    sent += SendWithRoom(limits, key, now, now + 100);
+  }
+  CHECK_COMPARE(sent, <=, 42U);
+}
+
+// Guards against the higher of two limits, and against one that ends the other.
+TEST(TargetLimits, TheLowerLimitOfAColdTargetHolds) {
+  target_limits limits = LimitsOfOneVm();
+  dispatch_id key = 0;
+  limits.SetCold(kTarget, 1, 14, After(3'000), After(6'000), kStart);
+  limits.Record(kTarget, 1, 2.0, kStart);
+  CHECK_COMPARE(SendWithRoom(limits, key, 0, 2'000), <=, 4U);
+  limits.Record(kTarget, 1, std::nullopt, After(2'000));
+  limits.Record(kTarget, 1, 100.0, After(2'000));
+  CHECK_COMPARE(SendWithRoom(limits, key, 2'000, 3'000), <=, 15U);
+  // The one that the target has named stays.
+  limits.Record(kTarget, 1, 2.0, After(3'000));
+  CHECK_TRUE(limits.IsLimited(kTarget, After(7'000)));
+  CHECK_COMPARE(SendWithRoom(limits, key, 7'000, 9'000), <=, 6U);
+}
+
+// Guards against requests to unlimited targets that are kept for ever.
+TEST(TargetLimits, RequestsToTargetsWithoutALimitAreNotKept) {
+  target_limits limits = LimitsOfOneVm();
+  const auto count = [&limits](dispatch_id key, time_point now) {
+    limits.CountRequest(kTarget, key, target_limits::placed_by::kOther, now);
+  };
+  count(1, kStart);
+  LONGS_EQUAL(0, limits.CountedRequests());
+  limits.SetCold(kTarget, 1, 14, After(3'000), After(6'000), kStart);
+  count(2, After(1'000));
+  count(2, After(1'000));
+  LONGS_EQUAL(1, limits.CountedRequests());
+  count(3, After(6'000));
+  LONGS_EQUAL(1, limits.CountedRequests());
+  static_cast<void>(limits.Expire(After(6'001)));
+  LONGS_EQUAL(0, limits.CountedRequests());
+  count(4, After(7'000));
+  LONGS_EQUAL(0, limits.CountedRequests());
+}
+
+// Guards against a process that follows a cold one and is taken for warm until
+// its entry arrives, and against what is said of an earlier process.
+TEST(TargetLimits, ColdTimesBelongToAProcess) {
+  target_limits limits = LimitsOfOneVm();
+  limits.SetCold(kTarget, 5, 14, After(3'000), After(6'000), kStart);
+  static_cast<void>(limits.Merge({kTarget, 6, 3.0, {}, 0}, After(100)));
+  CHECK_TRUE(limits.ColdFor(kTarget, After(100)) > duration{});
+  CHECK_FALSE(
+      limits.SetCold(kTarget, 5, 14, After(9'000), After(12'000), After(200)));
+  CHECK_TRUE(limits.ColdFor(kTarget, After(200)) == milliseconds(2'800));
+  limits.Forget(kTarget, 6);
+  CHECK_TRUE(limits.IsLimited(kTarget, After(200)));
+  limits.Forget(kTarget, 7);
+  CHECK_FALSE(limits.IsLimited(kTarget, After(200)));
+}
+
+// Guards against VMs of a fleet without planners that each use up the limit of
+// a cold target, while they hear each other late, or not at all without having
+// found out.
+TEST(TargetLimits, AllVmsTogetherSpareColdTargets) {
+  for (const std::size_t vms : {3U, 12U}) {
+    for (const bool hears : {true, false}) {
+      limited_fleet fleet(vms, 30, false);
+      fleet.SetColdStart(kCold);
+      fleet.SetPeerNetwork(milliseconds(20), 2);
+      fleet.Run(seconds(2), milliseconds(10), 0);
+      if (!hears) {
+        std::vector<std::size_t> groups;
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+          groups.push_back(vm);
+        }
+        fleet.SetUnnoticedGroups(groups);
+      }
+      fleet.PublishCold(27, kCold.period);
+      const time_point since = fleet.Now();
+      fleet.Run(seconds(2), milliseconds(2), 0);
+      fleet.PublishCold(27, milliseconds(1'000));
+      fleet.Run(seconds(1), milliseconds(2), 0);
+      for (std::size_t target = 0; target < 27; ++target) {
+        CHECK_COMPARE(fleet.MostArrivals(target, since, seconds(1)), <=,
+                      kMostWhileCold);
+      }
+    }
+  }
+}
+
+// Guards against a cold target that gets more than it takes as the only one.
+TEST(TargetLimits, CallsOfAColdPoolAreRefusedAtOnce) {
+  for (const std::size_t vms : {3U, 12U}) {
+    for (const bool hears : {true, false}) {
+      limited_fleet fleet(vms, 2, false);
+      fleet.SetColdStart(kCold);
+      fleet.SetPeerNetwork(milliseconds(20), 2);
+      if (!hears) {
+        std::vector<std::size_t> groups;
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+          groups.push_back(vm);
+        }
+        fleet.SetUnnoticedGroups(groups);
+      }
+      fleet.PublishCold(2, kCold.period);
+      const time_point since = fleet.Now();
+      fleet.Run(kCold.period, milliseconds(2), 0);
+      std::size_t sent = 0;
+      for (std::size_t target = 0; target < 2; ++target) {
+        CHECK_COMPARE(fleet.MostArrivals(target, since, seconds(1)), <=,
+                      kMostWhileCold);
+        sent += fleet.Arrivals(target, since, fleet.Now());
+      }
+      LONGS_EQUAL(fleet.Calls(), sent + fleet.Refusals().size());
+      CHECK_COMPARE(sent, >=, 40U);
+      for (const refuse_call& each : fleet.Refusals()) {
+        CHECK_TRUE(each.why.code == failure_code::kTargetLimit);
+        CHECK_TRUE(each.why.retry_after.has_value());
+      }
+    }
+  }
+}
+
+// Guards against a target that is taken as cold although its pool has no cold
+// figures, and against one that stays so when these are withdrawn.
+TEST(TargetLimits, TargetsOfAPoolWithoutColdFiguresAreNotLimited) {
+  limited_fleet fleet(3, 4, false);
+  fleet.PublishCold(4, seconds(3));
+  LONGS_EQUAL(0, fleet.StateOf(0).limits.ColdCount(fleet.Now()));
+  fleet.SetColdStart(kCold);
+  fleet.PublishCold(4, seconds(2));
+  LONGS_EQUAL(4, fleet.StateOf(0).limits.ColdCount(fleet.Now()));
+  fleet.SetColdStart({});
+  LONGS_EQUAL(0, fleet.StateOf(0).limits.ColdCount(fleet.Now()));
+}
+
+// Guards against a cold time that starts again each time that any entry
+// changes: it counts from when a VM first saw the value.
+TEST(TargetLimits, TheColdTimeOfAnEntryCountsFromItsFirstSight) {
+  limited_fleet fleet(1, 4, false);
+  fleet.SetColdStart(kCold);
+  fleet.PublishCold(1, seconds(3));
+  fleet.Run(seconds(2), milliseconds(100), 0);
+  fleet.PublishCold(1, seconds(3));
+  CHECK_TRUE(fleet.StateOf(0).limits.ColdFor({"t0"}, fleet.Now()) ==
+             seconds(1));
+  fleet.PublishCold(1, {});
+  fleet.Run(seconds(2), milliseconds(100), 0);
+  fleet.PublishCold(1, seconds(3));
+  CHECK_TRUE(fleet.StateOf(0).limits.ColdFor({"t0"}, fleet.Now()) ==
+             seconds(3));
+}
+
+// Guards against VMs that go on sending to a target which has told another VM
+// in a response that it is cold.
+TEST(TargetLimits, VmsTellEachOtherWhichTargetsAreCold) {
+  limited_fleet fleet(7, 4, false);
+  fleet.SetColdStart(kCold);
+  fleet.SetColdInResponses(0, seconds(3));
+  fleet.Run(seconds(1), milliseconds(50), 0);
+  fleet.SetColdInResponses(0, {});
+  for (std::size_t vm = 0; vm < 7; ++vm) {
+    CHECK_TRUE(fleet.StateOf(vm).limits.ColdFor({"t0"}, fleet.Now()) >
+               seconds(1));
+    CHECK_FALSE(fleet.StateOf(vm).limits.LimitOf({"t0"}).has_value());
+  }
+  const time_point since = fleet.Now();
+  fleet.Run(seconds(2), milliseconds(5), 0);
+  CHECK_COMPARE(fleet.MostArrivals(0, since, seconds(1)), <=, kMostWhileCold);
+}
+
+// Guards against targets that return after an evacuation and are taken for warm
+// since they have not written yet that they are cold.
+TEST(TargetLimits, TargetsOfAnEvacuatedDomainReturnAsColdOnes) {
+  routing_table table;
+  table.pools = {{{"cold"}, {}, kCold}, {{"other"}, {}, {}}};
+  state vm({{"vm"}, 1 << 16}, {0.2, seconds(10), 50}, 1);
+  SetPools(vm, table);
+  std::vector<target> published;
+  for (const char* pool : {"cold", "other"}) {
+    for (const char* domain : {"a", "b"}) {
+      target made;
+      made.id.value = std::string(pool) + domain;
+      made.pool.value = pool;
+      made.failure_domain.value = domain;
+      published.push_back(made);
+    }
+  }
+  static_cast<void>(Reduce(vm, targets_published{published}, kStart));
+  LONGS_EQUAL(0, vm.limits.ColdCount(kStart));
+  MarkDomainCold(vm, {"a"}, kStart);
+  LONGS_EQUAL(1, vm.limits.ColdCount(kStart));
+  CHECK_TRUE(vm.limits.ColdFor({"colda"}, kStart) == kCold.period);
+  CHECK_TRUE(vm.limits.IsLimited({"colda"}, After(5'999)));
+  CHECK_FALSE(vm.limits.IsLimited({"colda"}, After(6'000)));
+}
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -184,7 +184,8 @@
                             i,
                             i == 3 ? std::nullopt : std::optional(0.5 * i),
                             milliseconds(i),
-                            0.25 * i});
+                            0.25 * i,
+                            milliseconds(10 * i)});
   }
   std::vector<forwarding::limit_report> received;
   for (const std::string& each : Encode(sent, At(0))) {
@@ -202,6 +203,49 @@
                  .reports.empty());
 }
 
+namespace {
+
+// A report of release f1be9e1, which knows of no cold targets.
+struct limit_wire_f1be9e1 {
+  std::string target;
+  std::uint64_t incarnation{};
+  double requests_per_s{};
+  std::int64_t age_ms{};
+  double debt{};
+  MSGPACK_DEFINE_ARRAY(target, incarnation, requests_per_s, age_ms, debt)
+};
+
+}  // namespace
+
+// Guards against VMs of f1be9e1 that don't read the reports of newer ones, that
+// take a cold target for one with a limit of its own, or whose own reports
+// aren't read.
+TEST(MeshMessage, LimitReportsAreReadByAReleaseWithoutColdTargets) {
+  const forwarding::limit_report cold{
+      {"t"}, 7, std::nullopt, milliseconds(20), 1.5, milliseconds(2'000)};
+  const std::string datagram =
+      Encode(forwarding::limit_reports_received{{cold}}, At(0))[0];
+  std::size_t offset = 1;
+  static_cast<void>(msgpack::unpack(datagram.data(), datagram.size(), offset));
+  const auto body = msgpack::unpack(datagram.data(), datagram.size(), offset);
+  const auto read = body.get().as<std::vector<limit_wire_f1be9e1>>();
+  LONGS_EQUAL(1, read.size());
+  LONGS_EQUAL(7, read[0].incarnation);
+  CHECK_TRUE(read[0].requests_per_s < 0);
+  LONGS_EQUAL(20, read[0].age_ms);
+  DOUBLES_EQUAL(1.5, read[0].debt, 0);
+  msgpack::sbuffer old;
+  msgpack::pack(old, std::vector<limit_wire_f1be9e1>{{"t", 7, 3.0, 20, 1.5}});
+  const std::string kind = datagram.substr(0, 2);
+  const auto decoded =
+      Decode(kind + std::string(old.data(), old.size()), At(0));
+  const auto& reports =
+      std::get<forwarding::limit_reports_received>(*decoded).reports;
+  LONGS_EQUAL(1, reports.size());
+  CHECK_TRUE(reports[0] ==
+             (forwarding::limit_report{{"t"}, 7, 3.0, milliseconds(20), 1.5}));
+}
+
 // Guards against a leaving target that peers don't hear of, and against a VM of
 // an older release that rejects the news that it does not know.
 TEST(MeshMessage, LeavingTargetsSurviveARoundTrip) {
--- a/test/platform/platform_dialect_test.cpp
+++ b/test/platform/platform_dialect_test.cpp
@@ -243,6 +243,72 @@
   }
 }
 
+// Guards against a cold target whose response isn't read, and against one that
+// is taken as cold by a value that doesn't say so, or by another process.
+TEST(PlatformDialect, ReadsColdTimesOfTargets) {
+  const fixture platform;
+  const auto parsed =
+      std::get<parsed_request>(platform.Parse(Request(ValidFields())));
+  const auto cold_for = [&](int status, const std::string& text) {
+    return platform.protocol
+        ->ClassifyResponse(parsed, {status, {{"Acaciaferry-Cold-Ms", text}}})
+        .cold_for;
+  };
+  for (const int status : {200, 404, 500, 503}) {
+    CHECK_TRUE(cold_for(status, "1500") ==
+               std::optional<duration>(std::chrono::milliseconds(1'500)));
+  }
+  CHECK_TRUE(cold_for(200, "0.5") ==
+             std::optional<duration>(std::chrono::microseconds(500)));
+  CHECK_TRUE(cold_for(200, "1e300") ==
+             std::optional<duration>(std::chrono::hours(24)));
+  CHECK_FALSE(cold_for(421, "1500").has_value());
+  for (const char* text : {"", "0", "-1", "nan", "inf", "1e999", "1,5", "1s"}) {
+    CHECK_FALSE(cold_for(200, text).has_value());
+  }
+}
+
+// Guards against cold figures that end up in the wrong member, and against half
+// of them, or odd ones, that limit targets.
+TEST(PlatformDialect, DecodesWhatColdTargetsTake) {
+  const fixture platform;
+  const auto decode = [&](const std::string& figures) {
+    return platform.protocol->DecodeDocuments(
+        View(R"({"version":8,"routes":[],"services":[{"name":"m")" + figures +
+             "}]}"),
+        0);
+  };
+  const auto cold = decode(R"(,"cold_s":2.5,"cold_per_s":14)").table->pools[0];
+  CHECK_TRUE(cold.cold.has_value());
+  CHECK_TRUE(cold.cold->period == std::chrono::milliseconds(2'500));
+  DOUBLES_EQUAL(14, cold.cold->requests_per_s, 0);
+  for (const char* none :
+       {"", R"(,"cold_s":3)", R"(,"cold_per_s":14)",
+        R"(,"cold_s":0,"cold_per_s":14)", R"(,"cold_s":3,"cold_per_s":0)"}) {
+    CHECK_FALSE(decode(none).table->pools[0].cold.has_value());
+  }
+  for (const char* odd :
+       {R"(,"cold_s":-1,"cold_per_s":14)", R"(,"cold_s":3,"cold_per_s":-1)",
+        R"(,"cold_s":"3","cold_per_s":14)", R"(,"cold_s":3,"cold_per_s":true)",
+        R"(,"cold_s":null,"cold_per_s":14)"}) {
+    CHECK_FALSE(decode(odd).table.has_value());
+  }
+}
+
+// Guards against an entry whose cold time isn't read.
+TEST(PlatformDialect, DecodesTheColdTimeOfATarget) {
+  const fixture platform;
+  publication::view view = View(kConfiguration);
+  view.items["servers/i-2"] = {
+      Replaced(Entry(R"("m")", R"("10.0.0.2:80")", "8", "5"),
+               R"("cold_left_ms":0)", R"("cold_left_ms":1200)"),
+      3, false};
+  const auto targets = platform.protocol->DecodeDocuments(view, 0).targets;
+  LONGS_EQUAL(2, targets.size());
+  CHECK_TRUE(targets[0].cold_for == duration{});
+  CHECK_TRUE(targets[1].cold_for == std::chrono::milliseconds(1'200));
+}
+
 // Guards against a target that is used although it says that it leaves or wants
 // no requests, and against one that is lost by a value that says neither.
 TEST(PlatformDialect, ReadsWhetherTargetsTakeRequests) {
