--- a/src/acaciaferry/forwarding/decision.cpp
+++ b/src/acaciaferry/forwarding/decision.cpp
@@ -44,7 +44,9 @@
       "request_cleared",
       "domain_evacuated",
       "domain_drained",
-      "evacuation_ended"};
+      "evacuation_ended",
+      "target_cold",
+      "target_warm"};
   return kNames[static_cast<std::size_t>(kind)];
 }
 
--- a/src/acaciaferry/forwarding/effect.hpp
+++ b/src/acaciaferry/forwarding/effect.hpp
@@ -190,10 +190,12 @@
   kDomainEvacuated,
   kDomainDrained,
   kEvacuationEnded,
+  kTargetCold,
+  kTargetWarm,
 };
 
 inline constexpr std::size_t kDecisionKindCount =
-    static_cast<std::size_t>(decision_kind::kEvacuationEnded) + 1;
+    static_cast<std::size_t>(decision_kind::kTargetWarm) + 1;
 
 /** @return The name of a kind in logs and metrics. */
 [[nodiscard]] std::string_view ToString(decision_kind kind) noexcept;
--- a/src/acaciaferry/forwarding/evacuation/evacuate.cpp
+++ b/src/acaciaferry/forwarding/evacuation/evacuate.cpp
@@ -114,6 +114,8 @@
   const auto changed = current.evacuations.Set(evacuated.domains, now);
   SetCountedTargets(current);
   for (const auto& each : changed.ended) {
+    // Its targets may have become cold, which their entries tell later.
+    MarkDomainCold(current, each.domain, now);
     LogDecision(
         out, decision_kind::kEvacuationEnded, each.domain.value,
         {{"after_ms", ToMillisText(each.lasted)},
--- a/src/acaciaferry/forwarding/event.hpp
+++ b/src/acaciaferry/forwarding/event.hpp
@@ -10,11 +10,11 @@
 
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/limits/target_limits.hpp"
+#include "acaciaferry/forwarding/limits/target_refusals.hpp"
 #include "acaciaferry/forwarding/load_ledger.hpp"
 #include "acaciaferry/forwarding/planning.hpp"
 #include "acaciaferry/forwarding/routing_table.hpp"
-#include "acaciaferry/forwarding/target_limits.hpp"
-#include "acaciaferry/forwarding/target_refusals.hpp"
 #include "acaciaferry/forwarding/target_table.hpp"
 #include "acaciaferry/quarantine/prompt_parts.hpp"
 #include "acaciaferry/quarantine/quarantine.hpp"
@@ -107,6 +107,9 @@
   /** Nothing if the response is not known to come from the target. */
   std::optional<limit_statement> limit{};
   availability_statement availability{};
+  /** For how much longer the target is cold; nothing if the response does not
+   * say that it is. */
+  std::optional<duration> cold_for{};
 };
 
 /** One or more complete events of a stream were passed on to the caller. */
