Bound the memory and descriptors of requests that are read

Cause: each connection buffered its body without a bound on the total, so 100 callers made the process take 823 MB where the smallest VM has 160.

Change: net::request_memory decides which requests are read. Room is granted before bytes are read, in the order of asking; large bodies leave a third of the bound to small requests. While any request waits, bodies without progress are dropped, then the largest unfinished one if a small request waits; a request that was read in full is never dropped. Connections wait until the socket is readable and read into one buffer of the server. A body's buffer grows by what arrives, up to its announced size. Attempts share the body instead of copying it. Heads and trailers have at most 256 fields, like responses; what is read ahead of a reply is 16 KiB instead of 64. Readiness and control addresses accept bodies up to 1 KiB only, and 64 and 256 connections. When descriptors run out, the connection that has been idle longest is closed. Settings [memory] limit_mb and [descriptors] limit, counters acaciaferry_dropped_callers_total by reason, gauges of what is held by kind, and one log line a second at most for dropped callers.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -97,9 +97,10 @@
   const auto connection = started.connection;
   exchanges_.insert_or_assign(attempt_number, std::move(started));
   const net::request_head head = protocol_.BuildAttemptHead(request_, attempt);
-  connection->Start(attempt.address,
-                    net::Serialize(head, caller_->body.size()) + caller_->body,
-                    internal::kConnectTimeout, attempt.tunnel);
+  connection->Start(
+      attempt.address, net::Serialize(head, caller_->body.size()),
+      internal::kConnectTimeout, attempt.tunnel,
+      std::shared_ptr<const std::string>(caller_, &caller_->body));
 }
 
 void call_relay::CancelAttempt(std::uint32_t attempt) {
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -1,9 +1,11 @@
 #include "acaciaferry/entry/entry_daemon.hpp"
 
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <fstream>
+#include <limits>
 #include <random>
 #include <sstream>
 #include <utility>
@@ -36,6 +38,41 @@
 // memory of the smallest VM. Buffers that grow take up to twice of it.
 constexpr std::size_t kMaxAnswerMemory = 32U << 20U;
 
+// Of the VM's memory, requests may take three tenths.
+constexpr std::size_t kRequestTenths = 3;
+// Room for a request of the largest size besides small ones.
+constexpr std::size_t kMinRequestMemory = 8U << 20U;
+// Listeners, the event loop, the log, and exchanges with the configuration
+// service and peers.
+constexpr std::size_t kOwnDescriptors = 32;
+constexpr std::size_t kMaxReadinessConnections = 64;
+constexpr std::size_t kMaxControlConnections = 256;
+// A tunnel takes two descriptors, so all tunnels take a quarter.
+constexpr std::size_t kTunnelDescriptorPart = 8;
+constexpr std::size_t kReadinessDescriptorPart = 8;
+constexpr std::size_t kControlDescriptorPart = 4;
+// Requests at these addresses have no bodies.
+constexpr std::uint64_t kMaxControlBodyBytes = 1'024;
+constexpr duration kDropLogInterval = std::chrono::seconds(1);
+
+std::size_t RequestMemory(const entry_settings& settings) {
+  constexpr std::size_t kTenth = 10;
+  const std::size_t vm_bytes =
+      static_cast<std::size_t>(settings.memory_limit_mb) << 20U;
+  return std::max(vm_bytes / kTenth * kRequestTenths, kMinRequestMemory);
+}
+
+std::size_t DescriptorLimit(const entry_settings& settings) {
+  rlimit system{};
+  std::size_t limit = static_cast<std::size_t>(settings.descriptor_limit);
+  if (getrlimit(RLIMIT_NOFILE, &system) == 0 &&
+      system.rlim_cur != RLIM_INFINITY) {
+    const auto allowed = static_cast<std::size_t>(system.rlim_cur);
+    limit = limit == 0 ? allowed : std::min(limit, allowed);
+  }
+  return limit == 0 ? std::numeric_limits<std::size_t>::max() : limit;
+}
+
 // Start time in milliseconds above 16 random bits, so that a restarted process
 // has a higher incarnation.
 std::uint64_t GenerateIncarnation() {
@@ -65,6 +102,8 @@
       settings_text_(internal::ReadFile(settings_path_)),
       protocol_(std::move(protocol)),
       answer_memory_(internal::kMaxAnswerMemory),
+      request_memory_(internal::RequestMemory(settings_)),
+      descriptor_limit_(internal::DescriptorLimit(settings_)),
       log_(settings_.vm.value),
       incarnation_(internal::GenerateIncarnation()),
       state_({settings_.vm, incarnation_}, settings_.retries, incarnation_),
@@ -72,10 +111,15 @@
       readiness_(loop_,
                  [this](const exchange& request) { OnReadiness(request); }),
       control_(loop_, [this](const exchange& request) { OnControl(request); }),
-      tunnels_(loop_,
-               [this](std::string_view address) {
-                 return state_.targets.FindByAddress(address) != nullptr;
-               }),
+      tunnels_(
+          loop_,
+          [this](std::string_view address) {
+            return state_.targets.FindByAddress(address) != nullptr;
+          },
+          std::clamp<std::size_t>(
+              descriptor_limit_ / internal::kTunnelDescriptorPart,
+              1,
+              net::kDefaultMaxTunnels)),
       views_(loop_,
              *protocol_,
              settings_.service_address,
@@ -119,14 +163,62 @@
       [this](std::string_view address, bool reached, duration took) {
         OnTunnelDialed(address, reached, took);
       });
+  SetBounds();
+}
+
+void entry_daemon::SetBounds() {
   callers_.SetMemory(answer_memory_);
   control_.SetMemory(answer_memory_);
+  callers_.SetRequestMemory(request_memory_, true);
+  net::server_limits limits;
+  limits.body_bytes = internal::kMaxControlBodyBytes;
+  for (const auto& [server, part, most] :
+       {std::tuple(&readiness_, internal::kReadinessDescriptorPart,
+                   internal::kMaxReadinessConnections),
+        std::tuple(&control_, internal::kControlDescriptorPart,
+                   internal::kMaxControlConnections)}) {
+    limits.max_connections =
+        std::clamp<std::size_t>(descriptor_limit_ / part, 1, most);
+    server->SetLimits(limits);
+    // Probes and heartbeats don't wait for callers.
+    server->SetRequestMemory(request_memory_, false);
+  }
+  callers_.SetRoomForConnections(
+      [this] { return DescriptorsInUse() < descriptor_limit_; });
+  const auto on_drop = [this](net::drop_reason reason) {
+    metrics_.CountDrop(reason);
+    LogDropped(std::string(ToString(reason)));
+  };
+  callers_.SetDropHandler(on_drop);
+  readiness_.SetDropHandler(on_drop);
+  control_.SetDropHandler(on_drop);
   callers_.SetRefusalHandler([this](int status) {
     metrics_.CountReadRefusal(status);
-    log_.WriteEvent("refused_unread", {{"status", std::to_string(status)}});
+    LogDropped(std::to_string(status));
   });
 }
 
+std::size_t entry_daemon::DescriptorsInUse() const {
+  return internal::kOwnDescriptors + callers_.ConnectionCount() +
+         readiness_.ConnectionCount() + control_.ConnectionCount() +
+         relays_.size() + 2 * tunnels_.Count();
+}
+
+void entry_daemon::LogDropped(const std::string& reason) {
+  ++unlogged_drops_[reason];
+  const time_point now = clock_.Now();
+  if (now - drops_logged_at_ < internal::kDropLogInterval) {
+    return;
+  }
+  drops_logged_at_ = now;
+  log_fields fields;
+  for (const auto& [name, count] : unlogged_drops_) {
+    fields.emplace_back(name, std::to_string(count));
+  }
+  log_.WriteEvent("callers_dropped", fields);
+  unlogged_drops_.clear();
+}
+
 entry_daemon::~entry_daemon() {
   views_.Stop();
 }
@@ -252,6 +344,13 @@
         callers_.ConnectionCount(),
         answer_memory_.Held(),
         answer_memory_.Dropped(),
+        {request_memory_.Held(net::request_kind::kReading),
+         request_memory_.Held(net::request_kind::kComplete),
+         request_memory_.Held(net::request_kind::kTunnel)},
+        request_memory_.Limit(),
+        request_memory_.WaitingCount(),
+        DescriptorsInUse(),
+        descriptor_limit_,
         peers_.Protocol().Roster().PeakVmCount(),
         table_ ? table_->version : 0,
         age ? ToSeconds(*age) : -1,
@@ -353,6 +452,10 @@
         std::min(call.time_limit, LastAnswerTime() - clock_.Now());
   }
   const forwarding::call_arrived arrived{call};
+  // Callers that are idle make room for the connection to the target.
+  if (DescriptorsInUse() >= descriptor_limit_) {
+    static_cast<void>(callers_.CloseLongestIdle());
+  }
   relays_.emplace(id,
                   std::make_shared<call_relay>(
                       loop_, *protocol_, caller, std::move(accepted),
--- a/src/acaciaferry/entry/entry_daemon.hpp
+++ b/src/acaciaferry/entry/entry_daemon.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,6 +85,14 @@
   /** @return For how long a drain takes new calls. */
   [[nodiscard]] duration DrainAcceptPeriod() const;
   void ReloadSettings();
+  /** @brief Sets the bounds of the addresses for callers, readiness and
+   * control.
+   */
+  void SetBounds();
+  /** @return Estimated number of open descriptors. */
+  [[nodiscard]] std::size_t DescriptorsInUse() const;
+  /** @brief Logs callers that were dropped or refused, in one line a second. */
+  void LogDropped(const std::string& reason);
   [[nodiscard]] bool IsReady() const;
   /** @return Whether the view may lack recently published changes. */
   [[nodiscard]] bool ViewMayBeStale() const;
@@ -97,6 +106,8 @@
   std::unique_ptr<dialect> protocol_;
   // Before the loop, whose handlers hold memory until it ends.
   net::memory_account answer_memory_;
+  net::request_memory request_memory_;
+  std::size_t descriptor_limit_;
   boost::asio::io_context loop_{1};
   decision_log log_;
   entry_metrics metrics_;
@@ -121,6 +132,9 @@
   /** Whether callers can no longer connect, late in a drain. */
   bool stopped_accepting_{};
   time_point wake_at_{};
+  /** When a line on dropped callers was logged, and those since by reason. */
+  time_point drops_logged_at_{};
+  std::map<std::string, std::uint64_t> unlogged_drops_;
   bool is_processing_event_{};
 };
 
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -142,6 +142,18 @@
     text += "acaciaferry_read_refusals_total{status=\"" +
             std::to_string(status) + "\"} " + std::to_string(count) + "\n";
   }
+  text += "# TYPE acaciaferry_dropped_callers_total counter\n";
+  for (std::size_t index = 0; index < net::kDropReasonCount; ++index) {
+    text += "acaciaferry_dropped_callers_total{reason=\"" +
+            std::string(ToString(static_cast<net::drop_reason>(index))) +
+            "\"} " + std::to_string(drops_[index]) + "\n";
+  }
+  text += "# TYPE acaciaferry_held_request_bytes gauge\n";
+  for (std::size_t index = 0; index < net::kRequestKindCount; ++index) {
+    text += "acaciaferry_held_request_bytes{kind=\"" +
+            std::string(ToString(static_cast<net::request_kind>(index))) +
+            "\"} " + std::to_string(gauges.request_bytes[index]) + "\n";
+  }
   const auto counter = [&](std::string_view name, std::uint64_t value) {
     internal::AppendValue(text, "counter", name, std::to_string(value));
   };
@@ -168,6 +180,13 @@
   gauge("acaciaferry_connections", std::to_string(gauges.connections));
   gauge("acaciaferry_held_answer_bytes", std::to_string(gauges.held_bytes));
   counter("acaciaferry_dropped_for_memory_total", gauges.dropped_for_memory);
+  gauge("acaciaferry_request_bytes_limit",
+        std::to_string(gauges.request_bytes_limit));
+  gauge("acaciaferry_requests_waiting",
+        std::to_string(gauges.requests_waiting));
+  gauge("acaciaferry_descriptors", std::to_string(gauges.descriptors));
+  gauge("acaciaferry_descriptor_limit",
+        std::to_string(gauges.descriptor_limit));
   gauge("acaciaferry_vms", std::to_string(gauges.vms));
   gauge("acaciaferry_configuration_version",
         std::to_string(gauges.configuration_version));
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -10,6 +10,7 @@
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/entry/decision_log.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
+#include "acaciaferry/net/request_memory.hpp"
 
 namespace acaciaferry::entry {
 
@@ -38,6 +39,15 @@
   std::size_t held_bytes{};
   /** Answers and connections dropped since they held too much. */
   std::uint64_t dropped_for_memory{};
+  /** Bytes held for requests, by kind. */
+  std::array<std::size_t, net::kRequestKindCount> request_bytes{};
+  /** Bytes that may be held for requests. */
+  std::size_t request_bytes_limit{};
+  /** Requests that are not read for lack of room. */
+  std::size_t requests_waiting{};
+  /** Descriptors that connections use, and those that they may use. */
+  std::size_t descriptors{};
+  std::size_t descriptor_limit{};
   std::uint64_t vms{};
   std::uint64_t configuration_version{};
   /** Time since the configuration service last responded. */
@@ -68,6 +78,11 @@
   void CountRefusal(failure_code code) noexcept;
   /** @brief Counts a request that was refused before it was read completely. */
   void CountReadRefusal(int status) { ++read_refusals_[status]; }
+  /** @brief Counts a caller that was dropped for lack of memory or descriptors.
+   */
+  void CountDrop(net::drop_reason reason) noexcept {
+    ++drops_[static_cast<std::size_t>(reason)];
+  }
   void CountMalformedDatagram() noexcept { ++malformed_datagrams_; }
   /** @brief Counts a datagram whose sender is not a live VM. */
   void CountUnknownSender() noexcept { ++unknown_senders_; }
@@ -91,6 +106,7 @@
   std::map<std::string, std::uint64_t> repeats_;
   /** By HTTP status. */
   std::map<int, std::uint64_t> read_refusals_;
+  std::array<std::uint64_t, net::kDropReasonCount> drops_{};
   std::uint64_t unknown_senders_{};
   std::uint64_t malformed_datagrams_{};
   std::uint64_t document_faults_{};
--- a/src/acaciaferry/entry/entry_settings.cpp
+++ b/src/acaciaferry/entry/entry_settings.cpp
@@ -16,9 +16,13 @@
 constexpr double kMaxWindowS = 3'600;
 constexpr std::uint64_t kDefaultMaxUnusedMs = 9'000;
 constexpr std::uint64_t kMinMaxUnusedMs = 1'000;
-constexpr std::array<std::string_view, 8> kSections{
-    "vm",      "callers",      "readiness", "peers", "configuration",
-    "retries", "reservations", "logs"};
+// The smallest VM.
+constexpr std::uint64_t kDefaultMemoryMb = 160;
+constexpr std::uint64_t kMaxMemoryMb = 1U << 20U;
+constexpr std::uint64_t kMaxDescriptors = 1U << 20U;
+constexpr std::array<std::string_view, 10> kSections{
+    "vm",      "callers",      "readiness", "peers",       "configuration",
+    "retries", "reservations", "memory",    "descriptors", "logs"};
 
 ini_section FindSection(const ini_document& document, std::string_view kind) {
   for (const ini_section& section : document.sections) {
@@ -100,15 +104,25 @@
         reader.MillisecondsOr("max_unused_ms", internal::kDefaultMaxUnusedMs,
                               internal::kMinMaxUnusedMs, internal::kHourMs);
   });
+  read_section("memory", [&](ini_reader& reader) {
+    settings.memory_limit_mb = reader.NumberOr(
+        "limit_mb", internal::kDefaultMemoryMb, 1, internal::kMaxMemoryMb);
+  });
+  read_section("descriptors", [&](ini_reader& reader) {
+    settings.descriptor_limit =
+        reader.NumberOr("limit", 0, 1, internal::kMaxDescriptors);
+  });
   read_section("logs", [&](ini_reader& reader) {
     settings.log_level = reader.TextOr("level", "info");
   });
   for (const ini_section& section : document.sections) {
     if (std::find(internal::kSections.begin(), internal::kSections.end(),
                   section.kind) == internal::kSections.end()) {
-      faults.push_back({section.kind, section.label, "",
-                        "the sections vm, callers, readiness, peers, "
-                        "configuration, retries, reservations and logs"});
+      faults.push_back(
+          {section.kind, section.label, "",
+           "the sections vm, callers, readiness, peers, "
+           "configuration, retries, reservations, memory, descriptors and "
+           "logs"});
     }
   }
   return settings;
--- a/src/acaciaferry/entry/entry_settings.hpp
+++ b/src/acaciaferry/entry/entry_settings.hpp
@@ -35,6 +35,11 @@
   forwarding::retry_bound retries;
   /** Longest time that memory may be set aside at a target without use. */
   duration max_unused_reservation{};
+  /** Memory of this VM in MiB. */
+  std::uint64_t memory_limit_mb{};
+  /** Number of descriptors that the process may have open; 0 for the limit of
+   * the operating system. */
+  std::uint64_t descriptor_limit{};
   std::string log_level;
 };
 
--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -51,8 +51,10 @@
 void client_exchange::Start(const std::string& address,
                             std::string request,
                             duration connect_timeout,
-                            const std::string& via) {
+                            const std::string& via,
+                            std::shared_ptr<const std::string> body) {
   request_ = std::move(request);
+  body_ = std::move(body);
   held_.emplace(memory_, [this] {
     boost::asio::post(socket_.get_executor(),
                       [self = shared_from_this()] { self->FailMalformed(); });
@@ -149,8 +151,11 @@
 void client_exchange::Send() {
   connected_ = true;
   timer_.cancel();
+  const std::array<boost::asio::const_buffer, 2> parts{
+      boost::asio::buffer(request_),
+      body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
   boost::asio::async_write(
-      socket_, boost::asio::buffer(request_),
+      socket_, parts,
       [self = shared_from_this()](const boost::system::error_code& failed,
                                   std::size_t /*bytes*/) {
         // A write error is left to the read, which fails too, but only after it
@@ -159,6 +164,7 @@
           self->write_failed_ = true;
         } else {
           std::string().swap(self->request_);
+          self->body_.reset();
         }
       });
   if (handlers_.on_sent) {
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -84,11 +84,14 @@
    * connect to the server itself. Before the request is sent, the exchange
    * then fails with kNotConnected if the tunnel server can't reach the server,
    * and with kNoTunnel in all other cases.
+   * @param body A body that follows `request`, shared with its owner; null for
+   * none.
    */
   void Start(const std::string& address,
              std::string request,
              duration connect_timeout,
-             const std::string& via = {});
+             const std::string& via = {},
+             std::shared_ptr<const std::string> body = nullptr);
 
   /** @brief Closes the connection; no handler is called afterwards. */
   void Cancel();
@@ -116,6 +119,7 @@
   boost::asio::steady_timer timer_;
   exchange_handlers handlers_;
   std::string request_;
+  std::shared_ptr<const std::string> body_;
   // The request for a tunnel; empty without one.
   std::string tunnel_request_;
   std::string unparsed_;
--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -1,5 +1,6 @@
 #include "acaciaferry/net/connection.hpp"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -8,7 +9,16 @@
 
 // Maximum number of bytes buffered of further requests while a reply is
 // incomplete. Above it the socket is not read.
-constexpr std::size_t kMaxReadAhead = 65'536;
+constexpr std::size_t kMaxReadAhead = 16'384;
+// A connection, its parser and its parts of the event loop.
+constexpr std::size_t kConnectionBytes = 2'048;
+// Reads of one connection before others have their turn.
+constexpr int kMaxReadsAtOnce = 4;
+// The fields are copied for the call, and written once for each attempt.
+constexpr std::size_t kFieldCopies = 3;
+constexpr std::size_t kMaxFieldsOverhead =
+    kFieldCopies * (kMaxReadAhead + kMaxFields * sizeof(header_field));
+constexpr int kServiceUnavailable = 503;
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kContentTooLarge = 413;
@@ -25,6 +35,14 @@
   return kBadRequest;
 }
 
+std::size_t FieldBytes(const header_fields& fields) {
+  std::size_t bytes = 0;
+  for (const header_field& field : fields) {
+    bytes += sizeof(field) + field.name.size() + field.value.size();
+  }
+  return kFieldCopies * bytes;
+}
+
 }  // namespace internal
 
 connection::connection(http_server& server, boost::asio::ip::tcp::socket socket)
@@ -42,7 +60,9 @@
       }
     });
   });
+  socket_.non_blocking(true, ignored);
   BeginRequest();
+  MakeRoom();
   Read();
 }
 
@@ -57,81 +77,250 @@
 }
 
 void connection::BeginRequest() {
-  body_.clear();
+  std::string().swap(body_);
+  if (unparsed_.empty()) {
+    std::string().swap(unparsed_);
+  }
+  reserved_bytes_ = 0;
   head_started_ = false;
   parser_ = std::make_unique<message_parser<true>>(
-      [this](std::string_view part) { body_ += part; });
+      [this](std::string_view part) { AppendBody(part); });
   const server_limits& limits = server_->limits_;
   parser_->header_limit(static_cast<std::uint32_t>(limits.head_bytes));
   parser_->body_limit(limits.body_bytes);
   SetTimer(limits.idle_timeout);
+  server_->MoveToBack(this);
+}
+
+void connection::MakeRoom() {
+  const auto post = [this](auto act) {
+    return [weak = weak_from_this(), executor = socket_.get_executor(),
+            act](auto... arguments) {
+      boost::asio::post(executor, [weak, act, arguments...] {
+        const auto self = weak.lock();
+        if (self && !self->closed_ && self->server_ != nullptr) {
+          act(*self, arguments...);
+        }
+      });
+    };
+  };
+  room_ = std::make_unique<request_room>(
+      server_->request_memory_, request_kind::kReading,
+      request_room::handlers{post([](connection& self) { self.Read(); }),
+                             post([](connection& self, drop_reason reason) {
+                               self.OnDropped(reason);
+                             })});
+  UpdateRoom();
 }
 
 void connection::Read() {
-  if (reading_ || closed_) {
+  if (reading_ || closed_ || close_after_write_) {
     return;
   }
   reading_ = true;
-  socket_.async_read_some(
-      boost::asio::buffer(read_buffer_),
-      [self = shared_from_this()](const boost::system::error_code& error,
-                                  std::size_t bytes) {
+  socket_.async_wait(
+      boost::asio::socket_base::wait_read,
+      [self = shared_from_this()](const boost::system::error_code& error) {
         self->reading_ = false;
-        self->OnRead(error, bytes);
+        self->OnReadable(error);
       });
 }
 
-void connection::OnRead(const boost::system::error_code& error,
-                        std::size_t bytes) {
-  if (closed_) {
+std::size_t connection::MaxBodyBytes() const {
+  return static_cast<std::size_t>(
+      parser_->body_bytes.value_or(server_->limits_.body_bytes));
+}
+
+bool connection::AskForRoom(std::size_t bytes, bool is_large) {
+  if (!server_->waits_for_room_) {
+    return true;
+  }
+  const duration allowed =
+      parser_->is_header_done() ? server_->limits_.head_timeout : duration{};
+  if (room_->AskOrWait(bytes, is_large, allowed)) {
+    return true;
+  }
+  if (!head_started_) {
+    head_started_ = true;
+    SetTimer(server_->limits_.head_timeout);
+  }
+  server_->ReviewMemory();
+  return false;
+}
+
+std::size_t connection::AskForRoom() {
+  const std::size_t other = internal::kConnectionBytes + unparsed_.size() +
+                            internal::FieldBytes(parser_->request.fields);
+  if (current_exchange_) {
+    const std::size_t left =
+        internal::kMaxReadAhead -
+        std::min(internal::kMaxReadAhead, unparsed_.size());
+    return !server_->waits_for_room_ || room_->Ask(other + left, false) ? left
+                                                                        : 0;
+  }
+  if (!parser_->is_header_done()) {
+    return AskForRoom(
+               other + internal::kMaxReadAhead + internal::kMaxFieldsOverhead,
+               false)
+               ? internal::kMaxReadAhead
+               : 0;
+  }
+  if (parser_->body_bytes) {
+    const std::size_t size = MaxBodyBytes();
+    if (!AskForRoom(other + size, size > kSmallBodyBytes)) {
+      return 0;
+    }
+    reserved_bytes_ = other + size;
+    return std::min(kReadBufferBytes, size - body_.size());
+  }
+  // Chunks don't tell the size of the whole. What is parsed of a read is never
+  // more than what was read.
+  const bool is_large =
+      body_.size() + internal::kMaxReadAhead > kSmallBodyBytes;
+  const std::size_t size = is_large
+                               ? MaxBodyBytes()
+                               : std::max(body_.capacity(), 2 * body_.size()) +
+                                     internal::kMaxReadAhead;
+  const std::size_t read =
+      is_large ? kReadBufferBytes : internal::kMaxReadAhead;
+  if (!AskForRoom(other + size + read, is_large)) {
+    return 0;
+  }
+  reserved_bytes_ = other + size + read;
+  return read;
+}
+
+void connection::OnReadable(const boost::system::error_code& error) {
+  if (closed_ || server_ == nullptr) {
     return;
   }
-  if (error) {
+  boost::system::error_code read_error = error;
+  for (int turn = 0; turn < internal::kMaxReadsAtOnce && !read_error; ++turn) {
+    const std::size_t wanted = AskForRoom();
+    if (wanted == 0) {
+      return;
+    }
+    const std::size_t bytes = socket_.read_some(
+        boost::asio::buffer(server_->read_buffer_.data(), wanted), read_error);
+    if (read_error) {
+      break;
+    }
+    OnBytes({server_->read_buffer_.data(), bytes});
+    if (closed_ || close_after_write_ || server_ == nullptr) {
+      return;
+    }
+    if (bytes < wanted || current_exchange_) {
+      break;
+    }
+  }
+  if (read_error && read_error != boost::asio::error::would_block) {
     OnClientDisconnected();
     return;
   }
-  unparsed_.append(read_buffer_.data(), bytes);
-  if (!current_exchange_) {
-    Parse();
+  Read();
+}
+
+void connection::OnBytes(std::string_view bytes) {
+  if (current_exchange_ || !unparsed_.empty()) {
+    unparsed_ += bytes;
+    ParseBuffered();
+    return;
+  }
+  const std::size_t used = Parse(bytes);
+  unparsed_ = bytes.substr(used);
+  if (parser_->is_done()) {
+    Dispatch();
+  } else {
+    CheckUnparsed();
+  }
+}
+
+void connection::ParseBuffered() {
+  if (!closed_ && !current_exchange_ && !close_after_write_ &&
+      !unparsed_.empty()) {
+    unparsed_.erase(0, Parse(unparsed_));
+    if (!closed_ && !current_exchange_ && parser_->is_done()) {
+      Dispatch();
+    } else {
+      CheckUnparsed();
+    }
+  } else if (!closed_) {
+    UpdateRoom();
+  }
+}
+
+void connection::CheckUnparsed() {
+  if (closed_ || current_exchange_ || close_after_write_) {
+    return;
   }
   // The parser does not limit what it needs to read of a chunk's header or of a
   // trailer before it can go on.
-  if (!closed_ && !current_exchange_ && !close_after_write_ &&
-      unparsed_.size() >
-          internal::kMaxReadAhead + server_->limits_.head_bytes) {
+  if (unparsed_.size() > server_->limits_.head_bytes) {
     RejectRequest(internal::kHeadTooLarge);
+    return;
   }
-  if (!closed_ &&
-      (!current_exchange_ || unparsed_.size() < internal::kMaxReadAhead)) {
-    Read();
+  if (head_started_) {
+    room_->Advance(body_.size(), steady_clock_source().Now());
   }
+  UpdateRoom();
 }
 
-void connection::Parse() {
-  while (!closed_ && !current_exchange_ && !close_after_write_ &&
-         !unparsed_.empty()) {
-    if (!head_started_) {
-      head_started_ = true;
-      SetTimer(server_->limits_.head_timeout);
-    }
+std::size_t connection::Parse(std::string_view bytes) {
+  if (!head_started_) {
+    head_started_ = true;
+    SetTimer(server_->limits_.head_timeout);
+  }
+  std::size_t used = 0;
+  while (used < bytes.size()) {
     const bool had_head = parser_->is_header_done();
     boost::beast::error_code error;
-    const std::size_t used = parser_->put(
-        boost::asio::buffer(unparsed_.data(), unparsed_.size()), error);
-    unparsed_.erase(0, used);
+    const std::size_t more = parser_->put(
+        boost::asio::buffer(bytes.data() + used, bytes.size() - used), error);
+    used += more;
     if (error && error != boost::beast::http::error::need_more) {
       RejectRequest(internal::ErrorStatus(error));
-      return;
+      return used;
     }
     if (!had_head && parser_->is_header_done()) {
       SetTimer(server_->limits_.head_timeout);
     }
-    if (parser_->is_done()) {
-      Dispatch();
-    } else if (error || used == 0) {
-      return;
+    if (parser_->is_done() || error || more == 0) {
+      break;
     }
   }
+  return used;
+}
+
+void connection::AppendBody(std::string_view part) {
+  const std::size_t needed = body_.size() + part.size();
+  if (needed > body_.capacity()) {
+    // By what has arrived, not by what is announced. Large bodies are copied
+    // less often when the last step goes to the end.
+    const std::size_t whole = std::max(MaxBodyBytes(), needed);
+    const std::size_t grown = std::max(2 * body_.capacity(), needed);
+    const bool is_known = parser_->body_bytes.has_value();
+    body_.reserve(whole <= kSmallBodyBytes && is_known  ? whole
+                  : grown * (is_known ? 4 : 1) >= whole ? whole
+                                                        : grown);
+  }
+  body_ += part;
+}
+
+void connection::UpdateRoom() {
+  const std::size_t held = internal::kConnectionBytes + unparsed_.capacity() +
+                           body_.capacity() +
+                           internal::FieldBytes(parser_->request.fields);
+  room_->Set(std::max(held, reserved_bytes_));
+}
+
+void connection::OnDropped(drop_reason reason) {
+  if (current_exchange_ || close_after_write_ || !room_->IsDropped()) {
+    return;
+  }
+  server_->CountDrop(reason);
+  RejectRequest(reason == drop_reason::kStalled
+                    ? internal::kRequestTimeout
+                    : internal::kServiceUnavailable);
 }
 
 void connection::Dispatch() {
@@ -140,6 +329,14 @@
   current_exchange_ = std::make_shared<server_exchange>(weak_from_this());
   current_exchange_->head = std::move(parser_->request);
   current_exchange_->body = std::move(body_);
+  reserved_bytes_ = 0;
+  current_exchange_->room_ = std::move(room_);
+  current_exchange_->room_->Complete(
+      internal::kConnectionBytes + current_exchange_->body.capacity() +
+      internal::FieldBytes(current_exchange_->head.fields));
+  parser_->request = {};
+  std::string().swap(body_);
+  MakeRoom();
   const auto exchange = current_exchange_;
   server_->on_request_(exchange);
 }
@@ -149,9 +346,18 @@
   if (server_->on_refusal_) {
     server_->on_refusal_(status);
   }
+  // Nothing of the request is needed any more.
+  reserved_bytes_ = 0;
+  std::string().swap(body_);
+  parser_->request = {};
+  MakeRoom();
   current_exchange_ = std::make_shared<server_exchange>(weak_from_this());
   const auto exchange = current_exchange_;
-  exchange->Reply(status, {}, "");
+  header_fields fields;
+  if (status == internal::kServiceUnavailable) {
+    fields.push_back({"Retry-After", "1"});
+  }
+  exchange->Reply(status, fields, "");
 }
 
 void connection::Write(std::string bytes) {
@@ -234,8 +440,9 @@
   // The reply may be completed inside the request handler, so the next request
   // is parsed in a separate turn of the loop.
   boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
-    if (!self->closed_ && !self->current_exchange_) {
-      self->Parse();
+    if (!self->closed_ && !self->current_exchange_ &&
+        self->server_ != nullptr) {
+      self->ParseBuffered();
       self->Read();
     }
   });
@@ -258,6 +465,9 @@
   }
   closed_ = true;
   held_.reset();
+  room_.reset();
+  std::string().swap(body_);
+  std::string().swap(unparsed_);
   timer_.cancel();
   current_exchange_.reset();
   boost::system::error_code ignored;
@@ -288,6 +498,12 @@
     return;
   }
   if (head_started_ && !close_after_write_) {
+    // What waits for room could not send.
+    if (room_->IsWaiting()) {
+      server_->CountDrop(drop_reason::kNoRoom);
+      RejectRequest(internal::kServiceUnavailable);
+      return;
+    }
     RejectRequest(internal::kRequestTimeout);
   } else {
     Close();
--- a/src/acaciaferry/net/connection.hpp
+++ b/src/acaciaferry/net/connection.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -30,6 +29,11 @@
   /** @return Whether nothing of a request has arrived that is not answered, and
    * nothing of a reply waits to be written. */
   [[nodiscard]] bool IsIdle() const;
+  /** @return Whether a request has arrived in part, and no other one waits for
+   * its reply. */
+  [[nodiscard]] bool IsUnfinished() const noexcept {
+    return !current_exchange_ && !close_after_write_ && pending_bytes_ == 0;
+  }
   /** @return Number of bytes queued for writing. */
   [[nodiscard]] std::size_t PendingBytes() const noexcept {
     return pending_bytes_;
@@ -45,9 +49,22 @@
 
  private:
   void BeginRequest();
+  /** @brief Reads as soon as something has arrived. */
   void Read();
-  void OnRead(const boost::system::error_code& error, std::size_t bytes);
-  void Parse();
+  void OnReadable(const boost::system::error_code& error);
+  /** @return How much to read now. 0 if nothing may be read. */
+  [[nodiscard]] std::size_t AskForRoom();
+  [[nodiscard]] bool AskForRoom(std::size_t bytes, bool is_large);
+  void OnBytes(std::string_view bytes);
+  /** @return Number of bytes that were used. */
+  std::size_t Parse(std::string_view bytes);
+  void ParseBuffered();
+  void CheckUnparsed();
+  void AppendBody(std::string_view part);
+  [[nodiscard]] std::size_t MaxBodyBytes() const;
+  void UpdateRoom();
+  void MakeRoom();
+  void OnDropped(drop_reason reason);
   void Dispatch();
   void RejectRequest(int status);
   void Flush();
@@ -59,11 +76,13 @@
   http_server* server_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  std::array<char, 16'384> read_buffer_{};
+  std::unique_ptr<request_room> room_;
   std::string unparsed_;
   std::unique_ptr<message_parser<true>> parser_;
   std::shared_ptr<server_exchange> current_exchange_;
   std::string body_;
+  /** What is set aside for the body and what else the request takes. */
+  std::size_t reserved_bytes_{};
   std::deque<std::string> write_queue_;
   std::string write_buffer_;
   std::size_t pending_bytes_{};
--- a/src/acaciaferry/net/fwd.hpp
+++ b/src/acaciaferry/net/fwd.hpp
@@ -8,6 +8,8 @@
 class held_memory;
 class http_server;
 class memory_account;
+class request_memory;
+class request_room;
 class server_exchange;
 class tunnel_server;
 struct header_field;
--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -12,9 +13,9 @@
 
 namespace acaciaferry::net {
 
-/** More fields than any sound response has; each takes far more memory than its
- * bytes. */
-inline constexpr std::size_t kMaxResponseFields = 256;
+/** More fields than any sound message has in its head and trailer; each takes
+ * far more memory than its bytes. */
+inline constexpr std::size_t kMaxFields = 256;
 
 /**
  * @brief Incremental HTTP/1.1 parser based on Boost.Beast. It passes body data
@@ -33,6 +34,8 @@
 
   request_head request;
   response_head response;
+  /** Announced size of the body; nothing for chunks, or without a body. */
+  std::optional<std::uint64_t> body_bytes;
 
  private:
   using error_code = boost::beast::error_code;
@@ -62,7 +65,7 @@
                      error_code& error) override {
     auto& fields = IsRequest ? request.fields : response.fields;
     // Fields of a trailer come here, too.
-    if (!IsRequest && fields.size() >= kMaxResponseFields) {
+    if (fields.size() >= kMaxFields) {
       error = boost::beast::http::error::header_limit;
       return;
     }
@@ -71,8 +74,12 @@
 
   void on_header_impl(error_code& /*error*/) override {}
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                         error_code& /*error*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         error_code& /*error*/) override {
+    if (length) {
+      body_bytes = *length;
+    }
+  }
 
   std::size_t on_body_impl(text body, error_code& /*error*/) override {
     on_body_({body.data(), body.size()});
--- a/src/acaciaferry/net/server.cpp
+++ b/src/acaciaferry/net/server.cpp
@@ -13,6 +13,9 @@
 // descriptors, retrying at once would spin.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{50};
 constexpr std::size_t kMaxChunkSizeChars = 32;
+// Interval at which requests that wait for room are looked at. Progress is
+// judged over far longer times.
+constexpr std::chrono::milliseconds kReviewInterval{20};
 
 std::string SerializeHead(int status, const header_fields& fields, bool close) {
   std::string text = "HTTP/1.1 " + std::to_string(status) + " " +
@@ -118,6 +121,7 @@
     : loop_(loop),
       acceptor_(loop),
       accept_retry_timer_(loop),
+      review_timer_(loop),
       on_request_(std::move(on_request)) {}
 
 http_server::~http_server() {
@@ -162,6 +166,8 @@
       return;
     }
     if (error) {
+      // Most likely there are no descriptors.
+      static_cast<void>(CloseLongestIdle());
       accept_retry_timer_.expires_after(internal::kAcceptRetryDelay);
       accept_retry_timer_.async_wait(
           [this](const boost::system::error_code& wait_error) {
@@ -177,18 +183,69 @@
 }
 
 void http_server::Add(boost::asio::ip::tcp::socket socket) {
-  if (connections_.size() < limits_.max_connections) {
-    const auto accepted =
-        std::make_shared<connection>(*this, std::move(socket));
-    accepted->position = connections_.insert(connections_.end(), accepted);
-    accepted->Start();
+  const auto is_full = [this] {
+    return connections_.size() >= limits_.max_connections ||
+           (has_room_ && !has_room_());
+  };
+  while (is_full()) {
+    if (!CloseLongestIdle()) {
+      CountDrop(drop_reason::kIdle);
+      return;
+    }
   }
+  const auto accepted = std::make_shared<connection>(*this, std::move(socket));
+  accepted->position = connections_.insert(connections_.end(), accepted);
+  accepted->Start();
 }
 
 void http_server::Remove(connection* closed) {
   connections_.erase(closed->position);
 }
 
+void http_server::MoveToBack(connection* idle) {
+  connections_.splice(connections_.end(), connections_, idle->position);
+}
+
+bool http_server::CloseLongestIdle() {
+  auto found = std::find_if(connections_.begin(), connections_.end(),
+                            [](const auto& each) { return each->IsIdle(); });
+  if (found == connections_.end()) {
+    found = std::find_if(connections_.begin(), connections_.end(),
+                         [](const auto& each) { return each->IsUnfinished(); });
+  }
+  if (found == connections_.end()) {
+    return false;
+  }
+  CountDrop(drop_reason::kIdle);
+  const auto closed = *found;
+  closed->Close();
+  return true;
+}
+
+void http_server::CountDrop(drop_reason reason) {
+  if (on_drop_) {
+    on_drop_(reason);
+  }
+}
+
+void http_server::ReviewMemory() {
+  if (is_reviewing_) {
+    return;
+  }
+  is_reviewing_ = true;
+  review_timer_.expires_after(internal::kReviewInterval);
+  review_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    is_reviewing_ = false;
+    request_memory_->Review(steady_clock_source().Now());
+    if (request_memory_->WaitingCount() > 0) {
+      ReviewMemory();
+    }
+  });
+}
+
 void http_server::CloseIdle() {
   const auto open = connections_;
   for (const auto& each : open) {
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 // Boost 1.74 needs <utility> before its own headers with g++ 12.
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +18,7 @@
 #include "acaciaferry/net/memory_account.hpp"
 #include "acaciaferry/net/message.hpp"
 #include "acaciaferry/net/parser.hpp"
+#include "acaciaferry/net/request_memory.hpp"
 
 namespace acaciaferry::net {
 
@@ -77,6 +79,8 @@
   friend class connection;
 
   std::weak_ptr<connection> owner_;
+  // What the request takes, until nobody needs it any more.
+  std::unique_ptr<request_room> room_;
   bool begun_{};
   bool complete_{};
 };
@@ -84,12 +88,16 @@
 /** Number of unwritten bytes above which the source of a reply should pause. */
 inline constexpr std::size_t kWriteHighWatermark = 65'536;
 
+inline constexpr std::size_t kReadBufferBytes = 65'536;
+
 /** @brief Accepts connections and reads HTTP/1.1 requests on an event loop. */
 class http_server {
  public:
   using handler = std::function<void(std::shared_ptr<server_exchange>)>;
   /** Receives the status of a request that was rejected while it was read. */
   using refusal_handler = std::function<void(int status)>;
+  /** Receives the reason why a caller was dropped. */
+  using drop_handler = std::function<void(drop_reason reason)>;
 
   http_server(boost::asio::io_context& loop, handler on_request);
   http_server(const http_server&) = delete;
@@ -108,14 +116,37 @@
   /** @brief Counts what clients have not read yet. A connection that has to let
    * go is closed. */
   void SetMemory(memory_account& memory) { memory_ = &memory; }
+  /**
+   * @brief Counts what requests take.
+   * @param waits Whether requests wait, and are dropped, when there is no room;
+   * otherwise they are only counted.
+   */
+  void SetRequestMemory(request_memory& memory, bool waits) {
+    request_memory_ = &memory;
+    waits_for_room_ = waits;
+  }
+  /**
+   * @brief Sets a condition for accepting a connection. While it does not hold,
+   * the connections that have been idle longest are closed.
+   */
+  void SetRoomForConnections(std::function<bool()> has_room) {
+    has_room_ = std::move(has_room);
+  }
   void SetRefusalHandler(refusal_handler handler) {
     on_refusal_ = std::move(handler);
   }
+  void SetDropHandler(drop_handler handler) { on_drop_ = std::move(handler); }
 
   /** @brief Adds `Connection: close` to all further replies. */
   void CloseAfterReplies() noexcept { closing_ = true; }
   /** @brief Closes the connections that are waiting for a request. */
   void CloseIdle();
+  /**
+   * @brief Closes the connection that has been idle longest or, if none is, one
+   * whose request was not read in full.
+   * @return Whether there was one.
+   */
+  bool CloseLongestIdle();
   /** @brief Stops accepting. Open connections remain, and those that clients
    * have opened and that were not accepted yet are accepted. */
   void StopListening();
@@ -135,15 +166,28 @@
   void Add(boost::asio::ip::tcp::socket socket);
   void CloseAcceptor();
   void Remove(connection* closed);
+  /** @brief Moves a connection behind those that have been idle longer. */
+  void MoveToBack(connection* idle);
+  /** @brief Grants room, and drops requests, while any request waits. */
+  void ReviewMemory();
+  void CountDrop(drop_reason reason);
 
   boost::asio::io_context& loop_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
+  boost::asio::steady_timer review_timer_;
   handler on_request_;
   refusal_handler on_refusal_;
+  drop_handler on_drop_;
+  std::function<bool()> has_room_;
   server_limits limits_;
   memory_account* memory_{};
+  request_memory* request_memory_{};
+  bool waits_for_room_{};
+  bool is_reviewing_{};
   bool closing_{};
+  // The loop has one thread, and a connection reads only what has arrived.
+  std::array<char, kReadBufferBytes> read_buffer_{};
   std::list<std::shared_ptr<connection>> connections_;
 };
 
--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -401,7 +401,8 @@
 }
 
 void tunnel_server::Add(boost::asio::ip::tcp::socket client) {
-  if (tunnels_.size() >= max_tunnels_ + internal::kMaxRefusedClients) {
+  if (tunnels_.size() >=
+      max_tunnels_ + std::min(internal::kMaxRefusedClients, max_tunnels_)) {
     return;
   }
   const bool full = Count() >= max_tunnels_;
