Test unread answers beside bodies

Guards against the two accounts, of answers and of requests, exceeding the memory of the smallest VM together. 50 callers don't read answers of 8 MiB and 50 send bodies of the largest size.

--- a/test/process/entry_request_memory.py
+++ b/test/process/entry_request_memory.py
@@ -34,6 +34,8 @@
 # A setting below the size of the crowd.
 DESCRIPTOR_LIMIT = 96
 BLOCK = b"x" * 65536
+# A large answer has this many blocks: 8 MiB.
+LARGE_BLOCKS = 128
 ORDINARY = b"b" * 1200
 
 
@@ -154,12 +156,23 @@
     return ALL[number % len(ALL)](number)
 
 
+def unread(number):
+    """Large answers that callers don't read, beside bodies of all kinds."""
+    if number % 2 == 0:
+        return iter([head("/once/large", length(0))])
+    return (complete, announced, large_chunks)[number // 2 % 3](number)
+
+
+unread.reads_nothing = True
+
+
 class Crowd:
     """Callers that send their pieces in turn, until all have sent theirs or are refused."""
 
     def __init__(self, port, pieces_of):
         self.address = ("127.0.0.1", port)
         self.pieces_of = pieces_of
+        self.reads = not hasattr(pieces_of, "reads_nothing")
         self.selector = selectors.DefaultSelector()
         self.open = set()
         self.stopped = False
@@ -176,7 +189,8 @@
         caller = {"pieces": self.pieces_of(number), "rest": memoryview(b""), "number": number,
                   "left": left - 1}
         self.open.add(connection)
-        self.selector.register(connection, selectors.EVENT_WRITE | selectors.EVENT_READ, caller)
+        events = selectors.EVENT_WRITE | (selectors.EVENT_READ if self.reads else 0)
+        self.selector.register(connection, events, caller)
 
     def run(self):
         deadline = time.monotonic() + BOUND_S
@@ -197,7 +211,8 @@
         except BlockingIOError:
             pass
         except OSError:
-            self.selector.unregister(connection)
+            if connection in self.selector.get_map():
+                self.selector.unregister(connection)
             self.open.remove(connection)
             connection.close()
             if caller["left"] > 0:
@@ -207,7 +222,10 @@
         if not caller["rest"]:
             piece = next(caller["pieces"], None)
             if piece is None:
-                self.selector.modify(connection, selectors.EVENT_READ, caller)
+                if self.reads:
+                    self.selector.modify(connection, selectors.EVENT_READ, caller)
+                else:
+                    self.selector.unregister(connection)
                 return
             caller["rest"] = memoryview(piece)
         sent = connection.send(caller["rest"]) if caller["rest"] else 0
@@ -246,7 +264,7 @@
                 read += len(more)
             if "/hold" in lines[0]:
                 released.wait(BOUND_S)
-            answered = b"read %d" % read
+            answered = BLOCK * LARGE_BLOCKS if "/large" in lines[0] else b"read %d" % read
             connection.sendall(
                 ("HTTP/1.1 200 OK\r\nAcaciaferry-Attempt-Id: %s\r\n%s: s1\r\n"
                  "Content-Length: %d\r\n\r\n" % (
@@ -395,7 +413,7 @@
     "heads": [(silent, CALLERS), (endless_heads, CALLERS), (many_fields, CALLERS),
               (endless_extensions, CALLERS), (extensions_of_small_chunks, CALLERS),
               (endless_trailers, CALLERS), (trailers_of_many_fields, CALLERS)],
-    "others": [(mixed, CALLERS), (announced, CONTROL), (mixed, CONTROL), (announced, READINESS),
+    "others": [(mixed, CALLERS), (unread, CALLERS), (announced, CONTROL), (mixed, CONTROL), (announced, READINESS),
                (mixed, READINESS), (mixed, TUNNELS)],
 }
 
