Explain pool_evacuated to operators and callers

The test OperatorsPage.ExplainsEveryReason failed since the code was added: the operators' page had no row for it. The pages and the outcome explanations of acaciaferryctl name it now.

--- a/src/acaciaferry/administration/log_walk.cpp
+++ b/src/acaciaferry/administration/log_walk.cpp
@@ -16,7 +16,7 @@
 
 // Explains to an operator the codes that a request ends with, and names what to
 // look at next.
-constexpr std::array<outcome_explanation, 10> kOutcomeExplanations{{
+constexpr std::array<outcome_explanation, 11> kOutcomeExplanations{{
     {"shed",
      "The engines' time was short and the prompt would have kept more from "
      "others than it is worth, or would have been late. See `busy`."},
@@ -25,6 +25,8 @@
     {"target_limit",
      "The targets of the pool had said how much they take, and got as much."},
     {"no_live_target", "No target of the pool could be reached."},
+    {"pool_evacuated",
+     "All targets of the pool are in failure domains that are evacuated."},
     {"target_rejected", "The targets refused the request before it ran."},
     {"target_lost", "The connection ended while the request may have run."},
     {"answer_corrupt", "The answer broke off or was none."},
