Test evacuations in the fleet model

Unit tests post the event to one VM at a time; VMs and planners that hear of an evacuation at different times were not covered.

hub_fleet tells its VMs of evacuated failure domains at random times within a spread, and counts refusals by code.

--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -196,6 +196,9 @@
     made.slots = plan_.slots;
     targets.push_back(std::move(made));
   }
+  if (!evacuated_.empty()) {
+    Post(vm, forwarding::domains_evacuated{evacuated_});
+  }
   Post(vm, forwarding::targets_published{std::move(targets)});
   OnInterval(vm);
 }
@@ -204,6 +207,28 @@
   vms_[vm]->running = false;
 }
 
+void hub_fleet::SetEvacuated(const std::vector<std::size_t>& domains,
+                             duration spread) {
+  evacuated_.clear();
+  for (const std::size_t each : domains) {
+    evacuated_.push_back(internal::DomainId(each));
+  }
+  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
+    if (vms_[vm]->running) {
+      const auto heard_after = duration(static_cast<std::int64_t>(
+          DrawBelow(random_, static_cast<std::uint64_t>(spread.count()) + 1)));
+      AfterAt(vm, heard_after, [this, vm, domains = evacuated_] {
+        Post(vm, forwarding::domains_evacuated{domains});
+      });
+    }
+  }
+}
+
+std::uint64_t hub_fleet::Refusals(failure_code code) const {
+  const auto at = refusals_by_code_.find(code);
+  return at == refusals_by_code_.end() ? 0 : at->second;
+}
+
 void hub_fleet::Join(std::size_t vms_per_domain) {
   const std::size_t before = vms_.size();
   for (std::size_t index = 0; index < vms_per_domain; ++index) {
@@ -276,8 +301,9 @@
   void operator()(const forwarding::probe_target& effect) const {
     fleet.Probe(vm, effect.target, internal::kProbeTime);
   }
-  void operator()(const forwarding::refuse_call& /*effect*/) const {
+  void operator()(const forwarding::refuse_call& effect) const {
     ++fleet.refusals_;
+    ++fleet.refusals_by_code_[effect.why.code];
   }
   void operator()(const forwarding::abort_response& /*effect*/) const {
     ++fleet.broken_off_;
@@ -401,6 +427,7 @@
   most_ = 0;
   calls_ = 0;
   refusals_ = 0;
+  refusals_by_code_.clear();
   longest_placement_ = {};
 }
 
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -104,6 +104,12 @@
   /** @brief Cuts a failure domain's VMs off from all others; nothing to end it.
    */
   void SetCutOff(std::optional<std::size_t> domain) { cut_off_ = domain; }
+  /**
+   * @brief Sets the failure domains that are evacuated. Each running VM hears
+   * of it at a random time; those that start later know it at once.
+   * @param spread Within which all hear of it.
+   */
+  void SetEvacuated(const std::vector<std::size_t>& domains, duration spread);
   /** @brief Partitions VMs from all engines.
    * @param is_partitioned A function of a VM's index; nothing to end it. */
   void SetPartition(std::function<bool(std::size_t vm)> is_partitioned,
@@ -174,6 +180,8 @@
       std::size_t engine) const;
   [[nodiscard]] std::uint64_t Calls() const noexcept { return calls_; }
   [[nodiscard]] std::uint64_t Refusals() const noexcept { return refusals_; }
+  /** @return Number of refusals for a reason since the last reset. */
+  [[nodiscard]] std::uint64_t Refusals(failure_code code) const;
   /** @return Longest time from the arrival of a call to its first attempt. */
   [[nodiscard]] duration LongestPlacement() const noexcept {
     return longest_placement_;
@@ -263,6 +271,8 @@
   std::uint64_t next_incarnation_{1};
   std::uint64_t calls_{};
   std::uint64_t refusals_{};
+  std::map<failure_code, std::uint64_t> refusals_by_code_;
+  std::vector<failure_domain_id> evacuated_;
   std::uint64_t broken_off_{};
   /** Fingerprint of crashing requests, and events before the crash. */
   std::map<std::uint64_t, std::uint64_t> crashing_;
