Wait for slow evacuated targets if no other is left

A request that was sent to an evacuated target and was slow was given up and failed with 502 if its pool had no other target: the retry found none after it had ended the attempt. Work that runs in an evacuated failure domain is to run to its end.

Without a target that takes the retry, none is made if the pool is evacuated.

--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <string>
 
+#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
+
 namespace acaciaferry::forwarding::internal {
 namespace {
 
@@ -286,9 +288,11 @@
       pending.running_attempt && pending.running_attempt->sent;
   const auto room = NextRoom(
       current, ReachableTargets(current, pending.request.pool, now), now);
+  // Without another target, one that is evacuated may still answer.
   const bool has_room =
-      !room || *room <= now ||
-      ((ran || pending.may_have_run) && CanWaitForRoom(pending, *room, now));
+      room ? *room <= now || ((ran || pending.may_have_run) &&
+                              CanWaitForRoom(pending, *room, now))
+           : !IsPoolEvacuated(current, pending.request.pool);
   if (!retryable || !allowed || !has_room ||
       (was_sent && !current.allowance.TryTake(pending.request.pool,
                                               current.vm_count, now))) {
--- a/test/acaciaferry/forwarding/evacuation_test.cpp
+++ b/test/acaciaferry/forwarding/evacuation_test.cpp
@@ -20,9 +20,9 @@
 // are in failure domain east, the others in west.
 struct two_domains : single_vm {
   two_domains() {
-    for (std::size_t index = 0; index < published.size(); ++index) {
-      const bool is_even = (published[index].id.value.back() - '0') % 2 == 0;
-      published[index].failure_domain = is_even ? kEast : kWest;
+    for (target& each : published) {
+      const bool is_even = (each.id.value.back() - '0') % 2 == 0;
+      each.failure_domain = is_even ? kEast : kWest;
     }
     Post(targets_published{published});
   }
@@ -341,6 +341,30 @@
   CHECK_TRUE(vm.Refusal().result == outcome::kUnknown);
 }
 
+// Guards against a request that is broken off because its target is slow, when
+// no other target may take it.
+TEST(Evacuation, SlowTargetsAreWaitedForIfNoOtherIsLeft) {
+  two_domains vm;
+  const auto call = vm.Start(call_kind::kIdempotent, kService);
+  vm.Sent(call);
+  const auto prompt = vm.Start(call_kind::kStreaming, kModel, 5'000);
+  vm.Sent(prompt);
+  vm.Evacuate({kEast, kWest});
+  for (int ms = 500; ms < 9'000; ms += 500) {
+    vm.PostAt(ms, timer_fired{});
+    LONGS_EQUAL(0, vm.All<cancel_attempt>().size());
+    LONGS_EQUAL(0, vm.All<refuse_call>().size());
+  }
+  vm.Post(response_started{call.id, 1, response_verdict::kServed, 200, "", {}});
+  vm.Post(response_completed{call.id, 1});
+  LONGS_EQUAL(1, vm.All<deliver_response>().size());
+  vm.Post(
+      response_started{prompt.id, 1, response_verdict::kServed, 200, "", {}});
+  vm.Post(response_progressed{prompt.id, 1, 1});
+  vm.Post(response_completed{prompt.id, 1});
+  LONGS_EQUAL(1, vm.All<finish_stream>().size());
+}
+
 // Guards against prompts that are shed since the work at evacuated engines is
 // taken for that of the others.
 TEST(Evacuation, WorkThereDoesNotCountAsUtilization) {
