--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
+#include <utility>
 
 namespace acaciaferry::net {
 namespace internal {
@@ -10,8 +11,9 @@
 // Maximum number of bytes buffered of further requests while a reply is
 // incomplete. Above it the socket is not read.
 constexpr std::size_t kMaxReadAhead = 16'384;
-// A connection, its parser and its parts of the event loop.
-constexpr std::size_t kConnectionBytes = 2'048;
+// A connection with its first buffer, its parser and its parts of the event
+// loop.
+constexpr std::size_t kConnectionBytes = 4'096;
 // Reads of one connection before others have their turn.
 constexpr int kMaxReadsAtOnce = 4;
 // The fields are copied for the call, and written once for each attempt.
@@ -62,6 +64,7 @@
   });
   socket_.non_blocking(true, ignored);
   BeginRequest();
+  room_handlers_ = RoomHandlers();
   MakeRoom();
   Read();
 }
@@ -73,7 +76,7 @@
 bool connection::IsIdle() const {
   boost::system::error_code error;
   return !current_exchange_ && !head_started_ && unparsed_.empty() &&
-         pending_bytes_ == 0 && socket_.available(error) == 0;
+         arrived_ == 0 && pending_bytes_ == 0 && socket_.available(error) == 0;
 }
 
 void connection::BeginRequest() {
@@ -92,7 +95,7 @@
   server_->MoveToBack(this);
 }
 
-void connection::MakeRoom() {
+std::shared_ptr<const request_room::handlers> connection::RoomHandlers() {
   const auto post = [this](auto act) {
     return [weak = weak_from_this(), executor = socket_.get_executor(),
             act](auto... arguments) {
@@ -104,12 +107,16 @@
       });
     };
   };
+  return std::make_shared<const request_room::handlers>(request_room::handlers{
+      post([](connection& self) { self.Read(); }),
+      post([](connection& self, drop_reason reason) {
+        self.OnDropped(reason);
+      })});
+}
+
+void connection::MakeRoom() {
   room_ = std::make_unique<request_room>(
-      server_->request_memory_, request_kind::kReading,
-      request_room::handlers{post([](connection& self) { self.Read(); }),
-                             post([](connection& self, drop_reason reason) {
-                               self.OnDropped(reason);
-                             })});
+      server_->request_memory_, request_kind::kReading, room_handlers_);
   UpdateRoom();
 }
 
@@ -117,12 +124,20 @@
   if (reading_ || closed_ || close_after_write_) {
     return;
   }
+  if (arrived_ > 0) {
+    OnArrived();
+    return;
+  }
+  if (current_exchange_ && unparsed_.size() >= internal::kMaxReadAhead) {
+    return;
+  }
   reading_ = true;
-  socket_.async_wait(
-      boost::asio::socket_base::wait_read,
-      [self = shared_from_this()](const boost::system::error_code& error) {
+  socket_.async_read_some(
+      boost::asio::buffer(first_bytes_),
+      [self = shared_from_this()](const boost::system::error_code& error,
+                                  std::size_t bytes) {
         self->reading_ = false;
-        self->OnReadable(error);
+        self->OnRead(error, bytes);
       });
 }
 
@@ -190,34 +205,51 @@
   return read;
 }
 
-void connection::OnReadable(const boost::system::error_code& error) {
+void connection::OnRead(const boost::system::error_code& error,
+                        std::size_t bytes) {
   if (closed_ || server_ == nullptr) {
     return;
   }
-  boost::system::error_code read_error = error;
-  for (int turn = 0; turn < internal::kMaxReadsAtOnce && !read_error; ++turn) {
+  if (error) {
+    OnClientDisconnected();
+    return;
+  }
+  arrived_ = bytes;
+  OnArrived();
+}
+
+void connection::OnArrived() {
+  if (AskForRoom() == 0) {
+    return;
+  }
+  const std::size_t bytes = std::exchange(arrived_, 0);
+  OnBytes({first_bytes_.data(), bytes});
+  bool has_more = bytes == first_bytes_.size();
+  for (int turn = 0; turn < internal::kMaxReadsAtOnce && has_more &&
+                     !closed_ && !close_after_write_ && !current_exchange_;
+       ++turn) {
     const std::size_t wanted = AskForRoom();
     if (wanted == 0) {
       return;
     }
-    const std::size_t bytes = socket_.read_some(
-        boost::asio::buffer(server_->read_buffer_.data(), wanted), read_error);
-    if (read_error) {
-      break;
-    }
-    OnBytes({server_->read_buffer_.data(), bytes});
-    if (closed_ || close_after_write_ || server_ == nullptr) {
-      return;
-    }
-    if (bytes < wanted || current_exchange_) {
-      break;
-    }
+    has_more = ReadMore(wanted);
   }
-  if (read_error && read_error != boost::asio::error::would_block) {
+  Read();
+}
+
+bool connection::ReadMore(std::size_t wanted) {
+  boost::system::error_code error;
+  const std::size_t bytes = socket_.read_some(
+      boost::asio::buffer(server_->read_buffer_.data(), wanted), error);
+  if (error == boost::asio::error::would_block) {
+    return false;
+  }
+  if (error) {
     OnClientDisconnected();
-    return;
+    return false;
   }
-  Read();
+  OnBytes({server_->read_buffer_.data(), bytes});
+  return bytes == wanted;
 }
 
 void connection::OnBytes(std::string_view bytes) {
--- a/src/acaciaferry/net/connection.hpp
+++ b/src/acaciaferry/net/connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <deque>
 #include <memory>
 #include <optional>
@@ -49,9 +50,13 @@
 
  private:
   void BeginRequest();
-  /** @brief Reads as soon as something has arrived. */
   void Read();
-  void OnReadable(const boost::system::error_code& error);
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  /** @brief Uses what was read, and what else has arrived, as far as there is
+   * room. */
+  void OnArrived();
+  /** @return Whether there may be more to read now. */
+  [[nodiscard]] bool ReadMore(std::size_t wanted);
   /** @return How much to read now. 0 if nothing may be read. */
   [[nodiscard]] std::size_t AskForRoom();
   [[nodiscard]] bool AskForRoom(std::size_t bytes, bool is_large);
@@ -64,6 +69,7 @@
   [[nodiscard]] std::size_t MaxBodyBytes() const;
   void UpdateRoom();
   void MakeRoom();
+  [[nodiscard]] std::shared_ptr<const request_room::handlers> RoomHandlers();
   void OnDropped(drop_reason reason);
   void Dispatch();
   void RejectRequest(int status);
@@ -76,6 +82,12 @@
   http_server* server_;
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  // Takes a whole small request. More than that is read into the buffer of the
+  // server.
+  std::array<char, 2'048> first_bytes_{};
+  /** Number of bytes in it that were not used yet, for lack of room. */
+  std::size_t arrived_{};
+  std::shared_ptr<const request_room::handlers> room_handlers_;
   std::unique_ptr<request_room> room_;
   std::string unparsed_;
   std::unique_ptr<message_parser<true>> parser_;
--- a/src/acaciaferry/net/request_memory.cpp
+++ b/src/acaciaferry/net/request_memory.cpp
@@ -85,7 +85,7 @@
     room.StopWaiting();
     Change(room, room.asked_, room.asked_large_);
     room.granted_at_ = {};
-    room.owner_.on_granted();
+    room.owner_->on_granted();
   }
 }
 
@@ -147,12 +147,12 @@
   room.is_dropped_ = true;
   releasing_ += room.bytes_;
   releasing_large_ += room.is_large_ ? room.bytes_ : 0;
-  room.owner_.on_dropped(reason);
+  room.owner_->on_dropped(reason);
 }
 
 request_room::request_room(request_memory* memory,
                            request_kind kind,
-                           handlers owner)
+                           std::shared_ptr<const handlers> owner)
     : memory_(memory), kind_(kind), owner_(std::move(owner)) {
   if (memory_ != nullptr) {
     position_ = memory_->rooms_.insert(memory_->rooms_.end(), this);
--- a/src/acaciaferry/net/request_memory.hpp
+++ b/src/acaciaferry/net/request_memory.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <memory>
 #include <string_view>
 
 #include "acaciaferry/core/time.hpp"
@@ -108,7 +109,9 @@
    * @param owner Called at any time from another room's functions, so they must
    * act in a later turn.
    */
-  request_room(request_memory* memory, request_kind kind, handlers owner);
+  request_room(request_memory* memory,
+               request_kind kind,
+               std::shared_ptr<const handlers> owner);
   request_room(const request_room&) = delete;
   request_room& operator=(const request_room&) = delete;
   ~request_room();
@@ -147,7 +150,7 @@
 
   request_memory* memory_;
   request_kind kind_;
-  handlers owner_;
+  std::shared_ptr<const handlers> owner_;
   std::size_t bytes_{};
   std::size_t asked_{};
   std::size_t received_{};
