Keep documents that outlive copies

The reader drops what a listing or a view lacks. Change: document_ranks::outlives_copies names such documents. They end by a watch's event, a removal that a peer with all documents reports, or a listing of the era that they were last confirmed in. From a peer that doesn't know all documents the reader takes the others; it watches on from the revision up to which it knows all, and lists if it has not yet, or if the peer is of a later era. A removal by a peer ends documents of an earlier era, whose revisions don't compare.

--- a/src/acaciaferry/publication/reader.cpp
+++ b/src/acaciaferry/publication/reader.cpp
@@ -74,15 +74,15 @@
   watch_era_ = view_.era;
   // After a failure a short watch shows quickly whether the service is back.
   if (consecutive_failures_ > 0) {
-    return watch_request{view_.revision, internal::kProbeWait,
+    return watch_request{CompleteRevision(), internal::kProbeWait,
                          internal::kShortWatchGrace};
   }
-  if (short_watches_) {
-    return watch_request{view_.revision, internal::kShortWatchWait,
+  if (short_watches_ || complete_until_) {
+    return watch_request{CompleteRevision(), internal::kShortWatchWait,
                          internal::kShortWatchGrace};
   }
   long_watch_sent_ = now;
-  return watch_request{view_.revision, internal::kWatchWait,
+  return watch_request{CompleteRevision(), internal::kWatchWait,
                        internal::kWatchGrace};
 }
 
@@ -172,7 +172,8 @@
     return false;
   }
   const bool is_first = prefix_index_ == 0 && page_after_.empty();
-  if (EnterEra(response.era, now) && !is_first) {
+  // A peer may have told of the later era between two pages.
+  if ((EnterEra(response.era, now) || listed_.era != era_) && !is_first) {
     StartListing();
     return false;
   }
@@ -208,22 +209,54 @@
   last_response_ = now;
   const view listed = std::exchange(listed_, {});
   if (listed.era == view_.era && listed.revision < view_.revision) {
-    // The view of a peer was newer than this listing.
+    // The view of a peer was newer than this listing. If the peer doesn't know
+    // all documents, a later listing is needed.
+    if (!IsComplete()) {
+      StartListing();
+    }
     return false;
   }
-  const bool changed = ReplaceView(listed, now);
+  const bool changed = ReplaceView(listed, now, document_source::kService);
   watch_era_ = view_.era;
+  has_all_ = true;
+  complete_until_.reset();
   return changed;
 }
 
-bool reader::ReplaceView(const view& newer, time_point now) {
+void reader::RaiseCompleteRevision(std::uint64_t revision) {
+  has_all_ = true;
+  complete_until_ = std::max(CompleteRevision(), revision);
+  if (*complete_until_ >= view_.revision) {
+    complete_until_.reset();
+  }
+}
+
+// A copy lacks what is newer, and a peer what it doesn't read.
+bool reader::EndsUnlisted(const std::string& key,
+                          const item& known,
+                          const view& newer,
+                          document_source from) const {
+  if (IsPermanent(key)) {
+    return false;
+  }
+  if (!OutlivesCopies(key)) {
+    return true;
+  }
+  return known.era == newer.era && from != document_source::kIncompletePeer &&
+         (from == document_source::kService ||
+          known.revision <= newer.revision);
+}
+
+bool reader::ReplaceView(const view& newer,
+                         time_point now,
+                         document_source from) {
   bool changed = false;
   for (const auto& [key, value] : newer.items) {
-    changed = TakeItem(key, value, now) || changed;
+    changed = TakeItem(key, value, now, from) || changed;
   }
   std::vector<std::string> removed_keys;
   for (const auto& [key, value] : view_.items) {
-    if (!newer.items.contains(key) && !IsPermanent(key)) {
+    if (!newer.items.contains(key) && EndsUnlisted(key, value, newer, from)) {
       removed_keys.push_back(key);
     }
   }
@@ -252,6 +285,10 @@
   return ranks_.is_permanent && ranks_.is_permanent(key);
 }
 
+bool reader::OutlivesCopies(const std::string& key) const {
+  return ranks_.outlives_copies && ranks_.outlives_copies(key);
+}
+
 document_rank reader::RankOf(const std::string& key,
                              const std::string& value) const {
   return ranks_.rank_of ? ranks_.rank_of(key, value) : document_rank{};
@@ -272,11 +309,29 @@
              : RankOf(key, value.value) > RankOf(key, known.value);
 }
 
-bool reader::TakeItem(const std::string& key, item value, time_point now) {
+// Whether a document that outlives copies, and isn't known here, was removed. A
+// peer that doesn't read such documents keeps those that others have told it.
+bool reader::IsGone(const std::string& key,
+                    const item& value,
+                    document_source from) const {
+  if (from == document_source::kService) {
+    return false;
+  }
+  const bool is_seen = from == document_source::kIncompletePeer && has_all_ &&
+                       value.era == view_.era &&
+                       value.revision <= CompleteRevision();
+  return is_seen || IsRemovedHere(key, value);
+}
+
+bool reader::TakeItem(const std::string& key,
+                      item value,
+                      time_point now,
+                      document_source from) {
   const auto at = view_.items.find(key);
   if (at == view_.items.end()) {
-    return AddItem(key, std::move(value), now);
+    return AddItem(key, std::move(value), now, from);
   }
+  value.missing = value.missing && !OutlivesCopies(key);
   item& known = at->second;
   if (!Supersedes(key, value, known)) {
     if (RankOf(key, value.value) < RankOf(key, known.value)) {
@@ -296,10 +351,18 @@
   return changed;
 }
 
-bool reader::AddItem(const std::string& key, item value, time_point now) {
+bool reader::AddItem(const std::string& key,
+                     item value,
+                     time_point now,
+                     document_source from) {
   const auto removed = removed_.find(key);
-  if (removed != removed_.end() && removed->second.era < value.era &&
-      view_.era < value.era) {
+  if (OutlivesCopies(key)) {
+    if (IsGone(key, value, from)) {
+      return false;
+    }
+    value.missing = false;
+  } else if (removed != removed_.end() && removed->second.era < value.era &&
+             view_.era < value.era) {
     // The copy is older than the removal: what was known last is kept, such as
     // that a target leaves, until it turns out that the entry is not only a
     // copy.
@@ -346,7 +409,8 @@
     LogChange(each.key, each.revision);
     if (each.value) {
       const item written{*each.value, each.revision, false, view_.era};
-      changed = TakeItem(each.key, written, now) || changed;
+      changed = TakeItem(each.key, written, now, document_source::kService) ||
+                changed;
       continue;
     }
     const auto at = view_.items.find(each.key);
@@ -356,6 +420,7 @@
     }
   }
   view_.revision = std::max(view_.revision, response.revision);
+  RaiseCompleteRevision(response.revision);
   return changed;
 }
 
@@ -375,7 +440,7 @@
   const bool is_ending = ranks_.is_ending && at != view_.items.end() &&
                          ranks_.is_ending(key, at->second.value);
   if (how == absence::kRemovedByPeer || is_ending || !outage_ended_ ||
-      returning_.contains(key)) {
+      returning_.contains(key) || OutlivesCopies(key)) {
     return false;
   }
   const duration since_outage = now - *outage_ended_;
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -114,18 +114,23 @@
 
   /**
    * @brief Replaces the view by that of a peer if it contains newer changes.
-   * From an older one it takes documents of a higher rank only: the service may
-   * have come back without them.
+   * From an older one it takes documents of a higher rank only, and those that
+   * outlive copies: the service may have come back without them.
+   * @param is_complete Whether the peer knows all documents. One of an older
+   * release doesn't know those that outlive copies.
    * @return Whether the view has changed.
    */
-  bool Adopt(const view_update& update, time_point now);
+  bool Adopt(const view_update& update,
+             time_point now,
+             bool is_complete = true);
 
   /**
    * @brief Replaces the items by those of a peer whose view is at the same
    * position, and differs nevertheless.
+   * @param is_complete See Adopt.
    * @return Whether the view has changed.
    */
-  bool Repair(const view& peer_view, time_point now);
+  bool Repair(const view& peer_view, time_point now, bool is_complete = true);
 
   /**
    * @brief Tells a peer what has changed.
@@ -146,6 +151,15 @@
   bool Expire(time_point now);
 
   [[nodiscard]] const view& View() const noexcept { return view_; }
+  /** @return Whether a listing, or the view of a peer that knows all documents,
+   * has been taken. */
+  [[nodiscard]] bool HasAllDocuments() const noexcept { return has_all_; }
+  /** @return Whether all documents are known up to the view's position. They
+   * are not after changes of a peer that doesn't know all documents, until the
+   * service or another peer is heard. */
+  [[nodiscard]] bool IsComplete() const noexcept {
+    return has_all_ && !complete_until_;
+  }
   /** @return Whether no request has failed since the last response. */
   [[nodiscard]] bool LastRequestSucceeded() const noexcept {
     return consecutive_failures_ == 0;
@@ -172,6 +186,8 @@
     std::uint64_t era{};
     time_point removed_at{};
   };
+  /** Where documents come from. */
+  enum class document_source { kService, kCompletePeer, kIncompletePeer };
   /** How it became known that a document is not there any more. */
   enum class absence {
     /** A watch has reported the removal. */
@@ -199,19 +215,39 @@
   [[nodiscard]] bool IsRemovedHere(const std::string& key,
                                    const item& value) const;
   [[nodiscard]] bool IsPermanent(const std::string& key) const;
+  [[nodiscard]] bool OutlivesCopies(const std::string& key) const;
+  [[nodiscard]] bool IsGone(const std::string& key,
+                            const item& value,
+                            document_source from) const;
+  [[nodiscard]] bool EndsUnlisted(const std::string& key,
+                                  const item& known,
+                                  const view& newer,
+                                  document_source from) const;
+  [[nodiscard]] std::uint64_t CompleteRevision() const noexcept {
+    return complete_until_.value_or(view_.revision);
+  }
   [[nodiscard]] document_rank RankOf(const std::string& key,
                                      const std::string& value) const;
   [[nodiscard]] bool Supersedes(const std::string& key,
                                 const item& value,
                                 const item& known) const;
-  bool TakeItem(const std::string& key, item value, time_point now);
-  bool AddItem(const std::string& key, item value, time_point now);
+  bool TakeItem(const std::string& key,
+                item value,
+                time_point now,
+                document_source from);
+  bool AddItem(const std::string& key,
+               item value,
+               time_point now,
+               document_source from);
   bool RemoveItem(const std::string& key, absence how, time_point now);
   void EraseItem(const std::string& key, time_point now);
-  bool ReplaceView(const view& newer, time_point now);
-  bool TakeHigherRanks(const view& older, time_point now);
-  bool AdoptWhole(const view& peer_view, time_point now);
-  bool AdoptChanges(const view_update& update, time_point now);
+  bool ReplaceView(const view& newer, time_point now, document_source from);
+  bool TakeHigherRanks(const view& older, time_point now, document_source from);
+  bool AdoptWhole(const view& peer_view, time_point now, document_source from);
+  bool AdoptChanges(const view_update& update,
+                    time_point now,
+                    document_source from);
+  void RaiseCompleteRevision(std::uint64_t revision);
   void LogChange(const std::string& key, std::uint64_t revision);
   void ClearChangeLog();
   /** @return Whether a response is of a later era than the known one, which is
@@ -227,6 +263,11 @@
   random_engine random_;
   document_ranks ranks_;
   view view_;
+  /** Whether the view had all documents once. */
+  bool has_all_{};
+  /** Revision up to which all documents are known, if a peer that doesn't know
+   * all of them has told what is newer. */
+  std::optional<std::uint64_t> complete_until_;
   /** Latest era that was heard of; the view may still be of an earlier one. */
   std::uint64_t era_{};
   /** Era of the view when the watch in flight was sent. */
--- a/src/acaciaferry/publication/view.hpp
+++ b/src/acaciaferry/publication/view.hpp
@@ -75,6 +75,10 @@
   /** Whether a document is never removed, so that its highest rank holds
    * whatever the revisions say. */
   std::function<bool(std::string_view key)> is_permanent;
+  /** Whether a document stays in force when the service comes back from a copy
+   * that lacks it. Only an explicit removal ends it, or a listing in the era
+   * that it was last confirmed in. Older releases don't read such documents. */
+  std::function<bool(std::string_view key)> outlives_copies;
   /** Whether a document says that what it describes is about to end, so that it
    * isn't expected back once it is removed. */
   std::function<bool(std::string_view key, std::string_view value)> is_ending;
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -376,6 +376,7 @@
             return rank;
           },
           [](std::string_view key) { return key == "c"; },
+          [](std::string_view key) { return key.starts_with("op/evacuate/"); },
           [](std::string_view, std::string_view value) {
             return value.ends_with("/leaving");
           }};
@@ -573,3 +574,249 @@
   CHECK_COMPARE(times.size(), >=, 60U);
   CHECK_TRUE(*times.rbegin() < At(3'500));
 }
+
+namespace {
+
+constexpr const char* kEvacuation = "op/evacuate/a";
+
+// Lists all documents in one page.
+bool ListAll(reader& made,
+             const items& documents,
+             std::uint64_t revision,
+             std::uint64_t era,
+             int ms) {
+  return made.HandleResult(page{documents, false, revision, era}, At(ms));
+}
+
+// A reader of era 1, at revision 30, that knows an evacuation.
+reader WithEvacuation() {
+  reader made({""}, 7, Ranks());
+  ListAll(made, {{"t/1", {"5", 3}}, {kEvacuation, {"{}", 25}}}, 30, 1, 0);
+  static_cast<void>(made.Next(At(500)));
+  return made;
+}
+
+// The view of a VM of release f1be9e1, which doesn't read evacuations.
+view OldView(std::uint64_t era, std::uint64_t revision) {
+  view made;
+  made.era = era;
+  made.revision = revision;
+  made.last_change_revision = revision;
+  made.items["t/1"] = {"5", 3, false, era};
+  made.items["t/2"] = {"5", revision, false, era};
+  return made;
+}
+
+bool IsEvacuated(const reader& made) {
+  return made.View().items.contains(kEvacuation);
+}
+
+std::uint64_t WatchedAfter(reader& made, int ms) {
+  return std::get<watch_request>(made.Next(At(ms))).after;
+}
+
+}  // namespace
+
+// Guards against an evacuation that ends because the service comes back from a
+// copy that lacks it.
+TEST(PublicationReader, EvacuationsOutliveCopies) {
+  reader made = WithEvacuation();
+  for (const int ms : {3'000, 20'000}) {
+    made.HandleResult(request_failure::kHistoryGone, At(ms));
+    ListAll(made, {{"t/1", {"5", 3}}}, 20, 2, ms + 100);
+    CHECK_TRUE(IsEvacuated(made));
+    CHECK_FALSE(IsMissing(made, kEvacuation));
+    made.Expire(At(ms + 10'000));
+    CHECK_TRUE(IsEvacuated(made));
+  }
+  static_cast<void>(made.Next(At(31'000)));
+  made.HandleResult(changes{{{kEvacuation, {}, 22}}, 22, 2}, At(31'100));
+  CHECK_FALSE(IsEvacuated(made));
+}
+
+// Guards against an evacuation that never ends although a listing in its era,
+// or in the one that it was confirmed in, lacks it.
+TEST(PublicationReader, ListingsEndEvacuationsOfTheirEra) {
+  reader made = WithEvacuation();
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  ListAll(made, {{"t/1", {"5", 3}}}, 40, 1, 3'100);
+  CHECK_FALSE(IsEvacuated(made));
+  reader confirmed = WithEvacuation();
+  confirmed.HandleResult(request_failure::kHistoryGone, At(3'000));
+  ListAll(confirmed, {{kEvacuation, {"{}", 18}}}, 20, 2, 3'100);
+  CHECK_TRUE(IsEvacuated(confirmed));
+  confirmed.HandleResult(request_failure::kHistoryGone, At(20'000));
+  ListAll(confirmed, {{"t/1", {"5", 3}}}, 50, 2, 20'100);
+  CHECK_FALSE(IsEvacuated(confirmed));
+}
+
+// Guards against an evacuation that has ended, is in the copy and counts as an
+// entry that is only a copy.
+TEST(PublicationReader, EvacuationsOfTheCopyAreInForce) {
+  reader made = WithEvacuation();
+  made.HandleResult(changes{{{kEvacuation, {}, 31}}, 31, 1}, At(600));
+  CHECK_FALSE(IsEvacuated(made));
+  made.HandleResult(request_failure::kHistoryGone, At(3'000));
+  ListAll(made, {{"t/1", {"5", 3}}, {kEvacuation, {"{}", 25}}}, 29, 2, 3'100);
+  CHECK_TRUE(IsEvacuated(made));
+  CHECK_FALSE(IsMissing(made, kEvacuation));
+}
+
+// Guards against an evacuation that is kept as missing when it ends around an
+// outage.
+TEST(PublicationReader, EvacuationsAreNeverMissing) {
+  reader made = WithEvacuation();
+  made.HandleResult(request_failure::kRefused, At(1'000));
+  made.HandleResult(request_failure::kRefused, At(3'000));
+  static_cast<void>(made.Next(At(4'900)));
+  made.HandleResult(changes{{{kEvacuation, {}, 31}}, 31, 1}, At(5'000));
+  CHECK_FALSE(IsEvacuated(made));
+}
+
+// Guards against an evacuation that ends because a peer of release f1be9e1
+// doesn't read it.
+TEST(PublicationReader, PeersOfOlderReleasesDontEndEvacuations) {
+  reader whole = WithEvacuation();
+  CHECK_TRUE(whole.Adopt({OldView(1, 35), {}, {}}, At(600), false));
+  STRCMP_EQUAL("5", ValueOf(whole, "t/2").c_str());
+  CHECK_TRUE(IsEvacuated(whole));
+  reader some = WithEvacuation();
+  CHECK_TRUE(some.Adopt({OldView(1, 35), 25, {kEvacuation}}, At(600), false));
+  CHECK_TRUE(IsEvacuated(some));
+  reader repaired = WithEvacuation();
+  view peer = OldView(1, 25);
+  CHECK_TRUE(repaired.Repair(peer, At(600), false));
+  CHECK_TRUE(IsEvacuated(repaired));
+  reader later = WithEvacuation();
+  CHECK_TRUE(later.Adopt({OldView(2, 12), {}, {}}, At(600), false));
+  CHECK_TRUE(IsEvacuated(later));
+}
+
+// Guards against an evacuation that is never seen because the view of a peer of
+// an older release is newer than it.
+TEST(PublicationReader, WatchesGoOnFromWhereAllDocumentsAreKnown) {
+  reader made({""}, 7, Ranks());
+  ListAll(made, {{"t/1", {"5", 3}}}, 30, 1, 0);
+  CHECK_TRUE(made.IsComplete());
+  made.Adopt({OldView(1, 35), {}, {}}, At(600), false);
+  CHECK_FALSE(made.IsComplete());
+  LONGS_EQUAL(30, WatchedAfter(made, 700));
+  made.Adopt({OldView(1, 38), 35, {}}, At(710), false);
+  made.HandleResult(changes{{{kEvacuation, "{}", 32}}, 33, 1}, At(720));
+  CHECK_TRUE(IsEvacuated(made));
+  CHECK_FALSE(made.IsComplete());
+  LONGS_EQUAL(33, WatchedAfter(made, 1'000));
+  made.HandleResult(changes{{}, 38, 1}, At(1'100));
+  CHECK_TRUE(made.IsComplete());
+  LONGS_EQUAL(38, WatchedAfter(made, 2'000));
+  // The view of a VM that reads them closes the gap as well.
+  made.Adopt({OldView(1, 45), {}, {}}, At(2'100), false);
+  view peer = OldView(1, 50);
+  peer.items[kEvacuation] = {"{}", 32, false, 1};
+  CHECK_TRUE(made.Adopt({peer, {}, {}}, At(2'200)));
+  CHECK_TRUE(made.IsComplete());
+  LONGS_EQUAL(50, WatchedAfter(made, 3'000));
+}
+
+// Guards against a VM that starts, takes the view of a peer of an older release
+// for complete and sends requests where an evacuation forbids it.
+TEST(PublicationReader, VmsListAfterTheViewOfAnOlderRelease) {
+  reader made({""}, 7, Ranks());
+  CHECK_TRUE(made.Adopt({OldView(1, 35), {}, {}}, At(100), false));
+  CHECK_FALSE(made.HasAllDocuments());
+  CHECK_TRUE(std::holds_alternative<list_request>(made.Next(At(200))));
+  // The listing began before the peer's view.
+  ListAll(made, {{"t/1", {"5", 3}}}, 34, 1, 300);
+  CHECK_FALSE(made.HasAllDocuments());
+  CHECK_TRUE(std::holds_alternative<list_request>(made.Next(At(600))));
+  ListAll(made, {{"t/1", {"5", 3}}, {kEvacuation, {"{}", 25}}}, 36, 1, 700);
+  CHECK_TRUE(made.HasAllDocuments());
+  CHECK_TRUE(made.IsComplete());
+  CHECK_TRUE(IsEvacuated(made));
+  // The view of a VM that reads them needs no listing.
+  reader second({""}, 7, Ranks());
+  CHECK_TRUE(second.Adopt({made.View(), {}, {}}, At(800)));
+  CHECK_TRUE(second.HasAllDocuments());
+  CHECK_TRUE(IsEvacuated(second));
+  LONGS_EQUAL(36, WatchedAfter(second, 900));
+}
+
+// Guards against an evacuation of a later era that is not seen because a peer
+// of an older release tells of that era first, and against a listing of two
+// eras.
+TEST(PublicationReader, OlderReleasesOfALaterEraLeadToAListing) {
+  reader made = WithEvacuation();
+  CHECK_TRUE(made.Adopt({OldView(2, 12), {}, {}}, At(600), false));
+  CHECK_FALSE(made.IsComplete());
+  CHECK_TRUE(std::holds_alternative<list_request>(made.Next(At(700))));
+  ListAll(made, {{"t/1", {"5", 3}}, {"op/evacuate/b", {"{}", 11}}}, 13, 2, 800);
+  CHECK_TRUE(made.View().items.contains("op/evacuate/b"));
+  CHECK_TRUE(IsEvacuated(made));
+  CHECK_TRUE(made.IsComplete());
+  reader crossed({"op/", "t/"}, 7, Ranks());
+  crossed.HandleResult(page{{}, false, 30, 1}, At(0));
+  crossed.Adopt({OldView(2, 12), {}, {}}, At(10), false);
+  crossed.HandleResult(page{{{"t/9", {"5", 3}}}, false, 13, 2}, At(20));
+  CHECK_FALSE(crossed.HasAllDocuments());
+  const auto again = std::get<list_request>(crossed.Next(At(300)));
+  STRCMP_EQUAL("op/", again.prefix.c_str());
+}
+
+// Guards against an evacuation that comes back after its removal: a VM of an
+// older release keeps it if another VM has told it.
+TEST(PublicationReader, OlderReleasesDontBringBackEvacuations) {
+  reader made({""}, 7, Ranks());
+  ListAll(made, {{"t/1", {"5", 3}}}, 30, 1, 0);
+  view peer = OldView(1, 35);
+  peer.items[kEvacuation] = {"{}", 25, true, 1};
+  made.Adopt({peer, {}, {}}, At(600), false);
+  CHECK_FALSE(IsEvacuated(made));
+  // This one may be newer than what is known here.
+  peer.items["op/evacuate/b"] = {"{}", 33, true, 1};
+  peer.last_change_revision = 36;
+  made.Adopt({peer, {}, {}}, At(700), false);
+  CHECK_TRUE(made.View().items.contains("op/evacuate/b"));
+  CHECK_FALSE(IsMissing(made, "op/evacuate/b"));
+}
+
+// Guards against an evacuation that stays in force although a peer that reads
+// evacuations has seen its end, also after the service came back.
+TEST(PublicationReader, RemovalsOfNewPeersEndEvacuations) {
+  reader some = WithEvacuation();
+  CHECK_TRUE(some.Adopt({OldView(1, 35), 25, {kEvacuation}}, At(600)));
+  CHECK_FALSE(IsEvacuated(some));
+  reader whole = WithEvacuation();
+  CHECK_TRUE(whole.Adopt({OldView(1, 35), {}, {}}, At(600)));
+  CHECK_FALSE(IsEvacuated(whole));
+  // What is newer than all that the peer knows is not removed.
+  reader newer = WithEvacuation();
+  view behind = OldView(1, 35);
+  behind.revision = 24;
+  CHECK_TRUE(newer.Adopt({behind, {}, {}}, At(600)));
+  CHECK_TRUE(IsEvacuated(newer));
+  reader outlived = WithEvacuation();
+  outlived.HandleResult(request_failure::kHistoryGone, At(3'000));
+  ListAll(outlived, {{"t/1", {"5", 3}}}, 20, 2, 3'100);
+  CHECK_TRUE(IsEvacuated(outlived));
+  view peer = OldView(2, 22);
+  CHECK_TRUE(outlived.Adopt({peer, 3, {kEvacuation}}, At(4'000)));
+  CHECK_FALSE(IsEvacuated(outlived));
+}
+
+// Guards against a process that starts after the service came back from a copy
+// without the evacuation, and doesn't take it from its peers.
+TEST(PublicationReader, PeersHandOnEvacuationsThatTheCopyLacks) {
+  reader peer = WithEvacuation();
+  peer.HandleResult(request_failure::kHistoryGone, At(3'000));
+  ListAll(peer, {{"t/1", {"5", 3}}}, 20, 2, 3'100);
+  reader restarted({""}, 7, Ranks());
+  ListAll(restarted, {{"t/1", {"5", 3}}}, 20, 2, 4'000);
+  CHECK_FALSE(IsEvacuated(restarted));
+  CHECK_TRUE(restarted.Adopt({peer.View(), {}, {}}, At(4'100)));
+  CHECK_TRUE(IsEvacuated(restarted));
+  // It has seen its end, and the peer has not.
+  restarted.HandleResult(changes{{{kEvacuation, {}, 22}}, 22, 2}, At(5'000));
+  CHECK_FALSE(IsEvacuated(restarted));
+  restarted.Adopt({peer.View(), {}, {}}, At(5'100));
+  CHECK_FALSE(IsEvacuated(restarted));
+}
