--- a/test/acaciaferry/forwarding/evacuation_test.cpp
+++ b/test/acaciaferry/forwarding/evacuation_test.cpp
@@ -478,3 +478,55 @@
   }
   CHECK_FALSE(vm.current.reach.IsAnyOutOfReach());
 }
+
+// Guards against requests that reach evacuated targets through the tunnels of
+// VMs that have not heard of it, or can't tell requests from other connections.
+TEST(Evacuation, TunnelsLeadToNoEvacuatedTarget) {
+  two_domains vm;
+  vm.Post(tunnels_changed{{"vm2:1", "vm3:1"}});
+  vm.now = At(10);
+  std::vector<send_attempt> connecting;
+  for (int i = 0; i < 6; ++i) {
+    connecting.push_back(vm.Start(call_kind::kNonIdempotent, kService));
+  }
+  for (const send_attempt& each : connecting) {
+    vm.PostAt(610, attempt_failed{each.id, each.attempt,
+                                  attempt_failure::kNotConnected});
+  }
+  CHECK_TRUE(vm.current.reach.IsOutOfReach(kService));
+  const auto through = vm.ConnectTo(kEast);
+  CHECK_FALSE(through.tunnel.empty());
+  vm.Evacuate({kEast});
+  bool moved = false;
+  for (const send_attempt& each : vm.All<send_attempt>()) {
+    CHECK_FALSE(each.tunnel.empty());
+    CHECK_FALSE(vm.IsIn(each, kEast));
+    moved = moved || each.id == through.id;
+  }
+  CHECK_TRUE(moved);
+  const auto next = vm.Start(call_kind::kIdempotent, kService);
+  CHECK_FALSE(next.tunnel.empty());
+  STRCMP_EQUAL("s1", next.target.value.c_str());
+  // The targets that are probed meanwhile are not evacuated ones.
+  for (int ms = 700; ms < 3'000; ms += 100) {
+    vm.PostAt(ms, timer_fired{});
+    for (const probe_target& each : vm.All<probe_target>()) {
+      CHECK_TRUE(vm.DomainOf(each.target) == kWest);
+    }
+  }
+}
+
+// Guards against keys with ever new names that take memory without end, and
+// against the loss of an end that has just been seen.
+TEST(Evacuation, EndsOfManyEvacuationsAreBounded) {
+  evacuation_table table;
+  constexpr int kNames = 1'000;
+  for (int i = 0; i < kNames; ++i) {
+    const failure_domain_id domain{"d" + std::to_string(i)};
+    LONGS_EQUAL(1, table.Set({domain}, At(2 * i)).begun.size());
+    LONGS_EQUAL(1, table.Set({}, At(2 * i + 1)).ended.size());
+    CHECK_TRUE(table.EndedAt(domain) == At(2 * i + 1));
+  }
+  CHECK_FALSE(table.EndedAt({"d0"}).has_value());
+  CHECK_TRUE(table.EndedAt({"d" + std::to_string(kNames - 100)}).has_value());
+}
