Test cold engines as the only ones of their pool, and cold again under load

Change: each case is run with 27 cold engines of 81 and with 27 of 27 beside a burst that they can't take; engines that are cold again get 50 requests a second each before.

--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -567,14 +567,13 @@
 // VMs have seen a published entry after this time.
 constexpr duration kSeenAfter = milliseconds(100);
 
-hub_fleet_plan ColdPlan(std::uint64_t seed) {
+hub_fleet_plan ColdPlan() {
   hub_fleet_plan plan;
   plan.domains = 3;
   plan.vms_per_domain = 20;
   plan.engines_per_domain = 27;
   plan.slots = 12;
   plan.cold = forwarding::cold_start{kColdTime, kColdPerS};
-  plan.seed = seed;
   return plan;
 }
 
@@ -611,15 +610,17 @@
   return count;
 }
 
-// Lets the engines of one failure domain return at once, beside a burst, and
-// checks the rule while they are cold. `fails` is called as they return.
+// Engines return at once, beside a burst, and get no more than cold ones take.
+// `fails` is called as they return.
 void CheckReturn(const hub_fleet_plan& plan,
+                 const std::vector<std::size_t>& cold,
                  const std::function<void(hub_fleet&)>& fails) {
   large_fleet started(plan);
   hub_fleet& fleet = started.fleet;
-  const auto cold = EnginesOf(plan, kColdDomain);
   fleet.Withdraw(cold);
-  fleet.Run(seconds(3), kUsualCallsPerS, kShortPrompt);
+  const bool is_whole_pool =
+      cold.size() == plan.domains * plan.engines_per_domain;
+  fleet.Run(seconds(3), is_whole_pool ? 0 : kUsualCallsPerS, kShortPrompt);
   const time_point since = fleet.Now();
   fleet.SetCold(cold, kColdTime);
   fails(fleet);
@@ -635,38 +636,50 @@
   CHECK_COMPARE(ArrivalsSince(fleet, cold, warm), >, 0U);
 }
 
+// 27 engines return: those of one failure domain of three, or all that there
+// are, which can't take the whole burst.
+void CheckReturns(const hub_fleet_plan& usual,
+                  const std::function<void(hub_fleet&)>& fails) {
+  for (const std::uint64_t seed : {1U, 2U, 3U}) {
+    hub_fleet_plan plan = usual;
+    plan.seed = seed;
+    CheckReturn(plan, EnginesOf(plan, kColdDomain), fails);
+    plan.engines_per_domain /= plan.domains;
+    std::vector<std::size_t> all;
+    for (std::size_t domain = 0; domain < plan.domains; ++domain) {
+      const auto own = EnginesOf(plan, domain);
+      all.insert(all.end(), own.begin(), own.end());
+    }
+    CheckReturn(plan, all, fails);
+  }
+}
+
 }  // namespace
 
 // Guards against engines that crash since all VMs send to them as soon as they
 // return.
 TEST(HubFleet, EnginesThatReturnBesideABurstGetWhatColdOnesTake) {
-  for (const std::uint64_t seed : {1U, 2U, 3U}) {
-    CheckReturn(ColdPlan(seed), [](hub_fleet&) {});
-  }
+  CheckReturns(ColdPlan(), [](hub_fleet&) {});
 }
 
 // Guards against planners that each use up the limit before they hear of each
 // other's requests.
 TEST(HubFleet, PlannersThatHearEachOtherLateSpareColdEngines) {
-  for (const std::uint64_t seed : {1U, 2U, 3U}) {
-    hub_fleet_plan plan = ColdPlan(seed);
-    plan.network_delay = milliseconds(20);
-    plan.lost_percent = 2;
-    CheckReturn(plan, [](hub_fleet&) {});
-  }
+  hub_fleet_plan plan = ColdPlan();
+  plan.network_delay = milliseconds(20);
+  plan.lost_percent = 2;
+  CheckReturns(plan, [](hub_fleet&) {});
 }
 
 // Guards against VMs without a planner that each use up the limit.
 TEST(HubFleet, ColdEnginesAreSparedWithoutPlanners) {
   for (const std::size_t planners : {1U, 2U}) {
-    for (const std::uint64_t seed : {1U, 2U, 3U}) {
-      CheckReturn(ColdPlan(seed), [planners](hub_fleet& fleet) {
-        const auto hubs = HubsOfDomain(fleet, 1);
-        for (std::size_t index = 0; index < planners; ++index) {
-          fleet.Stop(hubs[index]);
-        }
-      });
-    }
+    CheckReturns(ColdPlan(), [planners](hub_fleet& fleet) {
+      const auto hubs = HubsOfDomain(fleet, 1);
+      for (std::size_t index = 0; index < planners; ++index) {
+        fleet.Stop(hubs[index]);
+      }
+    });
   }
 }
 
@@ -674,20 +687,16 @@
 // after they find out that they don't hear each other.
 TEST(HubFleet, ColdEnginesAreSparedWhileADomainIsCutOff) {
   for (const std::size_t domain : {0U, 2U}) {
-    for (const std::uint64_t seed : {1U, 2U, 3U}) {
-      CheckReturn(ColdPlan(seed),
-                  [domain](hub_fleet& fleet) { fleet.SetCutOff(domain); });
-    }
+    CheckReturns(ColdPlan(),
+                 [domain](hub_fleet& fleet) { fleet.SetCutOff(domain); });
   }
 }
 
 // Guards against VMs that have just started and don't know what the others have
 // sent, or how many these are.
 TEST(HubFleet, VmsThatHaveJustStartedSpareColdEngines) {
-  for (const std::uint64_t seed : {1U, 2U, 3U}) {
-    CheckReturn(ColdPlan(seed),
-                [](hub_fleet& fleet) { RestartHubsAndAThird(fleet); });
-  }
+  CheckReturns(ColdPlan(),
+               [](hub_fleet& fleet) { RestartHubsAndAThird(fleet); });
 }
 
 // Guards against an engine that is cold again in the middle of its streams and
@@ -695,10 +704,13 @@
 // and has not said yet that it is cold.
 TEST(HubFleet, EnginesThatAreColdAgainAreSpared) {
   for (const bool by_evacuation : {false, true}) {
-    const hub_fleet_plan plan = ColdPlan(1);
+    // Few engines, each of which gets about 50 requests a second.
+    hub_fleet_plan plan = ColdPlan();
+    plan.engines_per_domain = 4;
+    plan.slots = 200;
     large_fleet started(plan);
     hub_fleet& fleet = started.fleet;
-    fleet.Run(seconds(3), kBurstCallsPerS / 2, kShortPrompt);
+    fleet.Run(seconds(3), kBurstCallsPerS, kShortPrompt);
     const auto cold = EnginesOf(plan, kColdDomain);
     const time_point since = fleet.Now() + kSeenAfter;
     if (by_evacuation) {
@@ -709,5 +721,6 @@
     fleet.Run(kColdTime, kBurstCallsPerS, kShortPrompt);
     CHECK_COMPARE(MostAtColdEngine(fleet, cold, since, fleet.Now()), <=,
                   kMostWhileCold);
+    CHECK_COMPARE(ArrivalsSince(fleet, cold, since), >, cold.size());
   }
 }
--- a/test/acaciaferry/forwarding/target_limits_test.cpp
+++ b/test/acaciaferry/forwarding/target_limits_test.cpp
@@ -251,9 +251,12 @@
                          dispatch_id& key,
                          int from_ms,
                          int until_ms) {
+  // Without a limit there is always room.
+  constexpr std::size_t kMost = 10'000;
   std::size_t sent = 0;
   for (int now = from_ms; now < until_ms; ++now) {
-    while (limits.NextRequestAt(kTarget, After(now)) <= After(now)) {
+    while (sent < kMost &&
+           limits.NextRequestAt(kTarget, After(now)) <= After(now)) {
       limits.CountRequest(kTarget, ++key, target_limits::placed_by::kThisVm,
                           After(now));
       ++sent;
