Tell peers whether a view has all documents

Change: heartbeats have a new last field, reads_evacuations, which view_source carries to reader::Adopt and Repair. Newer views are fetched from complete VMs first, and news of the others are left to these and the service for 1 s. Digests of the others are not compared. A VM uses no target before it has listed or taken a complete view. Members read the service themselves if no complete hub hears it. A VM whose view is incomplete, or that has just started, fetches that of a complete peer at the same position. The event view_completeness logs it.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -100,7 +100,8 @@
                     views_.ReadsService(),
                     views_.Digest(),
                     offers_tunnels_ && IsReady() &&
-                        !state_.reach.IsAnyOutOfReach()};
+                        !state_.reach.IsAnyOutOfReach(),
+                    views_.IsComplete()};
               },
               [this](const mesh::view_source& source) {
                 views_.FetchFrom(source);
@@ -303,7 +304,12 @@
     new_limits.idle_timeout = limits.idle_timeout;
     callers_.SetLimits(new_limits);
   }
-  Post(forwarding::targets_published{std::move(decoded.targets)});
+  // What is lacking may say that no requests are to be sent to some targets. The
+  // configuration is accepted before, since its version is a part of the view's
+  // position, by which peers compare views.
+  if (views_.HasAllDocuments()) {
+    Post(forwarding::targets_published{std::move(decoded.targets)});
+  }
 }
 
 void entry_daemon::OnCall(const exchange& caller) {
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <msgpack.hpp>
 #include <tuple>
+#include <utility>
 #include <variant>
 
 namespace acaciaferry::entry {
@@ -279,7 +280,15 @@
                     {{"key", key}, {"why", "a later one is known"}});
   }
   ScheduleExpiry();
-  if (changed) {
+  const bool is_complete = reader_.IsComplete();
+  if (std::exchange(was_complete_, is_complete) != is_complete) {
+    log_.WriteEvent("view_completeness",
+                    {{"complete", is_complete ? "yes" : "no"},
+                     {"revision", std::to_string(reader_.View().revision)}});
+  }
+  const bool has_all = reader_.HasAllDocuments();
+  const bool had_all = std::exchange(had_all_documents_, has_all);
+  if (changed || has_all != had_all) {
     digest_ = publication::DigestOf(reader_.View());
     on_changed_();
   }
@@ -334,14 +343,17 @@
   fetch_.reset();
   bool changed = false;
   if (update) {
-    changed = source.repairs ? reader_.Repair(update->latest, clock_.Now())
-                             : reader_.Adopt(*update, clock_.Now());
+    changed = source.repairs ? reader_.Repair(update->latest, clock_.Now(),
+                                              source.reads_evacuations)
+                             : reader_.Adopt(*update, clock_.Now(),
+                                             source.reads_evacuations);
   }
   log_.WriteEvent(
       "view_from_peer",
       {{"peer", source.address},
        {"taken", changed ? "yes" : "no"},
        {"whole", update && update->since ? "no" : "yes"},
+       {"complete", source.reads_evacuations ? "yes" : "no"},
        {"era", std::to_string(reader_.View().era)},
        {"changed_at", std::to_string(reader_.View().last_change_revision)}});
   OnViewUpdated(changed);
@@ -385,7 +397,9 @@
   });
   std::string target(kViewPath);
   const publication::view& known = reader_.View();
-  if (source.serves_changes && !source.repairs &&
+  // Changes alone don't have what an incomplete view lacks.
+  const bool needs_whole = source.reads_evacuations && !reader_.IsComplete();
+  if (source.serves_changes && !source.repairs && !needs_whole &&
       known.last_change_revision > 0) {
     target += "?era=" + std::to_string(known.era) +
               "&after=" + std::to_string(known.last_change_revision);
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -75,6 +75,14 @@
   void SetReading(bool is_reading);
   /** @return Whether the service has responded a short while ago. */
   [[nodiscard]] bool ReadsService() const;
+  /** @return See publication::reader. Before that no target is used. */
+  [[nodiscard]] bool HasAllDocuments() const noexcept {
+    return reader_.HasAllDocuments();
+  }
+  /** @return See publication::reader. */
+  [[nodiscard]] bool IsComplete() const noexcept {
+    return reader_.IsComplete();
+  }
   /** @return A digest of the view; see publication::DigestOf. */
   [[nodiscard]] std::uint64_t Digest() const noexcept { return digest_; }
 
@@ -131,6 +139,8 @@
   /** Whether a call is in progress or scheduled. */
   bool has_next_call_{};
   std::uint64_t digest_{};
+  bool had_all_documents_{};
+  bool was_complete_{};
 };
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -30,7 +30,10 @@
   return engine;
 }
 
-std::string WithoutNamedTunnels(const std::string& bytes, time_point now) {
+// What a VM of an older release sends, or reads, of a message.
+std::string AsInOlderRelease(const std::string& bytes,
+                             bool names_no_tunnels,
+                             time_point now) {
   const auto message = mesh::Decode(bytes, now);
   const auto* sent =
       message ? std::get_if<mesh::heartbeat>(&*message) : nullptr;
@@ -38,7 +41,10 @@
     return bytes;
   }
   mesh::heartbeat old = *sent;
-  old.known_tunnels.clear();
+  old.reads_evacuations = false;
+  if (names_no_tunnels) {
+    old.known_tunnels.clear();
+  }
   return mesh::Encode(old, now).front();
 }
 
@@ -99,8 +105,9 @@
   made->capacity = index / plan_.domains < plan_.large_vms_per_domain
                        ? internal::kLargeCapacity
                        : internal::kSmallCapacity;
-  made->names_no_tunnels = plan_.large_vms_name_no_tunnels &&
-                           made->capacity == internal::kLargeCapacity;
+  const bool is_large = made->capacity == internal::kLargeCapacity;
+  made->names_no_tunnels = plan_.large_vms_name_no_tunnels && is_large;
+  made->reads_no_evacuations = plan_.large_vms_read_no_evacuations && is_large;
   if (plan_.old_release_every > 0 && index % plan_.old_release_every == 0) {
     made->capacity = 0;
   }
@@ -130,7 +137,8 @@
           self.revision > 0,
           self.reads && reaches_service_(vm),
           self.revision,
-          self.revision > 0 && !self.state->reach.IsAnyOutOfReach()};
+          self.revision > 0 && !self.state->reach.IsAnyOutOfReach(),
+          self.is_complete};
 }
 
 void hub_fleet::Start(std::size_t vm) {
@@ -139,6 +147,7 @@
   ++self.life;
   self.revision = 0;
   self.reads = false;
+  self.is_complete = false;
   self.waiting.clear();
   self.first_tries.clear();
   constexpr unsigned kRandomBits = 16;
@@ -169,6 +178,7 @@
     owner.reads = owner.protocol->ShouldReadService();
     if (owner.reads && reaches_service_(vm)) {
       owner.revision = std::max(owner.revision, published_revision_);
+      owner.is_complete = true;
     }
   };
   handlers.log = [](std::string_view, const auto&) {};
@@ -242,10 +252,13 @@
       DrawBelow(random_, kHundredPercent) < plan_.lost_percent) {
     return;
   }
-  const bool is_old = sender.names_no_tunnels || vms_[to]->names_no_tunnels;
+  const bool names_no_tunnels =
+      sender.names_no_tunnels || vms_[to]->names_no_tunnels;
+  const bool is_old = names_no_tunnels || sender.reads_no_evacuations;
   AfterAt(to, plan_.network_delay,
           [this, to,
-           bytes = is_old ? internal::WithoutNamedTunnels(bytes, clock_->now)
+           bytes = is_old ? internal::AsInOlderRelease(bytes, names_no_tunnels,
+                                                       clock_->now)
                           : bytes,
            sender_address = sender.address] {
             ++vms_[to]->traffic.datagrams_received;
@@ -258,11 +271,17 @@
 
 void hub_fleet::Fetch(std::size_t vm, const mesh::view_source& source) {
   const std::size_t from = IndexOf(source.address);
-  AfterAt(vm, internal::kFetchDelay, [this, vm, from] {
-    if (vms_[from]->running) {
-      vms_[vm]->revision = std::max(vms_[vm]->revision, vms_[from]->revision);
-    }
-  });
+  AfterAt(vm, internal::kFetchDelay,
+          [this, vm, from, is_complete = source.reads_evacuations] {
+            if (!vms_[from]->running) {
+              return;
+            }
+            auto& self = *vms_[vm];
+            if (is_complete || vms_[from]->revision > self.revision) {
+              self.is_complete = is_complete;
+            }
+            self.revision = std::max(self.revision, vms_[from]->revision);
+          });
 }
 
 // Carries out the effects of one VM's reducer.
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -32,6 +32,9 @@
   /** Whether the VMs with the larger share of a core are of release 8382474,
    * which names no tunnels of others. */
   bool large_vms_name_no_tunnels{};
+  /** Whether the VMs with the larger share of a core are of release f1be9e1,
+   * which doesn't read evacuations. */
+  bool large_vms_read_no_evacuations{};
   /** Index of the first seed; others follow in the next failure domains. */
   std::size_t first_seed{};
   /** One way, between any two VMs. */
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -49,6 +49,9 @@
   std::uint32_t capacity{};
   /** Whether it neither sends nor reads the names of other VMs' tunnels. */
   bool names_no_tunnels{};
+  bool reads_no_evacuations{};
+  /** Whether it knows all that is published up to its revision. */
+  bool is_complete{};
   bool running{};
   /** Counts the starts of its process. */
   std::uint64_t life{};
--- a/src/acaciaferry/mesh/message.hpp
+++ b/src/acaciaferry/mesh/message.hpp
@@ -71,6 +71,9 @@
   /** Datagram addresses of other VMs that offer tunnels, at most
    * kMaxKnownTunnels; not in older releases. */
   std::vector<std::string> known_tunnels;
+  /** Whether its view has all documents, evacuations among them; not in older
+   * releases, which don't read these. */
+  bool reads_evacuations{};
 
   [[nodiscard]] bool operator==(const heartbeat&) const = default;
 };
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -140,7 +140,8 @@
       ToSummaries(wire.first_vms),
       wire.asks_for_hubs,
       wire.tunnels,
-      wire.known_tunnels};
+      wire.known_tunnels,
+      wire.reads_evacuations};
 }
 
 message FromWire(const load_wire& wire, time_point now) {
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -55,7 +55,8 @@
                       {},
                       from.asks_for_hubs,
                       from.tunnels,
-                      from.known_tunnels};
+                      from.known_tunnels,
+                      from.reads_evacuations};
   wire.known_peers.resize(std::min(wire.known_peers.size(), kMaxKnownPeers));
   wire.known_tunnels.resize(
       std::min(wire.known_tunnels.size(), kMaxKnownTunnels));
--- a/src/acaciaferry/mesh/peer_protocol.cpp
+++ b/src/acaciaferry/mesh/peer_protocol.cpp
@@ -35,6 +35,10 @@
 constexpr duration kStartInterval = std::chrono::milliseconds(250);
 // A view that can't be fetched from peers for this long is read.
 constexpr duration kMaxBehind = std::chrono::milliseconds(2'500);
+// What a VM of an older release knows is left for so long to those that have
+// all documents; they hear the service as well, and heartbeats come every 0.5
+// s.
+constexpr duration kMaxWaitForCompleteVms = std::chrono::milliseconds(1'000);
 
 }  // namespace internal
 
@@ -77,10 +81,15 @@
   if (behind_since_ && now - *behind_since_ > internal::kMaxBehind) {
     return true;
   }
-  if (roster_.ServiceContactOfHubs(now) != service_contact::kNone) {
+  if (roster_.ServiceContactOfCompleteHubs(now) != service_contact::kNone) {
     service_unheard_since_.reset();
     return false;
   }
+  // Hubs of an older release can't tell it all documents.
+  if (roster_.ServiceContactOfHubs(now) != service_contact::kNone &&
+      !handlers_.status().reads_evacuations) {
+    return true;
+  }
   service_unheard_since_ = service_unheard_since_.value_or(now);
   return now - *service_unheard_since_ >
          internal::kServiceUnheard +
@@ -191,9 +200,11 @@
                  status.tunnels && !status.leaving};
   if (status.reads_service) {
     made.service = service_contact::kDirect;
-  } else if (roster_.ServiceContactOfHubs(now) == service_contact::kDirect) {
+  } else if (roster_.ServiceContactOfCompleteHubs(now) ==
+             service_contact::kDirect) {
     made.service = service_contact::kThroughHub;
   }
+  made.reads_evacuations = status.reads_evacuations;
   if (!roster_.IsLarge()) {
     made.known_peers = roster_.LiveAddresses();
   }
@@ -422,15 +433,32 @@
   }
 }
 
+// Its view would leave this VM's incomplete.
+bool peer_protocol::IsLeftToCompleteVms(const member& newer,
+                                        time_point now) const {
+  const local_status status = handlers_.status();
+  const bool hears_service =
+      status.reads_service ||
+      roster_.ServiceContactOfCompleteHubs(now) != service_contact::kNone;
+  return !newer.last_heartbeat.reads_evacuations && status.reads_evacuations &&
+         hears_service && behind_since_ &&
+         now - *behind_since_ <= internal::kMaxWaitForCompleteVms;
+}
+
 void peer_protocol::FetchNewerView() {
+  const time_point now = clock_.Now();
   const member* newer = roster_.FindNewer(handlers_.status().view);
   if (newer == nullptr) {
     behind_since_.reset();
     return;
   }
-  behind_since_ = behind_since_.value_or(clock_.Now());
+  behind_since_ = behind_since_.value_or(now);
+  if (IsLeftToCompleteVms(*newer, now)) {
+    return;
+  }
   const heartbeat& last = newer->last_heartbeat;
-  handlers_.on_newer_view({last.view_address, last.capacity > 0, false});
+  handlers_.on_newer_view(
+      {last.view_address, last.capacity > 0, false, last.reads_evacuations});
 }
 
 duration peer_protocol::OnHeartbeatInterval() {
--- a/src/acaciaferry/mesh/peer_protocol.hpp
+++ b/src/acaciaferry/mesh/peer_protocol.hpp
@@ -44,6 +44,9 @@
   std::uint64_t view_digest{};
   /** Whether it reaches targets and passes connections to them on. */
   bool tunnels{};
+  /** Whether its view has all documents; see publication::reader::IsComplete.
+   */
+  bool reads_evacuations{};
 };
 
 /**
@@ -123,7 +126,8 @@
 
   /**
    * @return Whether this VM should call the configuration service: in a large
-   * fleet only hubs do, as long as one of them reaches it.
+   * fleet only hubs do, as long as one of them reaches it and reads all
+   * documents.
    */
   [[nodiscard]] bool ShouldReadService();
 
@@ -192,6 +196,12 @@
   void LookForTunnels(const std::vector<std::string>& contacted,
                       time_point now);
   void FetchNewerView();
+  /** @return Whether a newer view can wait for a VM that has all documents. */
+  [[nodiscard]] bool IsLeftToCompleteVms(const member& newer,
+                                         time_point now) const;
+  /** @brief Fetches the view of a VM that has all documents if this VM's lacks
+   * some, or if this process has just started. */
+  void CompleteView(const heartbeat& heartbeat, time_point now);
   /** @brief Has the view repaired if it differs from that of a hub for long. */
   void CompareDigests(const heartbeat& heartbeat, time_point now);
   /** @brief Passes on what a VM of the own failure domain, or a hub of another
@@ -236,6 +246,8 @@
   std::optional<time_point> behind_since_;
   /** Since when the view differs from that of a hub at the same position. */
   std::optional<time_point> differs_since_;
+  /** Views fetched after the start to find out what a copy lacks. */
+  std::uint32_t views_compared_{};
 };
 
 }  // namespace acaciaferry::mesh
--- a/src/acaciaferry/mesh/peer_protocol_receive.cpp
+++ b/src/acaciaferry/mesh/peer_protocol_receive.cpp
@@ -8,6 +8,10 @@
 
 // Marks of missing documents differ between VMs for a short while.
 constexpr duration kMaxDifference = std::chrono::milliseconds(4'000);
+// A VM that has just started compares its view with those of others for this
+// long: these may know what the service has lost with an older copy.
+constexpr duration kCompareTime = std::chrono::milliseconds(3'000);
+constexpr std::uint32_t kMaxViewsCompared = 3;
 
 }  // namespace internal
 
@@ -57,8 +61,10 @@
 
 void peer_protocol::CompareDigests(const heartbeat& heartbeat, time_point now) {
   const local_status status = handlers_.status();
+  // VMs of an older release lack documents, or keep some that were removed.
   const bool comparable = roster_.IsLarge() && !roster_.IsHub(now) &&
                           heartbeat.view_digest != 0 &&
+                          heartbeat.reads_evacuations &&
                           heartbeat.failure_domain == self_.failure_domain &&
                           PositionOf(heartbeat) == status.view;
   if (!comparable) {
@@ -71,7 +77,30 @@
   differs_since_ = differs_since_.value_or(now);
   if (now - *differs_since_ > internal::kMaxDifference) {
     differs_since_.reset();
-    handlers_.on_newer_view({heartbeat.view_address, true, true});
+    handlers_.on_newer_view({heartbeat.view_address, true, true, true});
+  }
+}
+
+void peer_protocol::CompleteView(const heartbeat& heartbeat, time_point now) {
+  const local_status status = handlers_.status();
+  const view_position other = PositionOf(heartbeat);
+  if (!heartbeat.reads_evacuations || status.view.last_change_revision == 0 ||
+      IsNewer(other, status.view)) {
+    return;
+  }
+  if (!status.reads_evacuations) {
+    if (other.era == status.view.era && !IsNewer(status.view, other)) {
+      handlers_.on_newer_view({heartbeat.view_address, true, true, true});
+    }
+    return;
+  }
+  const bool has_just_started =
+      !started_at_ || now - *started_at_ < internal::kCompareTime;
+  if (has_just_started && status.view.era > 0 &&
+      heartbeat.view_digest != status.view_digest &&
+      views_compared_ < internal::kMaxViewsCompared) {
+    ++views_compared_;
+    handlers_.on_newer_view({heartbeat.view_address, false, false, true});
   }
 }
 
@@ -114,6 +143,7 @@
     view_confirmed_at_ = now;
   }
   CompareDigests(heartbeat, now);
+  CompleteView(heartbeat, now);
   if (state_.reach.IsAnyOutOfReach()) {
     ReportTunnels(now);
   }
--- a/src/acaciaferry/mesh/roster.cpp
+++ b/src/acaciaferry/mesh/roster.cpp
@@ -248,10 +248,12 @@
 }
 
 const member* roster::FindNewer(const view_position& own) const {
-  // The configuration goes first, whatever the revisions say of the rest.
+  // Those that have all documents go first, and then the configuration,
+  // whatever the revisions say of the rest.
   const auto order = [](const member& each) {
     const view_position position = PositionOf(each.last_heartbeat);
-    return std::tuple(position.configuration_version, position.era,
+    return std::tuple(each.last_heartbeat.reads_evacuations,
+                      position.configuration_version, position.era,
                       position.last_change_revision);
   };
   // One of those that know most, by chance: a hub that all ask at once would
--- a/src/acaciaferry/mesh/roster.hpp
+++ b/src/acaciaferry/mesh/roster.hpp
@@ -27,6 +27,8 @@
   bool serves_changes{};
   /** Whether the views differ although they are at the same position. */
   bool repairs{};
+  /** See heartbeat::reads_evacuations. */
+  bool reads_evacuations{};
 };
 
 inline constexpr std::size_t kMaxTunnels = 16;
@@ -144,6 +146,10 @@
    * kDirect if one of them reads it. */
   [[nodiscard]] service_contact ServiceContactOfHubs(time_point now) const;
 
+  /** @return The same of those VMs whose views have all documents. */
+  [[nodiscard]] service_contact ServiceContactOfCompleteHubs(
+      time_point now) const;
+
   /** @return Addresses of the tunnels of VMs that are heard, those of this
    * VM's failure domain first, and then of those that others have named; at
    * most kMaxTunnels. */
@@ -213,7 +219,8 @@
   [[nodiscard]] bool IsAmongFirst(std::size_t count) const;
 
   /** @return The live VM whose view is the newest of those that are newer than
-   * the given one; null if there is none. */
+   * the given one, first of those that have all documents; null if there is
+   * none. */
   [[nodiscard]] const member* FindNewer(const view_position& own) const;
 
  private:
@@ -236,6 +243,9 @@
     std::vector<std::string> named;
   };
 
+  template <typename Condition>
+  [[nodiscard]] service_contact BestContact(time_point now,
+                                            const Condition& counts) const;
   [[nodiscard]] bool IsFresh(const member& each, time_point now) const noexcept;
   [[nodiscard]] tunnel_lists ListTunnels(time_point now) const;
   /** @return This VM and those that are heard or told of, as candidates for
--- a/src/acaciaferry/mesh/roster_hubs.cpp
+++ b/src/acaciaferry/mesh/roster_hubs.cpp
@@ -216,11 +216,14 @@
   return first;
 }
 
-service_contact roster::ServiceContactOfHubs(time_point now) const {
+template <typename Condition>
+service_contact roster::BestContact(time_point now,
+                                    const Condition& counts) const {
   service_contact best = service_contact::kNone;
   for (const auto& [vm, each] : members_) {
     const service_contact of_member = each.last_heartbeat.service;
-    if (!IsFresh(each, now) || of_member == service_contact::kNone) {
+    if (!IsFresh(each, now) || of_member == service_contact::kNone ||
+        !counts(each.last_heartbeat)) {
       continue;
     }
     if (of_member == service_contact::kDirect) {
@@ -231,6 +234,15 @@
   return best;
 }
 
+service_contact roster::ServiceContactOfHubs(time_point now) const {
+  return BestContact(now, [](const heartbeat& /*heard*/) { return true; });
+}
+
+service_contact roster::ServiceContactOfCompleteHubs(time_point now) const {
+  return BestContact(
+      now, [](const heartbeat& heard) { return heard.reads_evacuations; });
+}
+
 std::uint64_t roster::HeardInDomain(time_point now) const {
   return 1 + static_cast<std::uint64_t>(std::count_if(
                  members_.begin(), members_.end(), [&](const auto& each) {
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -79,6 +79,7 @@
   bool asks_for_hubs{};
   bool tunnels{};
   std::vector<std::string> known_tunnels;
+  bool reads_evacuations{};
   MSGPACK_DEFINE_ARRAY(vm,
                        failure_domain,
                        incarnation,
@@ -99,7 +100,8 @@
                        first_vms,
                        asks_for_hubs,
                        tunnels,
-                       known_tunnels)
+                       known_tunnels,
+                       reads_evacuations)
 };
 
 struct job_wire {
--- a/test/acaciaferry/entry/view_keeper_test.cpp
+++ b/test/acaciaferry/entry/view_keeper_test.cpp
@@ -49,6 +49,51 @@
   CHECK_FALSE(DecodePeerView(old_bytes + "\xc1").has_value());
 }
 
+// Guards against VMs of f1be9e1 that can't read a view with documents that they
+// don't know, and against one of theirs that is read otherwise.
+TEST(PeerView, ReleasesThatReadNoEvacuationsExchangeViews) {
+  using old_item = std::tuple<std::string, std::uint64_t, bool>;
+  using old_items = std::map<std::string, old_item>;
+  using old_eras = std::map<std::string, std::uint64_t>;
+  publication::view_update sent;
+  sent.latest.era = 2;
+  sent.latest.revision = 20;
+  sent.latest.last_change_revision = 19;
+  sent.latest.items["op/evacuate/a"] = {"{}", 25, false, 1};
+  sent.since = 17;
+  sent.removed = {"op/evacuate/b"};
+  const std::string bytes = EncodeView(sent);
+  std::size_t offset = 0;
+  const auto next = [&] {
+    return msgpack::unpack(bytes.data(), bytes.size(), offset);
+  };
+  LONGS_EQUAL(20, next().get().as<std::uint64_t>());
+  LONGS_EQUAL(19, next().get().as<std::uint64_t>());
+  const auto items = next().get().as<old_items>();
+  CHECK_TRUE(items == old_items({{"op/evacuate/a", {"{}", 25, false}}}));
+  LONGS_EQUAL(2, next().get().as<std::uint64_t>());
+  const auto eras = next().get().as<old_eras>();
+  CHECK_TRUE(eras == old_eras({{"op/evacuate/a", 1}}));
+  LONGS_EQUAL(17, next().get().as<std::uint64_t>());
+  CHECK_TRUE(next().get().as<std::vector<std::string>>() == sent.removed);
+  LONGS_EQUAL(bytes.size(), offset);
+
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer, std::uint64_t{20});
+  msgpack::pack(buffer, std::uint64_t{19});
+  msgpack::pack(buffer, items);
+  msgpack::pack(buffer, std::uint64_t{2});
+  msgpack::pack(buffer, eras);
+  msgpack::pack(buffer, std::uint64_t{17});
+  msgpack::pack(buffer, sent.removed);
+  const auto received =
+      DecodePeerView(std::string_view(buffer.data(), buffer.size()));
+  CHECK_TRUE(received.has_value());
+  CHECK_TRUE(received->latest.items == sent.latest.items);
+  CHECK_TRUE(received->since == sent.since);
+  CHECK_TRUE(received->removed == sent.removed);
+}
+
 // Guards against a process that ends because of what a peer sends: nested
 // without end, or with lengths that no memory holds.
 TEST(PeerView, OddBytesAreRejected) {
--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -271,6 +271,27 @@
   CHECK_COMPARE(few.fleet.ServiceReaders(), <=, 10U);
 }
 
+// Guards against members of hubs of release f1be9e1 that never learn of an
+// evacuation, and against members that call the service although a hub knows
+// all documents.
+TEST(HubFleet, MembersWhoseHubsReadNoEvacuationsReadTheService) {
+  hub_fleet_plan plan;
+  plan.domains = 3;
+  plan.vms_per_domain = 8;
+  plan.large_vms_per_domain = 3;
+  plan.large_vms_read_no_evacuations = true;
+  hub_fleet fleet(plan);
+  fleet.Run(seconds(8), 0, 0);
+  // All but the third large VM of each failure domain, of the older release,
+  // which has no reason to.
+  CHECK_COMPARE(fleet.ServiceReaders(), >=, 21U);
+  for (std::size_t vm = 0; vm < 9; ++vm) {
+    fleet.Stop(vm);
+  }
+  fleet.Run(seconds(8), 0, 0);
+  LONGS_EQUAL(6, fleet.ServiceReaders());
+}
+
 // Guards against a target that gets more than the limit that it has named from
 // 300 VMs together: at most one and a half times the limit, and 5 requests, in
 // any 4 s from 3 s after it first named it.
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -75,11 +75,11 @@
 
 // Guards against VMs of two releases that don't understand each other's
 // heartbeats: an older one sends fewer fields (8, then 11 before there were
-// hubs, 19 before there were tunnels, and 20 before tunnels were named), a
-// later one more.
+// hubs, 19 before there were tunnels, 20 before tunnels were named, and 21
+// before evacuations were read), a later one more.
 TEST(MeshMessage, HeartbeatsOfOtherReleasesAreUnderstood) {
   const std::vector<std::string> peers{"a"};
-  for (const std::uint32_t fields : {8U, 11U, 19U, 20U, 22U}) {
+  for (const std::uint32_t fields : {8U, 11U, 19U, 20U, 21U, 23U}) {
     msgpack::sbuffer buffer;
     buffer.write("\x01", 1);
     msgpack::packer packer(buffer);
@@ -102,6 +102,9 @@
     }
     if (fields > 20) {
       packer.pack(std::vector<std::string>{"10.0.0.3:1"});
+    }
+    if (fields > 21) {
+      packer.pack(true);
       packer.pack("later");
     }
     const auto decoded =
@@ -120,6 +123,7 @@
     CHECK_TRUE(read.asks_for_hubs == (fields > 11));
     CHECK_TRUE(read.tunnels == (fields > 19));
     LONGS_EQUAL(fields > 20 ? 1 : 0, read.known_tunnels.size());
+    CHECK_TRUE(read.reads_evacuations == (fields > 21));
   }
 }
 
@@ -438,6 +442,52 @@
                        tunnels)
 };
 
+// The layout of f1be9e1, the last release that doesn't read evacuations.
+struct heartbeat_of_f1be9e1 {
+  std::string vm;
+  std::string failure_domain;
+  std::uint64_t incarnation{};
+  std::string datagram_address;
+  std::string view_address;
+  std::uint64_t last_change_revision{};
+  bool leaving{};
+  std::vector<std::string> known_peers;
+  std::uint64_t peak_vm_count{};
+  std::uint64_t view_era{};
+  std::uint64_t configuration_version{};
+  std::uint32_t capacity{};
+  bool plans{};
+  std::uint32_t service{};
+  std::uint64_t heard_in_domain{};
+  std::uint64_t heard_in_fleet{};
+  std::uint64_t view_digest{};
+  std::vector<vm_of_8382474> first_vms;
+  bool asks_for_hubs{};
+  bool tunnels{};
+  std::vector<std::string> known_tunnels;
+  MSGPACK_DEFINE_ARRAY(vm,
+                       failure_domain,
+                       incarnation,
+                       datagram_address,
+                       view_address,
+                       last_change_revision,
+                       leaving,
+                       known_peers,
+                       peak_vm_count,
+                       view_era,
+                       configuration_version,
+                       capacity,
+                       plans,
+                       service,
+                       heard_in_domain,
+                       heard_in_fleet,
+                       view_digest,
+                       first_vms,
+                       asks_for_hubs,
+                       tunnels,
+                       known_tunnels)
+};
+
 // All fields are set, with the longest lists that a hub sends.
 heartbeat FullHeartbeat() {
   constexpr std::size_t kFirstVms = 20;
@@ -464,6 +514,7 @@
   sent.asks_for_hubs = true;
   sent.tunnels = true;
   sent.known_tunnels.assign(kMaxKnownTunnels, "10.200.100.103:7340");
+  sent.reads_evacuations = true;
   return sent;
 }
 
@@ -495,3 +546,27 @@
   CHECK_TRUE(read.asks_for_hubs);
   CHECK_TRUE(read.tunnels);
 }
+
+// Guards against a heartbeat of this release that a VM of f1be9e1 can't read,
+// and against one of f1be9e1 that counts as one of a VM that reads evacuations.
+TEST(MeshMessage, ReleasesThatReadNoEvacuationsExchangeHeartbeats) {
+  const heartbeat sent = FullHeartbeat();
+  const std::string datagram = Encode(sent, At(0))[0];
+  std::size_t offset = 2;
+  const msgpack::unpack_limit limit(1'024, 1'024, 1'400 * 8, 1'400 * 8, 0, 4);
+  const auto body = msgpack::unpack(datagram.data(), datagram.size(), offset,
+                                    nullptr, nullptr, limit);
+  const auto read = body.get().as<heartbeat_of_f1be9e1>();
+  CHECK_TRUE(read.view_digest == sent.view_digest);
+  CHECK_TRUE(read.known_tunnels == sent.known_tunnels);
+
+  msgpack::sbuffer buffer;
+  buffer.write(datagram.data(), 2);
+  msgpack::pack(buffer, read);
+  const auto decoded =
+      Decode(std::string_view(buffer.data(), buffer.size()), At(0));
+  CHECK_TRUE(decoded.has_value());
+  heartbeat expected = sent;
+  expected.reads_evacuations = false;
+  CHECK_TRUE(std::get<heartbeat>(*decoded) == expected);
+}
