Admit calls by the slots of their targets

Cause: when the engines' slots are scarce and prefill time is not, every short prompt was sent on, queued at an engine and was late; engines rejected a fifth.

Change: forwarding/admission decides for each call that was not sent before whether it gets a free slot, waits here for one while it can still be in time, or is refused at once with a time to return. It counts the dispatches of the ledger by pool, measures how long they hold their slots and how fast slots become free, and goes by workspace share, by callers that return when told, and by length class. The planner learns workspace and fingerprint from two new last fields of the query. A planner's time to return is no longer replaced by its general one.

Test: SlotAdmission (10 tests), MeshMessage.QueriesOfOtherReleasesAreUnderstood and TargetLimits pass.

--- /dev/null
+++ b/src/acaciaferry/forwarding/admission/slot_admission.hpp
@@ -0,0 +1,273 @@
+#pragma once
+
+#include <array>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+
+#include "acaciaferry/core/name.hpp"
+#include "acaciaferry/core/random.hpp"
+#include "acaciaferry/core/time.hpp"
+#include "acaciaferry/forwarding/admission/decayed_count.hpp"
+#include "acaciaferry/forwarding/load_ledger.hpp"
+
+namespace acaciaferry::forwarding {
+
+/** A call that needs a slot. */
+struct slot_demand {
+  /** The dispatch that its next attempt will be. */
+  dispatch_id key{};
+  pool_id pool;
+  workspace_id workspace;
+  /** Hash of path, caller and body; 0 if unknown. */
+  std::uint64_t fingerprint{};
+  bool is_long{};
+  time_point arrived{};
+  /** For how much longer it can wait for a slot and be in time. */
+  duration patience{};
+  /** Longest time after which its caller returns if it is refused. */
+  duration longest_return{};
+  /** When it ends at the latest. */
+  time_point deadline{};
+};
+
+/** The slots that a call may get. */
+struct slot_supply {
+  /** Slots of its targets on which this VM may count. */
+  double slots{};
+  /** Dispatches that hold slots or wait for them. */
+  held_slots held;
+  /** Number of failure domains of the targets, each of which may have a VM that
+   * decides. */
+  std::size_t domains{1};
+  /** Duration of a dispatch while none has been observed. */
+  duration usual_hold{};
+};
+
+/** Why a call was refused. */
+enum class slot_refusal {
+  /** No slot becomes free in time. */
+  kNoSlot,
+  /** As above, and the workspace took more than its share. */
+  kWorkspaceShare,
+  /** As above, and the caller returned much earlier than told. */
+  kReturnedEarly
+};
+
+inline constexpr std::size_t kSlotRefusalCount =
+    static_cast<std::size_t>(slot_refusal::kReturnedEarly) + 1;
+
+/** @return A static name of the reason, for logs and metrics. */
+[[nodiscard]] std::string_view ToString(slot_refusal why) noexcept;
+
+/** The call may be placed now. */
+struct slot_granted {};
+
+/** The call waits and is decided on again after some time. */
+struct slot_awaited {
+  duration wait{};
+};
+
+/** The call can't be in time. */
+struct slot_refused {
+  slot_refusal why{};
+  /** When the caller may return. */
+  duration retry_after{};
+  /** Predicted wait for a slot. */
+  duration predicted{};
+  /** Calls that go before this one. */
+  std::size_t ahead{};
+};
+
+using slot_verdict = std::variant<slot_granted, slot_awaited, slot_refused>;
+
+/** What has been decided since the start. */
+struct slot_counts {
+  /** Decisions made while slots were scarce. */
+  std::uint64_t scarce{};
+  /** Calls that got a slot after they had waited. */
+  std::uint64_t admitted_after_wait{};
+  /** Calls that were refused before, returned when told and got a slot. */
+  std::uint64_t admitted_on_return{};
+  std::array<std::uint64_t, kSlotRefusalCount> refusals{};
+};
+
+/**
+ * @brief Decides who gets the slots of a pool when they are scarce.
+ *
+ * A call gets a free slot unless calls that go before it wait for one.
+ * Otherwise it waits as long as a slot can be predicted to be free while the
+ * call is still in time, and is refused at once if not. Calls go in this order:
+ * those of workspaces that had no more than an equal share, for which slots are
+ * kept that they are expected to need; callers that were
+ * refused and return when told, then new ones, then those that return much
+ * earlier; then those of the workspace with the smaller share; then by arrival.
+ * Short and long prompts wait separately: the class that holds less than half
+ * of the slots goes first.
+ */
+class slot_admission {
+ public:
+  explicit slot_admission(std::uint64_t seed) : random_(seed) {}
+
+  /** @brief Decides on a call; a call that waits is decided on again. */
+  [[nodiscard]] slot_verdict Decide(const slot_demand& demand,
+                                    const slot_supply& supply,
+                                    time_point now);
+
+  /** @brief Records that a call was placed by this VM. */
+  void RecordPlaced(const slot_demand& demand, time_point now);
+  /** @brief Records that another VM has placed a call. */
+  void RecordPlacedElsewhere(const pool_id& pool, time_point now);
+  /** @brief Records that a dispatch has ended that held a slot for a time. */
+  void RecordFreed(const pool_id& pool,
+                   dispatch_id key,
+                   duration held,
+                   time_point now);
+
+  /** @return The slots of a pool that calls hold which this VM has placed. */
+  [[nodiscard]] held_slots HeldByPlaced(const pool_id& pool) const;
+  /** @return Whether calls of a pool wait for slots. */
+  [[nodiscard]] bool IsAnyWaiting(const pool_id& pool) const;
+  /** @return Mean time for which a dispatch holds a slot.
+   * @param usual Used as long as few have ended. */
+  [[nodiscard]] duration MeanHold(const pool_id& pool,
+                                  duration usual,
+                                  time_point now) const;
+
+  /** @brief Forgets what is out of date. */
+  void Expire(time_point now);
+
+  [[nodiscard]] const slot_counts& Counts() const noexcept { return counts_; }
+  /** @return Number of calls that wait for slots. */
+  [[nodiscard]] std::size_t WaitingCount() const;
+  /** @return Number of refused callers that may be recognised. */
+  [[nodiscard]] std::size_t RememberedCount() const noexcept {
+    return refused_.size();
+  }
+
+ private:
+  /** What a workspace got of a pool. */
+  struct workspace_use {
+    decayed_count asked;
+    decayed_count admitted;
+    /** Slots that it holds through this VM. */
+    std::uint32_t held{};
+    time_point last_asked{};
+    /** When its next refused caller may return. */
+    time_point promised{};
+  };
+
+  enum class caller_kind { kReturned, kNew, kEarly };
+
+  /** The order in which calls get slots; the least goes first. */
+  struct rank {
+    bool over_share{};
+    caller_kind caller{caller_kind::kNew};
+    /** Admissions of its workspace in quarters of an equal share. */
+    int share_quarters{};
+    time_point arrived{};
+    dispatch_id key{};
+
+    [[nodiscard]] auto operator<=>(const rank&) const = default;
+  };
+
+  struct waiting_call {
+    caller_kind caller{};
+    bool is_long{};
+    /** As it was when the call was last decided on. */
+    rank order;
+    /** It has ended, or is placed elsewhere, if it isn't asked for again by
+     * then. */
+    time_point lapses_at{};
+  };
+
+  struct fair_share {
+    double admitted{};
+    std::size_t workspaces{1};
+  };
+
+  struct pool_use {
+    std::map<workspace_id, workspace_use> workspaces;
+    std::map<dispatch_id, waiting_call> waiting;
+    held_slots held;
+    /** Calls placed by this VM, and by all of which it hears. */
+    decayed_count placed_here;
+    decayed_count placed;
+    decayed_count ended;
+    /** Seconds for which the ended dispatches held their slots. */
+    decayed_count held_s;
+    /** As `ended`, in a short time. */
+    decayed_count just_ended{kShortWindowS};
+    /** As calculated at `share_at`. */
+    fair_share share;
+    double kept_for_others{};
+    time_point share_at{};
+  };
+
+  static constexpr double kShortWindowS = 0.2;
+
+  /** A dispatch that was placed by this VM. */
+  struct placed_dispatch {
+    pool_id pool;
+    workspace_id workspace;
+    bool is_long{};
+    /** Its end was lost if it hasn't come by then. */
+    time_point lapses_at{};
+  };
+
+  /** A caller that was told when to return. */
+  struct refused_caller {
+    time_point told_at{};
+    time_point returns_at{};
+    /** The call with which it returned. */
+    dispatch_id returned_as{};
+  };
+
+  [[nodiscard]] static fair_share ShareOf(const pool_use& pool, time_point now);
+  [[nodiscard]] static rank RankOf(const workspace_use& use,
+                                   const fair_share& share,
+                                   const slot_demand& demand,
+                                   caller_kind caller,
+                                   time_point now);
+  [[nodiscard]] static double MeanHoldS(const pool_use& pool,
+                                        const slot_supply& supply,
+                                        time_point now);
+  [[nodiscard]] static double OwnShare(const pool_use& pool,
+                                       const slot_supply& supply,
+                                       time_point now);
+  [[nodiscard]] static double FreedPerS(const pool_use& pool,
+                                        const slot_supply& supply,
+                                        time_point now);
+  [[nodiscard]] static double KeptForOthers(const pool_use& pool,
+                                            const fair_share& share,
+                                            const slot_supply& supply,
+                                            time_point now);
+  workspace_use* UseOf(pool_use& pool, const workspace_id& workspace);
+  void EndPlaced(dispatch_id key);
+  [[nodiscard]] caller_kind Recognise(const slot_demand& demand,
+                                      time_point now);
+  [[nodiscard]] duration Promise(const slot_demand& demand,
+                                 workspace_use& workspace,
+                                 duration predicted,
+                                 duration spacing,
+                                 time_point now);
+  void Remember(const slot_demand& demand,
+                duration retry_after,
+                time_point now);
+
+  std::map<pool_id, pool_use> pools_;
+  std::unordered_map<dispatch_id, placed_dispatch> placed_;
+  /** By fingerprint; bounded. */
+  std::unordered_map<std::uint64_t, refused_caller> refused_;
+  /** Fingerprints in the order in which they were refused. */
+  std::deque<std::uint64_t> refused_order_;
+  random_engine random_;
+  slot_counts counts_;
+};
+
+}  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/flights.cpp
+++ b/src/acaciaferry/forwarding/flights.cpp
@@ -62,7 +62,7 @@
          effects& out) {
   const dispatch_id key =
       DispatchIdOf(current, pending.request.id, ended.number);
-  current.ledger.End(key, now);
+  EndDispatch(current, key, now);
   out.emplace_back(notify_peers{{}, {key}, {}});
   if (close) {
     out.emplace_back(cancel_attempt{pending.request.id, ended.number});
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -43,6 +43,29 @@
                                          time_point now,
                                          effects& out);
 
+/**
+ * @brief Decides whether a call waits for a slot.
+ * @param engine Null for a plain service.
+ * @param candidates Not empty.
+ * @return That it waits here or is refused; nothing if it may be placed now.
+ */
+[[nodiscard]] std::optional<placement_verdict> AwaitSlot(
+    state& current,
+    const pending_call& pending,
+    const engine_properties* engine,
+    const std::vector<const target*>& candidates,
+    time_point now,
+    effects& out);
+
+/** @brief Records that a call was placed. */
+void RecordSlotTaken(state& current,
+                     const pending_call& pending,
+                     const engine_properties* engine,
+                     time_point now);
+
+/** @brief Ends a dispatch, which frees its slot. */
+void EndDispatch(state& current, dispatch_id key, time_point now);
+
 /** @brief Decides on a prompt as PlanCall does.
  * @param candidates Not empty. */
 [[nodiscard]] placement_verdict PlanPrompt(
--- a/src/acaciaferry/forwarding/load_ledger.hpp
+++ b/src/acaciaferry/forwarding/load_ledger.hpp
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <span>
 #include <unordered_map>
 #include <utility>
@@ -105,6 +106,22 @@
   [[nodiscard]] duration QueuedPrefill() const noexcept;
 };
 
+/** Slots that dispatches hold or wait for. */
+struct held_slots {
+  std::uint32_t all{};
+  /** Those of long prompts; see IsLongPrompt. */
+  std::uint32_t by_long_prompts{};
+};
+
+/** The slot of a dispatch. */
+struct slot_use {
+  pool_id pool;
+  time_point since{};
+};
+
+/** @return Whether a request of this weight is a long prompt. */
+[[nodiscard]] bool IsLongPrompt(double weight) noexcept;
+
 /**
  * @brief Tracks the unfinished dispatches of this VM and its peers and predicts
  * the load of each target from them.
@@ -117,6 +134,8 @@
   /** @brief Sets the engine properties of a target. Without them, a pass is
    * predicted to take its prefill time only. */
   void SetEngine(const target_id& id, const engine_properties& engine);
+  /** @brief Sets the pool of a target, by which its slots are counted. */
+  void SetPool(const target_id& id, const pool_id& pool);
   /** @brief Records that a target has sent events of a stream, which engines do
    * at the end of a pass. */
   void RecordPassEnd(const target_id& id, time_point now);
@@ -162,6 +181,15 @@
 
   [[nodiscard]] std::size_t JobCount() const noexcept { return jobs_; }
 
+  /** @return The slots that are held in a pool. */
+  [[nodiscard]] held_slots SlotsOfPool(const pool_id& pool) const;
+  /** @return The slots that are held at a target. */
+  [[nodiscard]] held_slots SlotsOfTarget(const target_id& id) const;
+  /** @return The slot that a dispatch holds or waits for. */
+  [[nodiscard]] std::optional<slot_use> SlotOf(dispatch_id key) const;
+  /** @return The pool of a target; null if it isn't known. */
+  [[nodiscard]] const pool_id* PoolOf(const target_id& id) const;
+
   /** @return The dispatches of a process. */
   [[nodiscard]] std::vector<dispatch_id> DispatchesOf(
       std::uint64_t prefix) const;
@@ -185,6 +213,7 @@
     time_point pass_ends{};
     bool runs_passes{};
     engine_properties engine;
+    held_slots slots;
   };
 
   [[nodiscard]] static bool IsPrefilling(const queue& target_queue,
@@ -204,9 +233,14 @@
   static void AdvancePasses(queue& target_queue, time_point now);
   static void AdvancePrefills(queue& target_queue, time_point now);
   static void Advance(queue& target_queue, time_point now);
+  void CountSlot(const target_id& id, queue& target_queue, const job& added);
+  /** @brief Subtracts slots of a target that are no longer held. */
+  void FreeSlots(const target_id& id, queue& target_queue, held_slots freed);
 
   std::unordered_map<target_id, queue> queues_;
   std::unordered_map<target_id, engine_properties> engines_;
+  std::unordered_map<target_id, pool_id> pools_;
+  std::unordered_map<pool_id, held_slots> slots_by_pool_;
   struct dispatch {
     std::vector<target_id> targets;
     time_point added{};
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -53,6 +53,13 @@
   pending.attempts = query.is_first_attempt ? 0 : 1;
   pending.tried_targets = query.tried;
   pending.refusing_asker = query.refusing;
+  pending.asked_as = query.key;
+  pending.request.fingerprint = query.fingerprint;
+  pending.request.workspace = query.workspace;
+  if (query.workspace.empty()) {
+    pending.request.workspace.value =
+        "vm " + std::to_string(ProcessPrefixOf(query.key));
+  }
   return pending;
 }
 
@@ -68,10 +75,13 @@
   query.gap_objective = pending.request.gap_objective;
   query.waited = now - pending.arrived;
   query.time_left = pending.deadline - now;
-  query.is_first_attempt =
-      pending.attempts == 0 && !pending.partially_delivered;
+  query.is_first_attempt = pending.attempts == 0 &&
+                           !pending.partially_delivered &&
+                           pending.request.resume_after == 0;
   query.tried = pending.tried_targets;
   query.refusing = current.refusals.Refusing(now);
+  query.workspace = pending.request.workspace;
+  query.fingerprint = pending.request.fingerprint;
   return query;
 }
 
@@ -156,9 +166,18 @@
     std::shuffle(candidates.begin(), candidates.end(), current.random);
   }
   const engine_properties* engine = EngineOf(current, pending.request.pool);
+  if (auto verdict =
+          AwaitSlot(current, pending, engine, candidates, now, out)) {
+    return *std::move(verdict);
+  }
   if (engine != nullptr && pending.request.prompt_tokens > 0) {
-    return PlanPrompt(current, pending, *engine, candidates, now, out);
+    auto verdict = PlanPrompt(current, pending, *engine, candidates, now, out);
+    if (std::holds_alternative<placed_call>(verdict)) {
+      RecordSlotTaken(current, pending, engine, now);
+    }
+    return verdict;
   }
+  RecordSlotTaken(current, pending, engine, now);
   placed_call placed;
   placed.at.decode_target =
       PlaceCall(candidates, current.ledger, current.failure_domain,
@@ -226,8 +245,9 @@
   } else if (auto* deferred = std::get_if<deferred_call>(&answer.verdict)) {
     deferred->wait = std::max(deferred->wait, kMinRemoteWait);
   } else {
-    std::get<refused_call>(answer.verdict).retry_after =
-        RetryAfter(current, pending, now);
+    auto& refused = std::get<refused_call>(answer.verdict);
+    refused.retry_after =
+        std::max(refused.retry_after, RetryAfter(current, pending, now));
   }
   out.emplace_back(answer_query{asked.asker, std::move(answer)});
 }
--- a/src/acaciaferry/forwarding/planning.hpp
+++ b/src/acaciaferry/forwarding/planning.hpp
@@ -39,6 +39,10 @@
   std::vector<target_id> tried;
   /** Targets that want no request from the VM that asks. */
   std::vector<target_id> refusing;
+  /** Empty if the caller has none, or its VM is of an old release. */
+  workspace_id workspace;
+  /** Hash of path, caller and body; 0 if its VM is of an old release. */
+  std::uint64_t fingerprint{};
 
   [[nodiscard]] bool operator==(const placement_query&) const = default;
 };
--- a/src/acaciaferry/forwarding/prompts.cpp
+++ b/src/acaciaferry/forwarding/prompts.cpp
@@ -31,9 +31,6 @@
 // A prompt is small if it needs less than this fraction (1/8) of an engine's
 // memory.
 constexpr std::uint64_t kSmallPromptDivisor = 8;
-// Weight above which a prompt that would be late is shed: the time that it
-// takes from other requests is worth more than its late response.
-constexpr double kLongPromptWeight = 3;
 // A prompt whose latency objective is out of reach may take up to so many times
 // as long as on idle engines.
 constexpr std::int64_t kMaxTimesIdle = 2;
@@ -202,8 +199,7 @@
   const duration objective =
       pending.arrived + pending.request.latency_objective - now;
   return first_event > std::max(objective, when_idle * kMaxTimesIdle) &&
-         RequestWeight(engine, pending.request.prompt_tokens) >
-             kLongPromptWeight;
+         IsLongPrompt(RequestWeight(engine, pending.request.prompt_tokens));
 }
 
 placement_verdict PlanSpannedPrompt(
--- a/src/acaciaferry/forwarding/published_targets.cpp
+++ b/src/acaciaferry/forwarding/published_targets.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -9,12 +10,19 @@
 namespace {
 
 void SetEngines(state& current) {
+  current.pool_slots.clear();
   for (const auto& [pool, engine] : current.pools) {
-    if (engine) {
-      for (const target* each : current.targets.NotLeaving(pool)) {
+    published_slots slots;
+    for (const target* each : current.targets.NotLeaving(pool)) {
+      current.ledger.SetPool(each->id, pool);
+      if (engine) {
         current.ledger.SetEngine(each->id, *engine);
       }
+      const std::uint32_t own = std::max(each->slots, 1U);
+      slots.least = slots.all == 0 ? own : std::min(slots.least, own);
+      slots.all += own;
     }
+    current.pool_slots.emplace(pool, slots);
   }
 }
 
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -231,10 +231,14 @@
   void operator()(const peer_load_update& happened) {
     for (const job& each : happened.jobs) {
       current.ledger.Add(each, now);
+      const pool_id* pool = current.ledger.PoolOf(each.target);
+      if (each.is_decode && pool != nullptr) {
+        current.admission.RecordPlacedElsewhere(*pool, now);
+      }
     }
     CountAgainstLimits(current, happened.jobs, now);
     for (const dispatch_id key : happened.ended) {
-      current.ledger.End(key, now);
+      EndDispatch(current, key, now);
     }
     for (const peer_distrust& each : happened.distrusted) {
       current.targets.DistrustUntil(each.target, now + each.remaining);
@@ -289,6 +293,7 @@
     current.vm_count = std::max<std::uint64_t>(happened.vm_count, 1);
     const std::uint64_t heard =
         std::clamp<std::uint64_t>(happened.heard_vm_count, 1, current.vm_count);
+    current.heard_vm_count = heard;
     current.limits.SetShare(
         static_cast<double>(heard) / static_cast<double>(current.vm_count),
         now);
@@ -411,10 +416,18 @@
       allowance(bound),
       random(seed),
       limits(seed),
-      refusals(seed) {
+      refusals(seed),
+      admission(seed) {
   dispatch_prefix = ProcessPrefix(self.second);
 }
 
+double state::SlotShare() const noexcept {
+  const std::uint64_t heard = is_large_fleet && !is_hub ? 1 : heard_vm_count;
+  return std::min(
+      1.0, static_cast<double>(heard) /
+               static_cast<double>(std::max<std::uint64_t>(vm_count, 1)));
+}
+
 effects Reduce(state& current, const event& happened, time_point now) {
   internal::reducer step{
       current, now, internal::InputReadUntil(happened, now), {}};
--- a/src/acaciaferry/forwarding/state.hpp
+++ b/src/acaciaferry/forwarding/state.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "acaciaferry/core/random.hpp"
+#include "acaciaferry/forwarding/admission/slot_admission.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
 #include "acaciaferry/forwarding/event.hpp"
 #include "acaciaferry/forwarding/load_ledger.hpp"
@@ -135,6 +136,15 @@
   /** For a call of another VM that is placed here: the targets that want no
    * request from that VM. */
   std::optional<std::vector<target_id>> refusing_asker;
+  /** For such a call: the dispatch that its next attempt will be; otherwise 0.
+   */
+  dispatch_id asked_as{};
+};
+
+/** The published slots of a pool, and the fewest of one of its targets. */
+struct published_slots {
+  std::uint32_t all{};
+  std::uint32_t least{};
 };
 
 /**
@@ -167,6 +177,12 @@
   random_engine random;
   target_limits limits;
   target_refusals refusals;
+  slot_admission admission;
+  /** Whether calls wait here, or are refused, while slots are scarce. */
+  bool admits_by_slots{true};
+  std::map<pool_id, published_slots> pool_slots;
+  /** VMs of the fleet that this VM hears, itself included. */
+  std::uint64_t heard_vm_count{1};
   target_reach reach;
   /** IP:PORT of the VMs that are asked to place calls, in order; empty if this
    * VM places them itself. */
@@ -176,6 +192,10 @@
   bool is_large_fleet{};
   bool is_hub{};
   time_point next_sweep{};
+
+  /** @return The share of a pool's slots on which this VM may count. A VM of a
+   * large fleet that is no hub hears of its own dispatches only. */
+  [[nodiscard]] double SlotShare() const noexcept;
 };
 
 /**
--- a/src/acaciaferry/forwarding/timeouts.cpp
+++ b/src/acaciaferry/forwarding/timeouts.cpp
@@ -66,6 +66,7 @@
       ApplyVerdicts(ExpireParts(current.parts, now), out);
       current.limits.Expire(now);
       current.refusals.Expire(now);
+      current.admission.Expire(now);
     }
   }
 
--- a/src/acaciaferry/mesh/message_decoding.cpp
+++ b/src/acaciaferry/mesh/message_decoding.cpp
@@ -61,7 +61,9 @@
                                      FromMillis(wire.time_left_ms),
                                      wire.is_first_attempt,
                                      ToTargets(wire.tried),
-                                     ToTargets(wire.refusing)};
+                                     ToTargets(wire.refusing),
+                                     {wire.workspace},
+                                     wire.fingerprint};
 }
 
 duration FromMicros(std::int64_t value) {
--- a/src/acaciaferry/mesh/message_encoding.cpp
+++ b/src/acaciaferry/mesh/message_encoding.cpp
@@ -263,7 +263,8 @@
                            from.output_tokens, ToMillis(from.latency_objective),
                            ToMillis(from.gap_objective), ToMillis(from.waited),
                            ToMillis(from.time_left), from.is_first_attempt,
-                           ToNames(from.tried), ToNames(from.refusing)})};
+                           ToNames(from.tried), ToNames(from.refusing),
+                           from.workspace.value, from.fingerprint})};
 }
 
 struct verdict_writer {
--- a/src/acaciaferry/mesh/wire.hpp
+++ b/src/acaciaferry/mesh/wire.hpp
@@ -189,6 +189,9 @@
   bool is_first_attempt{};
   std::vector<std::string> tried;
   std::vector<std::string> refusing;
+  // Not sent by older VMs.
+  std::string workspace;
+  std::uint64_t fingerprint{};
   MSGPACK_DEFINE_ARRAY(key,
                        pool,
                        prompt_tokens,
@@ -199,7 +202,9 @@
                        time_left_ms,
                        is_first_attempt,
                        tried,
-                       refusing)
+                       refusing,
+                       workspace,
+                       fingerprint)
 };
 
 struct memory_share_wire {
--- a/test/acaciaferry/mesh/message_test.cpp
+++ b/test/acaciaferry/mesh/message_test.cpp
@@ -137,6 +137,8 @@
   query.is_first_attempt = true;
   query.tried = {{"e1"}};
   query.refusing = {{"e2"}, {"e3"}};
+  query.workspace = {"w"};
+  query.fingerprint = ~std::uint64_t{9};
   CHECK_TRUE(std::get<forwarding::placement_query>(
                  *Decode(Encode(query, At(0))[0], At(0))) == query);
   forwarding::placed_call placed;
@@ -157,6 +159,54 @@
   }
 }
 
+// Guards against VMs of two releases that don't understand each other's
+// queries: an older one sends 11 fields and reads the first 11 of a later one.
+TEST(MeshMessage, QueriesOfOtherReleasesAreUnderstood) {
+  const std::vector<std::string> tried{"e1"};
+  const std::vector<std::string> refusing{"e2"};
+  for (const std::uint32_t fields : {11U, 13U, 14U}) {
+    msgpack::sbuffer buffer;
+    buffer.write("\x01", 1);
+    msgpack::packer packer(buffer);
+    packer.pack(9U);
+    packer.pack_array(fields);
+    packer.pack(77U).pack("pool").pack(5'000U).pack(300U);
+    packer.pack(250U).pack(100U).pack(12U).pack(9'000U).pack(true);
+    packer.pack(tried).pack(refusing);
+    if (fields > 11) {
+      packer.pack("w").pack(~std::uint64_t{9});
+    }
+    if (fields > 13) {
+      packer.pack("later");
+    }
+    const auto decoded =
+        Decode(std::string_view(buffer.data(), buffer.size()), At(0));
+    CHECK_TRUE(decoded.has_value());
+    const auto& read = std::get<forwarding::placement_query>(*decoded);
+    CHECK_TRUE(read.refusing == std::vector<target_id>{{"e2"}});
+    STRCMP_EQUAL(fields > 11 ? "w" : "", read.workspace.value.c_str());
+    CHECK_TRUE(read.fingerprint == (fields > 11 ? ~std::uint64_t{9} : 0));
+  }
+  // What an older VM reads of a query of this release.
+  forwarding::placement_query query;
+  query.key = 77;
+  query.pool = {"pool"};
+  query.refusing = {{"e2"}};
+  query.workspace = {"w"};
+  query.fingerprint = 5;
+  const std::string sent = Encode(query, At(0)).front();
+  std::size_t offset = 1;
+  LONGS_EQUAL(9, msgpack::unpack(sent.data(), sent.size(), offset)
+                     .get()
+                     .as<std::uint32_t>());
+  const auto body = msgpack::unpack(sent.data(), sent.size(), offset);
+  LONGS_EQUAL(13, body.get().via.array.size);
+  const auto* items = body.get().via.array.ptr;
+  LONGS_EQUAL(77, items[0].as<std::uint64_t>());
+  STRCMP_EQUAL("pool", items[1].as<std::string>().c_str());
+  STRCMP_EQUAL("e2", items[10].as<std::vector<std::string>>().front().c_str());
+}
+
 // Guards against a receiver that drops live dispatches because it received a
 // partial list.
 TEST(MeshMessage, LiveDispatchesAreSentCompletelyOrNotAtAll) {
