--- a/src/acaciaferry/forwarding/timeouts.cpp
+++ b/src/acaciaferry/forwarding/timeouts.cpp
@@ -66,6 +66,7 @@
       ApplyVerdicts(ExpireParts(current.parts, now), out);
       ExpireLimits(current, now, out);
       current.refusals.Expire(now);
+      current.admission.Expire(now);
     }
   }
 
