--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -229,9 +229,9 @@
 }
 
 void hub_fleet::EndEvacuation(std::size_t domain) {
-  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
-    if (vms_[vm]->running) {
-      MarkDomainCold(*vms_[vm]->state, internal::DomainId(domain), clock_->now);
+  for (const auto& each : vms_) {
+    if (each->running) {
+      MarkDomainCold(*each->state, internal::DomainId(domain), clock_->now);
     }
   }
 }
--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -665,10 +665,14 @@
 // Guards against planners that each use up the limit before they hear of each
 // other's requests.
 TEST(HubFleet, PlannersThatHearEachOtherLateSpareColdEngines) {
-  hub_fleet_plan plan = ColdPlan();
-  plan.network_delay = milliseconds(20);
-  plan.lost_percent = 2;
-  CheckReturns(plan, [](hub_fleet&) {});
+  // Planners collect their news for 20 ms before it is sent. With a way of
+  // 20 ms, members don't wait for their answers and place calls themselves.
+  for (const auto delay : {milliseconds(10), milliseconds(20)}) {
+    hub_fleet_plan plan = ColdPlan();
+    plan.network_delay = delay;
+    plan.lost_percent = 2;
+    CheckReturns(plan, [](hub_fleet&) {});
+  }
 }
 
 // Guards against VMs without a planner that each use up the limit.
--- a/test/acaciaferry/forwarding/target_limits_test.cpp
+++ b/test/acaciaferry/forwarding/target_limits_test.cpp
@@ -360,6 +360,29 @@
   CHECK_FALSE(limits.IsLimited(kTarget, After(200)));
 }
 
+// Guards against a VM that has just started and does not learn from its peers
+// what a cold target has got, or learns it as a limit that the target named.
+TEST(TargetLimits, ReportsTellTheDebtsOfColdTargets) {
+  target_limits sender = LimitsOfOneVm();
+  sender.SetCold(kTarget, 1, 14, After(3'000), After(6'000), kStart);
+  for (dispatch_id key = 1; key <= 20; ++key) {
+    sender.CountRequest(kTarget, key, target_limits::placed_by::kOther, kStart);
+  }
+  target_limits receiver = LimitsOfOneVm();
+  receiver.SetCold(kTarget, 1, 14, After(3'000), After(6'000), kStart);
+  for (const limit_report& each : sender.Reports(kStart)) {
+    CHECK_FALSE(each.requests_per_s.has_value());
+    CHECK_TRUE(each.cold_for == seconds(3));
+    CHECK_TRUE(receiver.Merge(each, kStart) == target_limits::change::kNone);
+  }
+  CHECK_FALSE(receiver.LimitOf(kTarget).has_value());
+  CHECK_TRUE(receiver.NextRequestAt(kTarget, kStart) > After(1'400));
+  // A target that isn't known to be cold here has no limit by that.
+  target_limits other = LimitsOfOneVm();
+  static_cast<void>(other.Merge(sender.Reports(kStart).front(), kStart));
+  CHECK_FALSE(other.IsLimited(kTarget, kStart));
+}
+
 // Guards against VMs of a fleet without planners that each use up the limit of
 // a cold target, while they hear each other late, or not at all without having
 // found out.
