Count tunnels and calls with requests, and test the reading

Cause: the buffers of tunnels, and what a call and its exchange with a target take, were not counted. Each exchange set 16 KiB to zero before it read.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -97,10 +97,17 @@
   const auto connection = started.connection;
   exchanges_.insert_or_assign(attempt_number, std::move(started));
   const net::request_head head = protocol_.BuildAttemptHead(request_, attempt);
-  connection->Start(
-      attempt.address, net::Serialize(head, caller_->body.size()),
-      internal::kConnectTimeout, attempt.tunnel,
-      std::shared_ptr<const std::string>(caller_, &caller_->body));
+  std::string request = net::Serialize(head, caller_->body.size());
+  // A second buffer costs more than the copy of a small body, which the account
+  // of requests counts.
+  std::shared_ptr<const std::string> body;
+  if (caller_->body.size() <= net::kSmallBodyBytes) {
+    request += caller_->body;
+  } else {
+    body = {caller_, &caller_->body};
+  }
+  connection->Start(attempt.address, std::move(request),
+                    internal::kConnectTimeout, attempt.tunnel, std::move(body));
 }
 
 void call_relay::CancelAttempt(std::uint32_t attempt) {
--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -170,6 +170,7 @@
   callers_.SetMemory(answer_memory_);
   control_.SetMemory(answer_memory_);
   callers_.SetRequestMemory(request_memory_, true);
+  tunnels_.SetRequestMemory(request_memory_);
   net::server_limits limits;
   limits.body_bytes = internal::kMaxControlBodyBytes;
   for (const auto& [server, part, most] :
--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -151,11 +151,7 @@
 void client_exchange::Send() {
   connected_ = true;
   timer_.cancel();
-  const std::array<boost::asio::const_buffer, 2> parts{
-      boost::asio::buffer(request_),
-      body_ ? boost::asio::buffer(*body_) : boost::asio::const_buffer()};
-  boost::asio::async_write(
-      socket_, parts,
+  const auto on_written =
       [self = shared_from_this()](const boost::system::error_code& failed,
                                   std::size_t /*bytes*/) {
         // A write error is left to the read, which fails too, but only after it
@@ -166,7 +162,15 @@
           std::string().swap(self->request_);
           self->body_.reset();
         }
-      });
+      };
+  if (body_) {
+    const std::array<boost::asio::const_buffer, 2> parts{
+        boost::asio::buffer(request_), boost::asio::buffer(*body_)};
+    boost::asio::async_write(socket_, parts, on_written);
+  } else {
+    boost::asio::async_write(socket_, boost::asio::buffer(request_),
+                             on_written);
+  }
   if (handlers_.on_sent) {
     handlers_.on_sent();
   }
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -123,7 +123,8 @@
   // The request for a tunnel; empty without one.
   std::string tunnel_request_;
   std::string unparsed_;
-  std::array<char, 16'384> read_buffer_{};
+  // Not initialized: that would cost more than parsing a usual head.
+  std::array<char, 16'384> read_buffer_;
   std::unique_ptr<message_parser<false>> parser_;
   memory_account* memory_;
   std::optional<held_memory> held_;
--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -14,6 +14,9 @@
 // A connection with its first buffer, its parser and its parts of the event
 // loop.
 constexpr std::size_t kConnectionBytes = 4'096;
+// The call of a complete request, and the exchange with its target, which has a
+// read buffer of its own.
+constexpr std::size_t kCallBytes = 20'480;
 // Reads of one connection before others have their turn.
 constexpr int kMaxReadsAtOnce = 4;
 // The fields are copied for the call, and written once for each attempt.
@@ -45,6 +48,11 @@
   return kFieldCopies * bytes;
 }
 
+// Small bodies are copied for an attempt, larger ones are shared with it.
+std::size_t WithCopy(std::size_t body_bytes) {
+  return body_bytes <= kSmallBodyBytes ? 2 * body_bytes : body_bytes;
+}
+
 }  // namespace internal
 
 connection::connection(http_server& server, boost::asio::ip::tcp::socket socket)
@@ -164,7 +172,8 @@
 }
 
 std::size_t connection::AskForRoom() {
-  const std::size_t other = internal::kConnectionBytes + unparsed_.size() +
+  const std::size_t other = internal::kConnectionBytes + internal::kCallBytes +
+                            unparsed_.size() +
                             internal::FieldBytes(parser_->request.fields);
   if (current_exchange_) {
     const std::size_t left =
@@ -182,10 +191,11 @@
   }
   if (parser_->body_bytes) {
     const std::size_t size = MaxBodyBytes();
-    if (!AskForRoom(other + size, size > kSmallBodyBytes)) {
+    if (!AskForRoom(other + internal::WithCopy(size),
+                    size > kSmallBodyBytes)) {
       return 0;
     }
-    reserved_bytes_ = other + size;
+    reserved_bytes_ = other + internal::WithCopy(size);
     return std::min(kReadBufferBytes, size - body_.size());
   }
   // Chunks don't tell the size of the whole. What is parsed of a read is never
@@ -198,10 +208,11 @@
                                      internal::kMaxReadAhead;
   const std::size_t read =
       is_large ? kReadBufferBytes : internal::kMaxReadAhead;
-  if (!AskForRoom(other + size + read, is_large)) {
+  const std::size_t needed = other + internal::WithCopy(size) + read;
+  if (!AskForRoom(needed, is_large)) {
     return 0;
   }
-  reserved_bytes_ = other + size + read;
+  reserved_bytes_ = needed;
   return read;
 }
 
@@ -364,7 +375,8 @@
   reserved_bytes_ = 0;
   current_exchange_->room_ = std::move(room_);
   current_exchange_->room_->Complete(
-      internal::kConnectionBytes + current_exchange_->body.capacity() +
+      internal::kCallBytes +
+      internal::WithCopy(current_exchange_->body.capacity()) +
       internal::FieldBytes(current_exchange_->head.fields));
   parser_->request = {};
   std::string().swap(body_);
--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -49,7 +49,10 @@
         client_(std::move(client)),
         target_(client_.get_executor()),
         timer_(client_.get_executor()),
-        parser_([](std::string_view /*part*/) {}) {}
+        parser_([](std::string_view /*part*/) {}),
+        room_(server.memory_, request_kind::kTunnel, nullptr) {
+    room_.Set(sizeof(tunnel));
+  }
 
   void Start();
   /** @brief Replies with an error status and closes. */
@@ -81,6 +84,7 @@
   boost::asio::ip::tcp::socket target_;
   boost::asio::steady_timer timer_;
   message_parser<true> parser_;
+  request_room room_;
   // The head, and later the bytes that came with it.
   std::string head_;
   std::string reply_;
--- a/src/acaciaferry/net/tunnel.hpp
+++ b/src/acaciaferry/net/tunnel.hpp
@@ -14,6 +14,7 @@
 #include <string_view>
 
 #include "acaciaferry/core/time.hpp"
+#include "acaciaferry/net/request_memory.hpp"
 
 namespace acaciaferry::net {
 
@@ -60,6 +61,9 @@
     on_dialed_ = std::move(on_dialed);
   }
 
+  /** @brief Counts the buffers of tunnels. */
+  void SetRequestMemory(request_memory& memory) { memory_ = &memory; }
+
   /** @return Number of tunnels that are open or being set up. */
   [[nodiscard]] std::size_t Count() const;
 
@@ -81,6 +85,7 @@
   permission may_dial_;
   dial_observer on_dialed_{[](std::string_view, bool, duration) {}};
   std::size_t max_tunnels_;
+  request_memory* memory_{};
   std::list<std::shared_ptr<tunnel>> tunnels_;
 };
 
--- a/test/acaciaferry/net/server_test.cpp
+++ b/test/acaciaferry/net/server_test.cpp
@@ -219,3 +219,123 @@
   CHECK_TRUE(fixture.Wait([&] { return fixture.exchanges.size() == 1; }));
   STRCMP_EQUAL("abc", fixture.exchanges[0]->body.c_str());
 }
+
+// Guards against requests that are read beyond the memory for them, and against
+// complete ones that are lost for others.
+TEST(NetServer, RequestsAreReadOnlyAsFarAsThereIsRoom) {
+  constexpr std::size_t kBody = 1U << 20U;
+  request_memory memory(4 * kBody);
+  server_fixture fixture;
+  server_limits limits;
+  limits.head_timeout = std::chrono::milliseconds(1'500);
+  fixture.server.SetLimits(limits);
+  fixture.server.SetRequestMemory(memory, true);
+  std::vector<drop_reason> dropped;
+  fixture.server.SetDropHandler(
+      [&](drop_reason why) { dropped.push_back(why); });
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(kBody) + "\r\n\r\n";
+  std::vector<raw_connection> clients;
+  for (int i = 0; i < 3; ++i) {
+    clients.push_back(fixture.Connect());
+    clients.back().Send(head + std::string(64'000, 'x'));
+  }
+  // Two have room for the whole body, and the third is answered in time.
+  CHECK_TRUE(fixture.Wait([&] { return memory.WaitingCount() == 1; }));
+  CHECK_TRUE(memory.Held() < memory.Limit());
+  std::size_t refused = 0;
+  CHECK_TRUE(fixture.Wait([&] {
+    refused = 0;
+    for (auto& client : clients) {
+      refused += client.Has("HTTP/1.1 503") || client.Has("HTTP/1.1 408");
+    }
+    return refused == clients.size();
+  }));
+  CHECK_FALSE(dropped.empty());
+  CHECK_TRUE(
+      fixture.Wait([&] { return fixture.server.ConnectionCount() == 0; }));
+  LONGS_EQUAL(0, memory.Held());
+}
+
+// Guards against room that a request keeps after its exchange has ended, and
+// against a small request that waits behind large ones.
+TEST(NetServer, AnExchangeHoldsTheRoomOfItsRequest) {
+  constexpr std::size_t kBody = 1U << 20U;
+  request_memory memory(4 * kBody);
+  server_fixture fixture;
+  fixture.server.SetRequestMemory(memory, true);
+  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::to_string(kBody) + "\r\n\r\n";
+  std::vector<raw_connection> clients;
+  for (std::size_t i = 0; i < 2; ++i) {
+    clients.push_back(fixture.Connect());
+    const std::string request = head + std::string(kBody, 'x');
+    for (std::size_t at = 0; at < request.size(); at += 16'384) {
+      clients.back().Send(request.substr(at, 16'384));
+      fixture.loop.restart();
+      fixture.loop.poll();
+    }
+    CHECK_TRUE(fixture.Wait([&] { return fixture.exchanges.size() == i + 1; }));
+  }
+  CHECK_TRUE(memory.Held(request_kind::kComplete) >= 2 * kBody);
+  clients.push_back(fixture.Connect());
+  clients.back().Send(head + std::string(64'000, 'x'));
+  CHECK_TRUE(fixture.Wait([&] { return memory.WaitingCount() == 1; }));
+  auto small = fixture.Connect();
+  small.Send(kGet);
+  CHECK_TRUE(fixture.Wait([&] { return fixture.exchanges.size() == 3; }));
+  fixture.exchanges[0]->Reply(200, {}, "one");
+  LONGS_EQUAL(1, memory.WaitingCount());
+  fixture.exchanges.erase(fixture.exchanges.begin());
+  CHECK_TRUE(fixture.Wait([&] { return memory.WaitingCount() == 0; }));
+  for (const auto& each : fixture.exchanges) {
+    each->Reply(200, {}, "");
+  }
+  fixture.exchanges.clear();
+  LONGS_EQUAL(0, memory.Held(request_kind::kComplete));
+}
+
+// Guards against a head or a trailer of many short fields, each of which takes
+// far more memory than its bytes.
+TEST(NetServer, RejectsMoreFieldsThanAnySoundRequestHas) {
+  std::string fields;
+  for (std::size_t i = 0; i <= kMaxFields; ++i) {
+    fields += "a:\r\n";
+  }
+  for (const std::string& request :
+       {"POST / HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\n" +
+            fields + "\r\n"}) {
+    server_fixture fixture;
+    auto client = fixture.Connect();
+    client.Send(request);
+    CHECK_TRUE(fixture.Wait([&] { return client.Has("HTTP/1.1 431"); }));
+    CHECK_TRUE(fixture.exchanges.empty());
+  }
+}
+
+// Guards against callers that find no place because others are idle, and
+// against a request in progress that is closed for them.
+TEST(NetServer, TheLongestIdleConnectionMakesPlace) {
+  server_fixture fixture;
+  server_limits limits;
+  limits.max_connections = 3;
+  fixture.server.SetLimits(limits);
+  auto busy = fixture.Connect();
+  busy.Send(kGet);
+  CHECK_TRUE(fixture.Wait([&] { return fixture.exchanges.size() == 1; }));
+  auto first = fixture.Connect();
+  CHECK_TRUE(
+      fixture.Wait([&] { return fixture.server.ConnectionCount() == 2; }));
+  auto second = fixture.Connect();
+  CHECK_TRUE(
+      fixture.Wait([&] { return fixture.server.ConnectionCount() == 3; }));
+  auto next = fixture.Connect();
+  next.Send(kGet);
+  CHECK_TRUE(fixture.Wait([&] { return fixture.exchanges.size() == 2; }));
+  CHECK_TRUE(first.Ended());
+  CHECK_FALSE(second.Ended());
+  fixture.exchanges[0]->Reply(200, {}, "kept");
+  CHECK_TRUE(fixture.Wait([&] { return busy.Has("kept"); }));
+}
