--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -151,18 +151,18 @@
 void client_exchange::Send() {
   connected_ = true;
   timer_.cancel();
-  const auto on_written =
-      [self = shared_from_this()](const boost::system::error_code& failed,
-                                  std::size_t /*bytes*/) {
-        // A write error is left to the read, which fails too, but only after it
-        // has returned a response that the server sent early.
-        if (failed) {
-          self->write_failed_ = true;
-        } else {
-          std::string().swap(self->request_);
-          self->body_.reset();
-        }
-      };
+  const auto on_written = [self = shared_from_this()](
+                              const boost::system::error_code& failed,
+                              std::size_t /*bytes*/) {
+    // A write error is left to the read, which fails too, but only after it
+    // has returned a response that the server sent early.
+    if (failed) {
+      self->write_failed_ = true;
+    } else {
+      std::string().swap(self->request_);
+      self->body_.reset();
+    }
+  };
   if (body_) {
     const std::array<boost::asio::const_buffer, 2> parts{
         boost::asio::buffer(request_), boost::asio::buffer(*body_)};
--- a/src/acaciaferry/net/connection.cpp
+++ b/src/acaciaferry/net/connection.cpp
@@ -115,11 +115,11 @@
       });
     };
   };
-  return std::make_shared<const request_room::handlers>(request_room::handlers{
-      post([](connection& self) { self.Read(); }),
-      post([](connection& self, drop_reason reason) {
-        self.OnDropped(reason);
-      })});
+  return std::make_shared<const request_room::handlers>(
+      request_room::handlers{post([](connection& self) { self.Read(); }),
+                             post([](connection& self, drop_reason reason) {
+                               self.OnDropped(reason);
+                             })});
 }
 
 void connection::MakeRoom() {
@@ -191,8 +191,7 @@
   }
   if (parser_->body_bytes) {
     const std::size_t size = MaxBodyBytes();
-    if (!AskForRoom(other + internal::WithCopy(size),
-                    size > kSmallBodyBytes)) {
+    if (!AskForRoom(other + internal::WithCopy(size), size > kSmallBodyBytes)) {
       return 0;
     }
     reserved_bytes_ = other + internal::WithCopy(size);
@@ -236,8 +235,8 @@
   const std::size_t bytes = std::exchange(arrived_, 0);
   OnBytes({first_bytes_.data(), bytes});
   bool has_more = bytes == first_bytes_.size();
-  for (int turn = 0; turn < internal::kMaxReadsAtOnce && has_more &&
-                     !closed_ && !close_after_write_ && !current_exchange_;
+  for (int turn = 0; turn < internal::kMaxReadsAtOnce && has_more && !closed_ &&
+                     !close_after_write_ && !current_exchange_;
        ++turn) {
     const std::size_t wanted = AskForRoom();
     if (wanted == 0) {
--- a/test/acaciaferry/entry/entry_metrics_test.cpp
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -60,3 +60,30 @@
   CHECK_TRUE(Contains(text, "acaciaferry_load_news_age_seconds 1.500000"));
   CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
 }
+
+// Guards against callers that are dropped without a trace for operators.
+TEST(EntryMetrics, DroppedCallersAndHeldRequestsAreShown) {
+  entry_metrics metrics;
+  metrics.CountDrop(net::drop_reason::kStalled);
+  metrics.CountDrop(net::drop_reason::kIdle);
+  metrics.CountDrop(net::drop_reason::kIdle);
+  entry_gauges gauges;
+  gauges.request_bytes = {10, 20, 30};
+  gauges.request_bytes_limit = 1'000;
+  gauges.requests_waiting = 4;
+  gauges.descriptors = 50;
+  gauges.descriptor_limit = 96;
+  const std::string text = metrics.ToPrometheusText(decision_log("vm"), gauges);
+  for (const std::string line :
+       {"acaciaferry_dropped_callers_total{reason=\"stalled\"} 1",
+        "acaciaferry_dropped_callers_total{reason=\"idle\"} 2",
+        "acaciaferry_dropped_callers_total{reason=\"no_room\"} 0",
+        "acaciaferry_held_request_bytes{kind=\"reading\"} 10",
+        "acaciaferry_held_request_bytes{kind=\"complete\"} 20",
+        "acaciaferry_held_request_bytes{kind=\"tunnel\"} 30",
+        "acaciaferry_request_bytes_limit 1000",
+        "acaciaferry_requests_waiting 4", "acaciaferry_descriptors 50",
+        "acaciaferry_descriptor_limit 96"}) {
+    CHECK_TRUE(Contains(text, line));
+  }
+}
--- a/test/acaciaferry/net/request_memory_test.cpp
+++ b/test/acaciaferry/net/request_memory_test.cpp
@@ -33,7 +33,7 @@
   }
 
   [[nodiscard]] bool IsLarge() const { return size > kSmallBodyBytes; }
-  [[nodiscard]] bool Ask() {
+  [[nodiscard]] bool Ask() const {
     return room->AskOrWait(kBase + size, IsLarge(), kAllowed);
   }
   void Send(std::size_t bytes, time_point now) {
@@ -69,9 +69,8 @@
       now += kStep;
       const int action = *rc::gen::inRange(0, 10);
       if (action < 4 || callers.empty()) {
-        const std::size_t size =
-            *rc::gen::element<std::size_t>(10, 1'200, 65'536, 65'537,
-                                           kMegabyte, 4 * kMegabyte);
+        const std::size_t size = *rc::gen::element<std::size_t>(
+            10, 1'200, 65'536, 65'537, kMegabyte, 4 * kMegabyte);
         // A connection alone is counted without asking, as long as there may be
         // one more.
         if (memory.Held() + kBase <= memory.Limit()) {
@@ -98,8 +97,7 @@
       std::size_t complete = 0;
       for (const auto& each : callers) {
         held += each->room->Bytes();
-        const bool holds_large =
-            each->IsLarge() && each->room->Bytes() > kBase;
+        const bool holds_large = each->IsLarge() && each->room->Bytes() > kBase;
         large += holds_large ? each->room->Bytes() : 0;
         large_count += holds_large ? 1 : 0;
         complete += each->complete ? each->room->Bytes() : 0;
@@ -152,8 +150,8 @@
 // Guards against callers that keep the room of others by sending next to
 // nothing: none of them keeps it beyond the time for a body.
 TEST(RequestMemory, SlowBodiesGiveWayWithinTheTimeForABody) {
-  for (const std::size_t sent : {std::size_t{0}, std::size_t{1},
-                                 std::size_t{2'000}}) {
+  for (const std::size_t sent :
+       {std::size_t{0}, std::size_t{1}, std::size_t{2'000}}) {
     request_memory memory(13 * kMegabyte);
     caller slow(memory, 4 * kMegabyte);
     caller slow2(memory, 4 * kMegabyte);
--- a/test/acaciaferry/net/server_test.cpp
+++ b/test/acaciaferry/net/server_test.cpp
@@ -233,8 +233,9 @@
   std::vector<drop_reason> dropped;
   fixture.server.SetDropHandler(
       [&](drop_reason why) { dropped.push_back(why); });
-  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                           std::to_string(kBody) + "\r\n\r\n";
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n";
   std::vector<raw_connection> clients;
   for (int i = 0; i < 3; ++i) {
     clients.push_back(fixture.Connect());
@@ -264,8 +265,9 @@
   request_memory memory(4 * kBody);
   server_fixture fixture;
   fixture.server.SetRequestMemory(memory, true);
-  const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-                           std::to_string(kBody) + "\r\n\r\n";
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(kBody) +
+      "\r\n\r\n";
   std::vector<raw_connection> clients;
   for (std::size_t i = 0; i < 2; ++i) {
     clients.push_back(fixture.Connect());
