Show completeness of the view and missing entries

Cause: operators could not see whether a VM knows all documents, or how many entries are kept after an outage. Format of one comment. Result: PublicationReader, EntryMetrics, PeerProtocol, PeerView and the process tests entry, entry_left, entry_old_peer and metrics pass.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -260,7 +260,9 @@
         views_.ServiceCalls(),
         age_of(table_accepted_at_),
         age_of(peers_.Protocol().LastLoadReceivedAt()),
-        age_of(peers_.Protocol().Roster().OldestHeartbeatTime())};
+        age_of(peers_.Protocol().Roster().OldestHeartbeatTime()),
+        views_.IsComplete(),
+        views_.MissingEntries()};
     request->Reply(internal::kOk,
                    {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.ToPrometheusText(log_, gauges));
@@ -304,9 +306,9 @@
     new_limits.idle_timeout = limits.idle_timeout;
     callers_.SetLimits(new_limits);
   }
-  // What is lacking may say that no requests are to be sent to some targets. The
-  // configuration is accepted before, since its version is a part of the view's
-  // position, by which peers compare views.
+  // What is lacking may say that no requests are to be sent to some targets.
+  // The configuration is accepted before, since its version is a part of the
+  // view's position, by which peers compare views.
   if (views_.HasAllDocuments()) {
     Post(forwarding::targets_published{std::move(decoded.targets)});
   }
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -179,6 +179,8 @@
         std::to_string(gauges.load_update_age_s));
   gauge("acaciaferry_oldest_hello_age_seconds",
         std::to_string(gauges.oldest_heartbeat_age_s));
+  gauge("acaciaferry_view_complete", gauges.view_complete ? "1" : "0");
+  gauge("acaciaferry_missing_entries", std::to_string(gauges.missing_entries));
   internal::AppendHistogram(text, "acaciaferry_queued_seconds",
                             histograms_->queued);
   internal::AppendHistogram(text, "acaciaferry_first_event_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -55,6 +55,10 @@
    * longest.
    */
   double oldest_heartbeat_age_s{-1};
+  /** Whether all published documents are known up to the view's revision. */
+  bool view_complete{};
+  /** Entries that disappeared around an outage and may come back. */
+  std::size_t missing_entries{};
 };
 
 /** @brief Counters and latency histograms of forwarded calls. */
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -83,6 +83,11 @@
   [[nodiscard]] bool IsComplete() const noexcept {
     return reader_.IsComplete();
   }
+  /** @return Number of entries that disappeared around an outage and may come
+   * back. */
+  [[nodiscard]] std::size_t MissingEntries() const noexcept {
+    return reader_.MissingCount();
+  }
   /** @return A digest of the view; see publication::DigestOf. */
   [[nodiscard]] std::uint64_t Digest() const noexcept { return digest_; }
 
--- a/src/acaciaferry/publication/reader.hpp
+++ b/src/acaciaferry/publication/reader.hpp
@@ -169,6 +169,10 @@
   [[nodiscard]] std::optional<time_point> LastResponseTime() const noexcept {
     return last_response_;
   }
+  /** @return Number of items that disappeared around an outage and are kept. */
+  [[nodiscard]] std::size_t MissingCount() const noexcept {
+    return missing_.size();
+  }
   /** @return When Expire is due next. It changes with each response, failure
    * and view of a peer, and with Expire. */
   [[nodiscard]] std::optional<time_point> NextExpiry() const;
--- a/test/acaciaferry/entry/entry_metrics_test.cpp
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -54,9 +54,12 @@
   metrics.CountRepeat("broken");
   entry_gauges gauges;
   gauges.load_update_age_s = 1.5;
+  gauges.missing_entries = 3;
   const std::string text = metrics.ToPrometheusText(decision_log("vm"), gauges);
   CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"silent\"} 2"));
   CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"broken\"} 1"));
   CHECK_TRUE(Contains(text, "acaciaferry_load_news_age_seconds 1.500000"));
   CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
+  CHECK_TRUE(Contains(text, "acaciaferry_view_complete 0"));
+  CHECK_TRUE(Contains(text, "acaciaferry_missing_entries 3"));
 }
--- a/test/acaciaferry/publication/reader_test.cpp
+++ b/test/acaciaferry/publication/reader_test.cpp
@@ -201,7 +201,9 @@
   peer.last_change_revision = 21;
   made.Adopt({peer, {}, {}}, At(5'000));
   CHECK_TRUE(made.NextExpiry() == At(6'700));
+  LONGS_EQUAL(2, made.MissingCount());
   CHECK_TRUE(made.Expire(At(6'700)));
+  LONGS_EQUAL(1, made.MissingCount());
   CHECK_TRUE(made.NextExpiry() == At(7'200));
   CHECK_TRUE(made.Expire(At(7'200)));
   CHECK_FALSE(made.NextExpiry().has_value());
--- a/test/process/entry_old_peer.py
+++ b/test/process/entry_old_peer.py
@@ -86,6 +86,7 @@
 
     # Guards against a VM that takes such a view for complete: it would send
     # requests where an evacuation forbids it.
+    check(metric(IP, control, "acaciaferry_view_complete") == 0, "the view is incomplete")
     check(not is_ready(ready), "a view without evacuations is not complete")
     check(call(callers, "/once/x")[0] == 503, "nothing is sent")
     # Guards against a view that is fetched again and again. The last fetch may
@@ -94,6 +95,7 @@
 
     gate.set()
     wait_for(lambda: is_ready(ready), "readiness after a listing of its own")
+    check(metric(IP, control, "acaciaferry_view_complete") == 1, "the view is complete")
     check(call(callers, "/once/x", label="a2")[0] == 200, "requests are sent")
 
 
