--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -364,7 +364,9 @@
         age_of(table_accepted_at_),
         age_of(peers_.Protocol().LastLoadReceivedAt()),
         age_of(peers_.Protocol().Roster().OldestHeartbeatTime()),
-        EvacuationGauges()};
+        EvacuationGauges(),
+        views_.IsComplete(),
+        views_.MissingEntries()};
     request->Reply(internal::kOk,
                    {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.ToPrometheusText(log_, gauges));
@@ -418,9 +420,9 @@
   }
   // Targets of evacuated failure domains must not be chosen in between.
   Post(forwarding::domains_evacuated{std::move(decoded.evacuated_domains)});
-  // What is lacking may say that no requests are to be sent to some targets. The
-  // configuration is accepted before, since its version is a part of the view's
-  // position, by which peers compare views.
+  // What is lacking may say that no requests are to be sent to some targets.
+  // The configuration is accepted before, since its version is a part of the
+  // view's position, by which peers compare views.
   if (views_.HasAllDocuments()) {
     Post(forwarding::targets_published{std::move(decoded.targets)});
   }
--- a/test/acaciaferry/entry/entry_metrics_test.cpp
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -56,6 +56,7 @@
   gauges.load_update_age_s = 1.5;
   gauges.limited_targets = 2;
   gauges.cold_targets = 3;
+  gauges.missing_entries = 3;
   const std::string text = metrics.ToPrometheusText(decision_log("vm"), gauges);
   CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"silent\"} 2"));
   CHECK_TRUE(Contains(text, "acaciaferry_repeats_total{reason=\"broken\"} 1"));
@@ -63,6 +64,8 @@
   CHECK_TRUE(Contains(text, "acaciaferry_limited_targets 2"));
   CHECK_TRUE(Contains(text, "acaciaferry_cold_targets 3"));
   CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
+  CHECK_TRUE(Contains(text, "acaciaferry_view_complete 0"));
+  CHECK_TRUE(Contains(text, "acaciaferry_missing_entries 3"));
 }
 
 // Guards against an operator who can't see which failure domains a VM takes for
