Test admission by slots before a fleet, and refuse prompts read too late

Change: hub_fleet_plan has engines with slots and a queue as an option. While slots are scarce, a short prompt that would be late where it was placed is refused; the predicted time to the first event bounds how long calls wait; a workspace over its share takes this VM's part of the free slots only. Calls without a workspace count as one, except those of VMs of old releases.

--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -18,13 +18,14 @@
 constexpr duration kProbeTime = std::chrono::milliseconds(400);
 constexpr duration kFetchDelay = std::chrono::milliseconds(20);
 
-forwarding::engine_properties Engine(std::uint32_t slots) {
+forwarding::engine_properties Engine(const hub_fleet_plan& plan) {
   forwarding::engine_properties engine;
-  engine.slots = slots;
+  engine.slots = plan.slots;
   engine.memory_tokens = 232'000;
   engine.steps_per_pass = 68;
   engine.step_ms = 1.02;
-  engine.prefill_tokens_per_ms = 206;
+  engine.prefill_tokens_per_ms =
+      plan.engine_queues ? plan.engine_queues->prefill_tokens_per_ms : 206;
   engine.prefill_ms_per_m_pairs = 0.138;
   engine.mean_prompt_tokens = 14'000;
   return engine;
@@ -56,7 +57,7 @@
       reaches_service_([](std::size_t) { return true; }),
       is_partitioned_([](std::size_t) { return false; }) {
   clock_->now = time_point(std::chrono::seconds(100));
-  table_.pools = {{internal::kHubFleetPool, internal::Engine(plan.slots)}};
+  table_.pools = {{internal::kHubFleetPool, internal::Engine(plan)}};
   for (std::size_t domain = 0; domain < plan.domains; ++domain) {
     for (std::size_t index = 0; index < plan.engines_per_domain; ++index) {
       engine made;
@@ -148,6 +149,7 @@
       evidence_source{{self.address}, incarnation},
       forwarding::retry_bound{0.2, std::chrono::seconds(10), 660}, incarnation);
   self.state->failure_domain = internal::DomainId(self.domain);
+  self.state->admits_by_slots = plan_.admits_by_slots;
   SetPools(*self.state, table_);
   mesh::peer_protocol::handlers handlers;
   handlers.send = [this, vm](const std::string& address,
@@ -276,8 +278,10 @@
   void operator()(const forwarding::probe_target& effect) const {
     fleet.Probe(vm, effect.target, internal::kProbeTime);
   }
-  void operator()(const forwarding::refuse_call& /*effect*/) const {
+  void operator()(const forwarding::refuse_call& effect) const {
     ++fleet.refusals_;
+    fleet.first_tries_[fleet.vms_[vm]->first_tries.at(effect.id)].retry_after =
+        effect.why.retry_after;
   }
   void operator()(const forwarding::abort_response& /*effect*/) const {
     ++fleet.broken_off_;
@@ -401,6 +405,7 @@
   most_ = 0;
   calls_ = 0;
   refusals_ = 0;
+  rejected_ = 0;
   longest_placement_ = {};
 }
 
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -18,6 +18,16 @@
 
 namespace acaciaferry {
 
+/** Engines whose slots and queues are bounded. */
+struct engine_queue_plan {
+  /** Requests that wait at an engine without a free slot; it rejects more. */
+  std::size_t longest_queue{24};
+  /** Time for which a request holds its slot. */
+  duration stream{std::chrono::milliseconds(1'700)};
+  double prefill_tokens_per_ms{256};
+  duration latency_objective{std::chrono::milliseconds(250)};
+};
+
 /** A fleet of entry VMs before engines, in several failure domains. */
 struct hub_fleet_plan {
   std::size_t domains{5};
@@ -40,6 +50,11 @@
   /** Whether callers leave when no event arrives for a while. */
   bool callers_leave{};
   std::uint64_t seed{1};
+  /** Nothing: engines serve any number of requests at once, and answer after
+   * the predicted time. */
+  std::optional<engine_queue_plan> engine_queues{};
+  /** Whether VMs admit calls by slots. */
+  bool admits_by_slots{true};
 };
 
 /** What a partition does to the connections between VMs and engines. */
@@ -58,6 +73,11 @@
   time_point at{};
   /** Whether its answer was complete. */
   bool served{};
+  std::string workspace{};
+  /** Time to the first event, if it had any. */
+  std::optional<duration> first_event{};
+  /** When its caller may return, if it was refused. */
+  std::optional<duration> retry_after{};
 };
 
 /** What one VM has sent and received. */
@@ -134,6 +154,14 @@
   void Crash(std::size_t engine);
   /** @brief Starts a call with this fingerprint at a VM. */
   void SendCall(std::size_t vm, std::uint64_t fingerprint);
+  /** @brief Starts a call of a workspace with a short prompt at a VM. */
+  void SendCall(std::size_t vm,
+                const std::string& workspace,
+                std::uint64_t fingerprint,
+                std::uint64_t prompt_tokens);
+  /** @return Requests that engines have rejected since their queues were full.
+   */
+  [[nodiscard]] std::uint64_t Rejected() const noexcept { return rejected_; }
   /** @return Times at which engines crashed. */
   [[nodiscard]] const std::vector<time_point>& Crashes() const noexcept {
     return crashes_;
@@ -211,7 +239,8 @@
   void StartCall(std::uint64_t prompt_tokens);
   void SendCallTo(std::size_t vm,
                   std::uint64_t prompt_tokens,
-                  std::uint64_t fingerprint);
+                  std::uint64_t fingerprint,
+                  const std::string& workspace);
   /** @brief Connects to the engine of an attempt, directly or through the
    * tunnel of another VM, and sends the request. */
   void Connect(std::size_t vm, const forwarding::send_attempt& attempt);
@@ -226,6 +255,14 @@
                      duration after,
                      forwarding::attempt_failure how);
   void Serve(std::size_t vm, const forwarding::send_attempt& attempt);
+  /** @brief As Serve, with engine_queue_plan. */
+  void ServeInTurn(std::size_t vm, const forwarding::send_attempt& attempt);
+  /** @brief Runs a request that has got a slot of an engine. */
+  void RunInSlot(engine& at,
+                 std::size_t vm,
+                 const forwarding::send_attempt& attempt);
+  void RecordFirstEvent(std::size_t vm,
+                        const forwarding::send_attempt& attempt);
   /** @brief Delivers an event of an engine's response, unless the connection
    * hangs by then. */
   void Respond(std::size_t vm,
@@ -264,6 +301,7 @@
   std::uint64_t calls_{};
   std::uint64_t refusals_{};
   std::uint64_t broken_off_{};
+  std::uint64_t rejected_{};
   /** Fingerprint of crashing requests, and events before the crash. */
   std::map<std::uint64_t, std::uint64_t> crashing_;
   std::map<std::uint64_t, std::uint64_t> answered_;
--- a/src/acaciaferry/experiment/hub_fleet_engines.cpp
+++ b/src/acaciaferry/experiment/hub_fleet_engines.cpp
@@ -77,11 +77,95 @@
   } else if (FindEngine(attempt.target).down_until > clock_->now) {
     FailToConnect(vm, attempt, internal::kRoundTrip,
                   forwarding::attempt_failure::kNotConnected);
+  } else if (plan_.engine_queues) {
+    ServeInTurn(vm, attempt);
   } else {
     Serve(vm, attempt);
   }
 }
 
+void hub_fleet::ServeInTurn(std::size_t vm,
+                            const forwarding::send_attempt& attempt) {
+  engine& target = FindEngine(attempt.target);
+  target.arrivals.push_back(clock_->now);
+  most_ = std::max(most_, target.slots_held + target.queue.size() + 1);
+  Respond(vm, attempt, internal::kRoundTrip,
+          forwarding::attempt_sent{attempt.id, attempt.attempt});
+  if (target.slots_held < plan_.slots) {
+    ++target.slots_held;
+    RunInSlot(target, vm, attempt);
+  } else if (target.queue.size() < plan_.engine_queues->longest_queue) {
+    target.queue.emplace_back(vm, attempt);
+  } else {
+    constexpr int kUnavailable = 503;
+    ++rejected_;
+    Respond(vm, attempt, 2 * internal::kRoundTrip,
+            forwarding::response_started{attempt.id,
+                                         attempt.attempt,
+                                         forwarding::response_verdict::kNotRun,
+                                         kUnavailable,
+                                         "",
+                                         {},
+                                         {},
+                                         {}});
+  }
+}
+
+void hub_fleet::RunInSlot(engine& at,
+                          std::size_t vm,
+                          const forwarding::send_attempt& attempt) {
+  const auto& calls = vms_[vm]->state->pending_calls;
+  const auto call = calls.find(attempt.id);
+  const duration first =
+      (call != calls.end() && call->second.running_attempt
+           ? call->second.running_attempt->predicted_first_event
+           : duration{}) +
+      std::chrono::milliseconds(5);
+  const duration whole = std::max(plan_.engine_queues->stream, first);
+  Respond(vm, attempt, first,
+          forwarding::response_started{attempt.id,
+                                       attempt.attempt,
+                                       forwarding::response_verdict::kServed,
+                                       200,
+                                       "",
+                                       {},
+                                       {},
+                                       {}});
+  AfterAt(vm, first + internal::kRoundTrip,
+          [this, vm, attempt] { RecordFirstEvent(vm, attempt); });
+  std::uint64_t event = 0;
+  for (duration after = first; after < whole;
+       after += internal::kEventInterval) {
+    Respond(vm, attempt, after + internal::kRoundTrip,
+            forwarding::response_progressed{attempt.id, attempt.attempt,
+                                            attempt.resume_after + ++event});
+  }
+  AfterAt(vm, whole, [this, vm, attempt] { RecordServed(vm, attempt); });
+  Respond(vm, attempt, whole + 2 * internal::kRoundTrip,
+          forwarding::response_completed{attempt.id, attempt.attempt});
+  After(whole, [this, &at] {
+    if (at.queue.empty()) {
+      --at.slots_held;
+      return;
+    }
+    const auto [next_vm, next] = at.queue.front();
+    at.queue.pop_front();
+    RunInSlot(at, next_vm, next);
+  });
+}
+
+void hub_fleet::RecordFirstEvent(std::size_t vm,
+                                 const forwarding::send_attempt& attempt) {
+  const auto& calls = vms_[vm]->state->pending_calls;
+  const auto at = calls.find(attempt.id);
+  first_try& tried = first_tries_[vms_[vm]->first_tries.at(attempt.id)];
+  if (at != calls.end() && at->second.running_attempt &&
+      at->second.running_attempt->number == attempt.attempt &&
+      !tried.first_event) {
+    tried.first_event = clock_->now - tried.at;
+  }
+}
+
 void hub_fleet::Respond(std::size_t vm,
                         const forwarding::send_attempt& attempt,
                         duration after,
@@ -227,7 +311,14 @@
 }
 
 void hub_fleet::SendCall(std::size_t vm, std::uint64_t fingerprint) {
-  SendCallTo(vm, internal::kShortTokens, fingerprint);
+  SendCallTo(vm, internal::kShortTokens, fingerprint, "");
+}
+
+void hub_fleet::SendCall(std::size_t vm,
+                         const std::string& workspace,
+                         std::uint64_t fingerprint,
+                         std::uint64_t prompt_tokens) {
+  SendCallTo(vm, prompt_tokens, fingerprint, workspace);
 }
 
 std::uint64_t hub_fleet::Answered(std::uint64_t fingerprint) const {
@@ -244,12 +335,13 @@
   }
   // Fingerprints below this are left to callers of their own.
   constexpr std::uint64_t kFirstFingerprint = 1'000;
-  SendCallTo(vm, prompt_tokens, kFirstFingerprint + calls_);
+  SendCallTo(vm, prompt_tokens, kFirstFingerprint + calls_, "");
 }
 
 void hub_fleet::SendCallTo(std::size_t vm,
                            std::uint64_t prompt_tokens,
-                           std::uint64_t fingerprint) {
+                           std::uint64_t fingerprint,
+                           const std::string& workspace) {
   forwarding::call made;
   made.id = vms_[vm]->next_call++;
   made.caller_request_id = "c" + std::to_string(++calls_);
@@ -260,13 +352,17 @@
   made.time_limit = std::chrono::seconds(10);
   made.latency_objective = std::chrono::milliseconds(
       prompt_tokens > internal::kLongPrompt ? 3'000 : 400);
+  if (plan_.engine_queues && prompt_tokens <= internal::kLongPrompt) {
+    made.latency_objective = plan_.engine_queues->latency_objective;
+  }
+  made.workspace = {workspace};
   made.gap_objective = std::chrono::milliseconds(250);
   made.prompt_tokens = prompt_tokens;
   made.output_tokens = internal::kOutputTokens;
   made.fingerprint = fingerprint;
   vms_[vm]->waiting[made.id] = clock_->now;
   vms_[vm]->first_tries[made.id] = first_tries_.size();
-  first_tries_.push_back({vm, clock_->now, false});
+  first_tries_.push_back({vm, clock_->now, false, workspace, {}, {}});
   if (plan_.callers_leave) {
     AfterAt(vm,
             std::max(internal::kShortestPatience,
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -2,10 +2,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "acaciaferry/experiment/hub_fleet.hpp"
@@ -41,6 +43,9 @@
   bool leaving{};
   std::vector<engine_exchange> exchanges;
   time_point down_until{};
+  /** Slots that requests hold, and the requests that wait for one. */
+  std::size_t slots_held{};
+  std::deque<std::pair<std::size_t, forwarding::send_attempt>> queue;
 };
 
 struct hub_fleet::vm {
--- a/src/acaciaferry/forwarding/admission/admit_call.cpp
+++ b/src/acaciaferry/forwarding/admission/admit_call.cpp
@@ -104,17 +104,24 @@
       is_long ? std::min<std::int64_t>(static_cast<std::int64_t>(targets),
                                        kMaxParts)
               : 1;
-  return PrefillTime(*engine, pending.request.prompt_tokens) / parts +
-         std::chrono::duration_cast<duration>(
-             PassTime(*engine, engine->slots,
-                      static_cast<std::uint64_t>(engine->mean_prompt_tokens) *
-                          engine->slots) *
-             kPassesToFirstEvent);
+  const duration alone =
+      PrefillTime(*engine, pending.request.prompt_tokens) / parts +
+      std::chrono::duration_cast<duration>(
+          PassTime(*engine, engine->slots,
+                   static_cast<std::uint64_t>(engine->mean_prompt_tokens) *
+                       engine->slots) *
+          kPassesToFirstEvent);
+  // Slots that become free together are taken by prompts that are read
+  // together.
+  return is_long ? alone
+                 : std::max(alone, current.admission.MeanFirstEvent(
+                                       pending.request.pool, now));
 }
 
 slot_demand DemandOf(const state& current,
                      const pending_call& pending,
-                     const engine_properties* engine) {
+                     const engine_properties* engine,
+                     time_point now) {
   slot_demand demand;
   demand.key = pending.asked_as != 0 ? pending.asked_as
                                      : DispatchIdOf(current, pending.request.id,
@@ -127,6 +134,7 @@
       IsLongPrompt(RequestWeight(*engine, pending.request.prompt_tokens));
   demand.arrived = pending.arrived;
   demand.deadline = pending.deadline;
+  demand.longest_return = (pending.deadline - now) / kReturnDivisor;
   return demand;
 }
 
@@ -148,6 +156,30 @@
          pending.request.resume_after > 0;
 }
 
+bool DecidesOn(const state& current,
+               const pending_call& pending,
+               const std::vector<const target*>& candidates) {
+  return current.admits_by_slots && !WasSent(pending) &&
+         !IsCalm(current, pending.request.pool, candidates.size());
+}
+
+refused_call RefuseForSlots(const pending_call& pending,
+                            const slot_demand& demand,
+                            const slot_supply& supply,
+                            const slot_refused& refused,
+                            effects& out) {
+  LogDecision(
+      out, decision_kind::kShed, pending.request.caller_request_id,
+      {{"why", std::string(ToString(refused.why))},
+       {"slots", std::to_string(static_cast<std::uint64_t>(supply.slots))},
+       {"held", std::to_string(supply.held.all)},
+       {"ahead", std::to_string(refused.ahead)},
+       {"wait_ms", ToMillisText(refused.predicted)},
+       {"patience_ms", ToMillisText(demand.patience)},
+       {"return_ms", ToMillisText(refused.retry_after)}});
+  return {failure_code::kShed, refused.retry_after};
+}
+
 }  // namespace
 
 std::optional<placement_verdict> AwaitSlot(
@@ -157,15 +189,14 @@
     const std::vector<const target*>& candidates,
     time_point now,
     effects& out) {
-  if (!current.admits_by_slots || WasSent(pending) ||
-      IsCalm(current, pending.request.pool, candidates.size())) {
+  if (!DecidesOn(current, pending, candidates)) {
     return std::nullopt;
   }
-  slot_demand demand = DemandOf(current, pending, engine);
   const auto counted = WithoutLimit(current, candidates);
   if (counted.empty()) {
     return std::nullopt;
   }
+  slot_demand demand = DemandOf(current, pending, engine, now);
   const slot_supply supply = SupplyOf(current, pending, engine, counted);
   const duration objective = pending.request.latency_objective > duration{}
                                  ? pending.request.latency_objective
@@ -176,31 +207,45 @@
       std::max(objective - with_slot, std::chrono::duration_cast<duration>(
                                           objective * kMinPatienceShare)) -
       (now - pending.arrived);
-  demand.longest_return = (pending.deadline - now) / kReturnDivisor;
   const slot_verdict verdict = current.admission.Decide(demand, supply, now);
   if (const auto* awaited = std::get_if<slot_awaited>(&verdict)) {
     return deferred_call{awaited->wait};
   }
   if (const auto* refused = std::get_if<slot_refused>(&verdict)) {
-    LogDecision(
-        out, decision_kind::kShed, pending.request.caller_request_id,
-        {{"why", std::string(ToString(refused->why))},
-         {"slots", std::to_string(static_cast<std::uint64_t>(supply.slots))},
-         {"held", std::to_string(supply.held.all)},
-         {"ahead", std::to_string(refused->ahead)},
-         {"wait_ms", ToMillisText(refused->predicted)},
-         {"patience_ms", ToMillisText(demand.patience)},
-         {"return_ms", ToMillisText(refused->retry_after)}});
-    return refused_call{failure_code::kShed, refused->retry_after};
+    return RefuseForSlots(pending, demand, supply, *refused, out);
   }
   return std::nullopt;
 }
 
+std::optional<placement_verdict> RefuseIfLate(
+    state& current,
+    const pending_call& pending,
+    const engine_properties& engine,
+    const std::vector<const target*>& candidates,
+    const placement& at,
+    time_point now,
+    effects& out) {
+  if (at.time_to_first_event <= RemainingLatency(pending, now) ||
+      !DecidesOn(current, pending, candidates)) {
+    return std::nullopt;
+  }
+  const auto counted = WithoutLimit(current, candidates);
+  const slot_demand demand = DemandOf(current, pending, &engine, now);
+  if (counted.empty() || demand.is_long) {
+    return std::nullopt;
+  }
+  const slot_supply supply = SupplyOf(current, pending, &engine, counted);
+  return RefuseForSlots(pending, demand, supply,
+                        current.admission.RefuseLate(demand, supply, now), out);
+}
+
 void RecordSlotTaken(state& current,
                      const pending_call& pending,
                      const engine_properties* engine,
+                     duration first_event,
                      time_point now) {
-  current.admission.RecordPlaced(DemandOf(current, pending, engine), now);
+  current.admission.RecordPlaced(DemandOf(current, pending, engine, now),
+                                 first_event, now);
 }
 
 void EndDispatch(state& current, dispatch_id key, time_point now) {
--- a/src/acaciaferry/forwarding/admission/slot_admission.cpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.cpp
@@ -26,6 +26,8 @@
 // Weight of the mean rate in that of the last moments. Streams that began
 // together end together: in between, slots become free far below the mean.
 constexpr double kPriorJustEnded = 4;
+// Fewer predictions of the last moments say nothing.
+constexpr double kMinPredicted = 1;
 // The message that a dispatch has ended may be lost.
 constexpr duration kEndGrace = std::chrono::seconds(3);
 // A call that waits is decided on again when a slot is predicted to be free for
@@ -79,6 +81,8 @@
       return "workspace_share";
     case slot_refusal::kReturnedEarly:
       return "returned_early";
+    case slot_refusal::kPrefill:
+      return "prefill";
   }
   return "unknown";
 }
@@ -280,11 +284,16 @@
       ++ahead;
     }
   }
+  double free = supply.slots - supply.held.all;
+  if (own_rank.over_share) {
+    // The other part is left to the workspaces that others serve: this VM
+    // doesn't know what these need.
+    free = std::min(free, free * OwnShare(pool, supply, now)) -
+           pool.kept_for_others;
+  }
   const double missing =
       static_cast<double>(ahead) +
-      internal::OtherClassAhead(supply, demand.is_long, others) +
-      (own_rank.over_share ? pool.kept_for_others : 0) + 1 -
-      (supply.slots - supply.held.all);
+      internal::OtherClassAhead(supply, demand.is_long, others) + 1 - free;
   if (missing <= 0) {
     return slot_granted{};
   }
@@ -305,29 +314,74 @@
     kept.lapses_at = now + wait + internal::kLapseSlack;
     return slot_awaited{wait};
   }
-  pool.waiting.erase(demand.key);
-  slot_refused refused{slot_refusal::kNoSlot, {}, predicted, ahead};
+  slot_refusal why = slot_refusal::kNoSlot;
   if (own.caller == caller_kind::kEarly) {
-    refused.why = slot_refusal::kReturnedEarly;
+    why = slot_refusal::kReturnedEarly;
+  } else if (own_rank.over_share) {
+    why = slot_refusal::kWorkspaceShare;
+  }
+  slot_refused refused = Refuse(demand, supply, *use, why, predicted, now);
+  refused.ahead = ahead;
+  return refused;
+}
+
+slot_refused slot_admission::RefuseLate(const slot_demand& demand,
+                                        const slot_supply& supply,
+                                        time_point now) {
+  workspace_use unlisted;
+  workspace_use* use = UseOf(pools_[demand.pool], demand.workspace);
+  return Refuse(demand, supply, use == nullptr ? unlisted : *use,
+                Recognise(demand, now) == caller_kind::kEarly
+                    ? slot_refusal::kReturnedEarly
+                    : slot_refusal::kPrefill,
+                {}, now);
+}
+
+slot_refused slot_admission::Refuse(const slot_demand& demand,
+                                    const slot_supply& supply,
+                                    workspace_use& use,
+                                    slot_refusal why,
+                                    duration predicted,
+                                    time_point now) {
+  pool_use& pool = pools_[demand.pool];
+  pool.waiting.erase(demand.key);
+  slot_refused refused{why, {}, predicted, 0};
+  if (why == slot_refusal::kReturnedEarly) {
     // The time that it was told stays.
     const refused_caller& known = refused_.at(demand.fingerprint);
     refused.retry_after = std::max(known.returns_at - now, duration{});
   } else {
-    if (own_rank.over_share) {
-      refused.why = slot_refusal::kWorkspaceShare;
-    }
     // Each workspace has an equal part of the slots that become free.
     const duration spacing =
-        FromSeconds(static_cast<double>(share.workspaces) / freed_per_s);
-    refused.retry_after = Promise(demand, *use, predicted, spacing, now);
+        FromSeconds(static_cast<double>(pool.share.workspaces) /
+                    FreedPerS(pool, supply, now));
+    refused.retry_after = Promise(demand, use, predicted, spacing, now);
     Remember(demand, refused.retry_after, now);
   }
-  ++counts_.refusals[static_cast<std::size_t>(refused.why)];
+  ++counts_.refusals[static_cast<std::size_t>(why)];
   return refused;
 }
 
-void slot_admission::RecordPlaced(const slot_demand& demand, time_point now) {
+duration slot_admission::MeanFirstEvent(const pool_id& pool,
+                                        time_point now) const {
+  const auto at = pools_.find(pool);
+  if (at == pools_.end()) {
+    return {};
+  }
+  const double predicted = at->second.predicted.At(now);
+  return predicted < internal::kMinPredicted
+             ? duration{}
+             : FromSeconds(at->second.first_event_s.At(now) / predicted);
+}
+
+void slot_admission::RecordPlaced(const slot_demand& demand,
+                                  duration first_event,
+                                  time_point now) {
   pool_use& pool = pools_[demand.pool];
+  if (!demand.is_long && first_event > duration{}) {
+    pool.predicted.Add(1, now);
+    pool.first_event_s.Add(ToSeconds(first_event), now);
+  }
   counts_.admitted_after_wait += pool.waiting.erase(demand.key);
   const auto returned = refused_.find(demand.fingerprint);
   if (returned != refused_.end() && demand.fingerprint != 0) {
--- a/src/acaciaferry/forwarding/admission/slot_admission.hpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.hpp
@@ -56,11 +56,13 @@
   /** As above, and the workspace took more than its share. */
   kWorkspaceShare,
   /** As above, and the caller returned much earlier than told. */
-  kReturnedEarly
+  kReturnedEarly,
+  /** There is a slot, but the prompts that wait there are read first. */
+  kPrefill
 };
 
 inline constexpr std::size_t kSlotRefusalCount =
-    static_cast<std::size_t>(slot_refusal::kReturnedEarly) + 1;
+    static_cast<std::size_t>(slot_refusal::kPrefill) + 1;
 
 /** @return A static name of the reason, for logs and metrics. */
 [[nodiscard]] std::string_view ToString(slot_refusal why) noexcept;
@@ -119,8 +121,16 @@
                                     const slot_supply& supply,
                                     time_point now);
 
-  /** @brief Records that a call was placed by this VM. */
-  void RecordPlaced(const slot_demand& demand, time_point now);
+  /** @brief Refuses a call that could get a slot but would be late there. */
+  [[nodiscard]] slot_refused RefuseLate(const slot_demand& demand,
+                                        const slot_supply& supply,
+                                        time_point now);
+
+  /** @brief Records that a call was placed by this VM.
+   * @param first_event Predicted time to its first event; 0 if unknown. */
+  void RecordPlaced(const slot_demand& demand,
+                    duration first_event,
+                    time_point now);
   /** @brief Records that another VM has placed a call. */
   void RecordPlacedElsewhere(const pool_id& pool, time_point now);
   /** @brief Records that a dispatch has ended that held a slot for a time. */
@@ -139,6 +149,11 @@
                                   duration usual,
                                   time_point now) const;
 
+  /** @return Mean predicted time to the first event of the short prompts that
+   * this VM has placed lately; 0 if there were none. */
+  [[nodiscard]] duration MeanFirstEvent(const pool_id& pool,
+                                        time_point now) const;
+
   /** @brief Forgets what is out of date. */
   void Expire(time_point now);
 
@@ -203,6 +218,10 @@
     decayed_count held_s;
     /** As `ended`, in a short time. */
     decayed_count just_ended{kShortWindowS};
+    /** Short prompts that this VM has placed, and their predicted seconds to
+     * the first event. */
+    decayed_count predicted{kShortWindowS};
+    decayed_count first_event_s{kShortWindowS};
     /** As calculated at `share_at`. */
     fair_share share;
     double kept_for_others{};
@@ -251,6 +270,12 @@
   void EndPlaced(dispatch_id key);
   [[nodiscard]] caller_kind Recognise(const slot_demand& demand,
                                       time_point now);
+  [[nodiscard]] slot_refused Refuse(const slot_demand& demand,
+                                    const slot_supply& supply,
+                                    workspace_use& use,
+                                    slot_refusal why,
+                                    duration predicted,
+                                    time_point now);
   [[nodiscard]] duration Promise(const slot_demand& demand,
                                  workspace_use& workspace,
                                  duration predicted,
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -57,10 +57,23 @@
     time_point now,
     effects& out);
 
-/** @brief Records that a call was placed. */
+/** @return A refusal if slots are scarce and a short prompt that was not sent
+ * yet would be late where it was placed; otherwise nothing. */
+[[nodiscard]] std::optional<placement_verdict> RefuseIfLate(
+    state& current,
+    const pending_call& pending,
+    const engine_properties& engine,
+    const std::vector<const target*>& candidates,
+    const placement& at,
+    time_point now,
+    effects& out);
+
+/** @brief Records that a call was placed.
+ * @param first_event Predicted time to its first event; 0 if unknown. */
 void RecordSlotTaken(state& current,
                      const pending_call& pending,
                      const engine_properties* engine,
+                     duration first_event,
                      time_point now);
 
 /** @brief Ends a dispatch, which frees its slot. */
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -56,7 +56,8 @@
   pending.asked_as = query.key;
   pending.request.fingerprint = query.fingerprint;
   pending.request.workspace = query.workspace;
-  if (query.workspace.empty()) {
+  if (query.workspace.empty() && query.fingerprint == 0) {
+    // A VM of an old release doesn't say whose call it is.
     pending.request.workspace.value =
         "vm " + std::to_string(ProcessPrefixOf(query.key));
   }
@@ -172,12 +173,17 @@
   }
   if (engine != nullptr && pending.request.prompt_tokens > 0) {
     auto verdict = PlanPrompt(current, pending, *engine, candidates, now, out);
-    if (std::holds_alternative<placed_call>(verdict)) {
-      RecordSlotTaken(current, pending, engine, now);
+    if (const auto* placed = std::get_if<placed_call>(&verdict)) {
+      if (auto refused = RefuseIfLate(current, pending, *engine, candidates,
+                                      placed->at, now, out)) {
+        return *std::move(refused);
+      }
+      RecordSlotTaken(current, pending, engine, placed->at.time_to_first_event,
+                      now);
     }
     return verdict;
   }
-  RecordSlotTaken(current, pending, engine, now);
+  RecordSlotTaken(current, pending, engine, {}, now);
   placed_call placed;
   placed.at.decode_target =
       PlaceCall(candidates, current.ledger, current.failure_domain,
--- a/test/acaciaferry/forwarding/admission/slot_pool.hpp
+++ b/test/acaciaferry/forwarding/admission/slot_pool.hpp
@@ -110,7 +110,7 @@
               random_, static_cast<std::uint64_t>(
                            std::max<std::int64_t>(hold_.count(), 1)))));
       ends_.emplace(now_ + hold, index);
-      admission_.RecordPlaced(call.demand, now_);
+      admission_.RecordPlaced(call.demand, {}, now_);
     }
   }
 
