--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -115,6 +115,7 @@
       drain_timer_(loop_) {
   state_.failure_domain = settings_.failure_domain;
   state_.max_unused_reservation = settings_.max_unused_reservation;
+  state_.admits_by_slots = settings_.admits_by_slots;
   tunnels_.SetDialObserver(
       [this](std::string_view address, bool reached, duration took) {
         OnTunnelDialed(address, reached, took);
@@ -196,8 +197,10 @@
   settings_.drain_grace = reloaded.drain_grace;
   settings_.seeds = reloaded.seeds;
   settings_.max_unused_reservation = reloaded.max_unused_reservation;
+  settings_.admits_by_slots = reloaded.admits_by_slots;
   state_.allowance.SetBound(reloaded.retries);
   state_.max_unused_reservation = reloaded.max_unused_reservation;
+  state_.admits_by_slots = reloaded.admits_by_slots;
   peers_.ReloadSeeds();
   if (settings_.log_level != reloaded.log_level) {
     settings_.log_level = reloaded.log_level;
@@ -259,7 +262,10 @@
         views_.ServiceCalls(),
         age_of(table_accepted_at_),
         age_of(peers_.Protocol().LastLoadReceivedAt()),
-        age_of(peers_.Protocol().Roster().OldestHeartbeatTime())};
+        age_of(peers_.Protocol().Roster().OldestHeartbeatTime()),
+        state_.admission.Counts(),
+        state_.admission.WaitingCount(),
+        state_.admission.RememberedCount()};
     request->Reply(internal::kOk,
                    {{"Content-Type", "text/plain; version=0.0.4"}},
                    metrics_.ToPrometheusText(log_, gauges));
--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -142,6 +142,13 @@
     text += "acaciaferry_read_refusals_total{status=\"" +
             std::to_string(status) + "\"} " + std::to_string(count) + "\n";
   }
+  text += "# TYPE acaciaferry_slot_refusals_total counter\n";
+  for (std::size_t index = 0; index < forwarding::kSlotRefusalCount; ++index) {
+    text += "acaciaferry_slot_refusals_total{reason=\"" +
+            std::string(forwarding::ToString(
+                static_cast<forwarding::slot_refusal>(index))) +
+            "\"} " + std::to_string(gauges.slots.refusals[index]) + "\n";
+  }
   const auto counter = [&](std::string_view name, std::uint64_t value) {
     internal::AppendValue(text, "counter", name, std::to_string(value));
   };
@@ -179,6 +186,14 @@
         std::to_string(gauges.load_update_age_s));
   gauge("acaciaferry_oldest_hello_age_seconds",
         std::to_string(gauges.oldest_heartbeat_age_s));
+  counter("acaciaferry_slot_decisions_total", gauges.slots.scarce);
+  counter("acaciaferry_slots_after_wait_total",
+          gauges.slots.admitted_after_wait);
+  counter("acaciaferry_slots_on_return_total", gauges.slots.admitted_on_return);
+  gauge("acaciaferry_waiting_for_slots",
+        std::to_string(gauges.waiting_for_slots));
+  gauge("acaciaferry_remembered_callers",
+        std::to_string(gauges.remembered_callers));
   internal::AppendHistogram(text, "acaciaferry_queued_seconds",
                             histograms_->queued);
   internal::AppendHistogram(text, "acaciaferry_first_event_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -9,6 +9,7 @@
 #include "acaciaferry/core/failure.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/entry/decision_log.hpp"
+#include "acaciaferry/forwarding/admission/slot_admission.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
 
 namespace acaciaferry::entry {
@@ -55,6 +56,12 @@
    * longest.
    */
   double oldest_heartbeat_age_s{-1};
+  /** Decisions of this VM on calls while slots were scarce. */
+  forwarding::slot_counts slots{};
+  /** Calls that wait for a slot by this VM's decision. */
+  std::size_t waiting_for_slots{};
+  /** Refused callers that are recognised if they return. */
+  std::size_t remembered_callers{};
 };
 
 /** @brief Counters and latency histograms of forwarded calls. */
--- a/src/acaciaferry/entry/entry_settings.cpp
+++ b/src/acaciaferry/entry/entry_settings.cpp
@@ -16,9 +16,9 @@
 constexpr double kMaxWindowS = 3'600;
 constexpr std::uint64_t kDefaultMaxUnusedMs = 9'000;
 constexpr std::uint64_t kMinMaxUnusedMs = 1'000;
-constexpr std::array<std::string_view, 8> kSections{
+constexpr std::array<std::string_view, 9> kSections{
     "vm",      "callers",      "readiness", "peers", "configuration",
-    "retries", "reservations", "logs"};
+    "retries", "reservations", "admission", "logs"};
 
 ini_section FindSection(const ini_document& document, std::string_view kind) {
   for (const ini_section& section : document.sections) {
@@ -100,6 +100,10 @@
         reader.MillisecondsOr("max_unused_ms", internal::kDefaultMaxUnusedMs,
                               internal::kMinMaxUnusedMs, internal::kHourMs);
   });
+  read_section("admission", [&](ini_reader& reader) {
+    settings.admits_by_slots =
+        reader.ChoiceOrFirst("slots", {"on", "off"}) == "on";
+  });
   read_section("logs", [&](ini_reader& reader) {
     settings.log_level = reader.TextOr("level", "info");
   });
@@ -108,7 +112,8 @@
                   section.kind) == internal::kSections.end()) {
       faults.push_back({section.kind, section.label, "",
                         "the sections vm, callers, readiness, peers, "
-                        "configuration, retries, reservations and logs"});
+                        "configuration, retries, reservations, admission and "
+                        "logs"});
     }
   }
   return settings;
--- a/src/acaciaferry/entry/entry_settings.hpp
+++ b/src/acaciaferry/entry/entry_settings.hpp
@@ -35,6 +35,9 @@
   forwarding::retry_bound retries;
   /** Longest time that memory may be set aside at a target without use. */
   duration max_unused_reservation{};
+  /** Whether calls wait, or are refused, while the targets' slots are scarce.
+   */
+  bool admits_by_slots{true};
   std::string log_level;
 };
 
--- a/src/acaciaferry/ini/reader.cpp
+++ b/src/acaciaferry/ini/reader.cpp
@@ -99,6 +99,11 @@
   return allowed.front();
 }
 
+std::string ini_reader::ChoiceOrFirst(std::string_view key,
+                                      const std::vector<std::string>& allowed) {
+  return Find(key) ? Choice(key, allowed) : allowed.front();
+}
+
 std::uint64_t ini_reader::Number(std::string_view key,
                                  std::uint64_t low,
                                  std::uint64_t high) {
--- a/src/acaciaferry/ini/reader.hpp
+++ b/src/acaciaferry/ini/reader.hpp
@@ -35,6 +35,11 @@
   [[nodiscard]] std::string Choice(std::string_view key,
                                    const std::vector<std::string>& allowed);
 
+  /** @return As Choice, or the first value when the key is absent. */
+  [[nodiscard]] std::string ChoiceOrFirst(
+      std::string_view key,
+      const std::vector<std::string>& allowed);
+
   /** @return An integer within [low, high]; low after a fault. */
   [[nodiscard]] std::uint64_t Number(std::string_view key,
                                      std::uint64_t low,
--- a/test/acaciaferry/entry/entry_metrics_test.cpp
+++ b/test/acaciaferry/entry/entry_metrics_test.cpp
@@ -60,3 +60,26 @@
   CHECK_TRUE(Contains(text, "acaciaferry_load_news_age_seconds 1.500000"));
   CHECK_TRUE(Contains(text, "acaciaferry_oldest_hello_age_seconds -1.000000"));
 }
+
+// Guards against refusals for want of slots that can't be told apart by reason.
+TEST(EntryMetrics, CountsDecisionsOnSlots) {
+  entry_gauges gauges;
+  gauges.slots.scarce = 9;
+  gauges.slots.admitted_after_wait = 3;
+  gauges.slots.admitted_on_return = 2;
+  gauges.slots.refusals[static_cast<std::size_t>(
+      forwarding::slot_refusal::kWorkspaceShare)] = 4;
+  gauges.waiting_for_slots = 5;
+  gauges.remembered_callers = 6;
+  const std::string text =
+      entry_metrics().ToPrometheusText(decision_log("vm"), gauges);
+  CHECK_TRUE(Contains(
+      text, "acaciaferry_slot_refusals_total{reason=\"workspace_share\"} 4"));
+  CHECK_TRUE(
+      Contains(text, "acaciaferry_slot_refusals_total{reason=\"no_slot\"} 0"));
+  CHECK_TRUE(Contains(text, "acaciaferry_slot_decisions_total 9"));
+  CHECK_TRUE(Contains(text, "acaciaferry_slots_after_wait_total 3"));
+  CHECK_TRUE(Contains(text, "acaciaferry_slots_on_return_total 2"));
+  CHECK_TRUE(Contains(text, "acaciaferry_waiting_for_slots 5"));
+  CHECK_TRUE(Contains(text, "acaciaferry_remembered_callers 6"));
+}
