--- a/src/acaciaferry/entry/entry_metrics.cpp
+++ b/src/acaciaferry/entry/entry_metrics.cpp
@@ -185,6 +185,13 @@
             std::string(ToString(static_cast<net::request_kind>(index))) +
             "\"} " + std::to_string(gauges.request_bytes[index]) + "\n";
   }
+  text += "# TYPE acaciaferry_slot_refusals_total counter\n";
+  for (std::size_t index = 0; index < forwarding::kSlotRefusalCount; ++index) {
+    text += "acaciaferry_slot_refusals_total{reason=\"" +
+            std::string(forwarding::ToString(
+                static_cast<forwarding::slot_refusal>(index))) +
+            "\"} " + std::to_string(gauges.slots.refusals[index]) + "\n";
+  }
   const auto counter = [&](std::string_view name, std::uint64_t value) {
     internal::AppendValue(text, "counter", name, std::to_string(value));
   };
@@ -233,6 +240,14 @@
   internal::AppendEvacuations(text, gauges.evacuations);
   gauge("acaciaferry_view_complete", gauges.view_complete ? "1" : "0");
   gauge("acaciaferry_missing_entries", std::to_string(gauges.missing_entries));
+  counter("acaciaferry_slot_decisions_total", gauges.slots.scarce);
+  counter("acaciaferry_slots_after_wait_total",
+          gauges.slots.admitted_after_wait);
+  counter("acaciaferry_slots_on_return_total", gauges.slots.admitted_on_return);
+  gauge("acaciaferry_waiting_for_slots",
+        std::to_string(gauges.waiting_for_slots));
+  gauge("acaciaferry_remembered_callers",
+        std::to_string(gauges.remembered_callers));
   internal::AppendHistogram(text, "acaciaferry_queued_seconds",
                             histograms_->queued);
   internal::AppendHistogram(text, "acaciaferry_first_event_seconds",
--- a/src/acaciaferry/entry/entry_metrics.hpp
+++ b/src/acaciaferry/entry/entry_metrics.hpp
@@ -11,6 +11,7 @@
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/time.hpp"
 #include "acaciaferry/entry/decision_log.hpp"
+#include "acaciaferry/forwarding/admission/slot_admission.hpp"
 #include "acaciaferry/forwarding/effect.hpp"
 #include "acaciaferry/net/request_memory.hpp"
 
@@ -81,6 +82,12 @@
   bool view_complete{};
   /** Entries that disappeared around an outage and may come back. */
   std::size_t missing_entries{};
+  /** Decisions of this VM on calls while slots were scarce. */
+  forwarding::slot_counts slots{};
+  /** Calls that wait for a slot by this VM's decision. */
+  std::size_t waiting_for_slots{};
+  /** Refused callers that are recognised if they return. */
+  std::size_t remembered_callers{};
 };
 
 /** @brief Counters and latency histograms of forwarded calls. */
--- a/src/acaciaferry/entry/entry_settings.cpp
+++ b/src/acaciaferry/entry/entry_settings.cpp
@@ -20,9 +20,10 @@
 constexpr std::uint64_t kDefaultMemoryMb = 160;
 constexpr std::uint64_t kMaxMemoryMb = 1U << 20U;
 constexpr std::uint64_t kMaxDescriptors = 1U << 20U;
-constexpr std::array<std::string_view, 10> kSections{
-    "vm",      "callers",      "readiness", "peers",       "configuration",
-    "retries", "reservations", "memory",    "descriptors", "logs"};
+constexpr std::array<std::string_view, 11> kSections{
+    "vm",      "callers",      "readiness", "peers",  "configuration",
+    "retries", "reservations", "admission", "memory", "descriptors",
+    "logs"};
 
 ini_section FindSection(const ini_document& document, std::string_view kind) {
   for (const ini_section& section : document.sections) {
@@ -112,6 +113,10 @@
     settings.descriptor_limit =
         reader.NumberOr("limit", 0, 1, internal::kMaxDescriptors);
   });
+  read_section("admission", [&](ini_reader& reader) {
+    settings.admits_by_slots =
+        reader.ChoiceOrFirst("slots", {"on", "off"}) == "on";
+  });
   read_section("logs", [&](ini_reader& reader) {
     settings.log_level = reader.TextOr("level", "info");
   });
@@ -121,8 +126,8 @@
       faults.push_back(
           {section.kind, section.label, "",
            "the sections vm, callers, readiness, peers, "
-           "configuration, retries, reservations, memory, descriptors and "
-           "logs"});
+           "configuration, retries, reservations, admission, memory, "
+           "descriptors and logs"});
     }
   }
   return settings;
--- a/src/acaciaferry/entry/entry_settings.hpp
+++ b/src/acaciaferry/entry/entry_settings.hpp
@@ -40,6 +40,9 @@
   /** Number of descriptors that the process may have open; 0 for the limit of
    * the operating system. */
   std::uint64_t descriptor_limit{};
+  /** Whether calls wait, or are refused, while the targets' slots are scarce.
+   */
+  bool admits_by_slots{true};
   std::string log_level;
 };
 
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -2,10 +2,12 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "acaciaferry/experiment/hub_fleet.hpp"
@@ -46,6 +48,9 @@
   time_point cold_until{};
   /** As its entry says. */
   duration published_cold{};
+  /** Slots that requests hold, and the requests that wait for one. */
+  std::size_t slots_held{};
+  std::deque<std::pair<std::size_t, forwarding::send_attempt>> queue;
 };
 
 struct hub_fleet::vm {
--- a/test/acaciaferry/entry/entry_settings_test.cpp
+++ b/test/acaciaferry/entry/entry_settings_test.cpp
@@ -47,3 +47,21 @@
     CHECK_FALSE(faults.empty());
   }
 }
+
+// Guards against a setting of admission that is misread in silence.
+TEST(EntrySettings, AdmissionBySlotsIsOnUnlessTurnedOff) {
+  std::vector<setting_fault> faults;
+  CHECK_TRUE(ParseEntrySettings(kRequired, faults).admits_by_slots);
+  CHECK_TRUE(ParseEntrySettings(kRequired + "[admission]\nslots = on\n", faults)
+                 .admits_by_slots);
+  CHECK_FALSE(ParseEntrySettings(kRequired + "[admission]\nslots = off\n", faults)
+                  .admits_by_slots);
+  LONGS_EQUAL(0, faults.size());
+  static_cast<void>(
+      ParseEntrySettings(kRequired + "[admission]\nslots = yes\n", faults));
+  LONGS_EQUAL(1, faults.size());
+  faults.clear();
+  static_cast<void>(
+      ParseEntrySettings(kRequired + "[admission]\nslot = on\n", faults));
+  LONGS_EQUAL(1, faults.size());
+}
