End evacuations of the fleet model by the event that VMs get

The model marked engines as cold itself, so the test did not cover what VMs do when an evacuation ends.

--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -65,8 +65,7 @@
       reaches_service_([](std::size_t) { return true; }),
       is_partitioned_([](std::size_t) { return false; }) {
   clock_->now = time_point(std::chrono::seconds(100));
-  table_.pools = {
-      {internal::kHubFleetPool, internal::Engine(plan), plan.cold}};
+  table_.pools = {{internal::kHubFleetPool, internal::Engine(plan), plan.cold}};
   for (std::size_t domain = 0; domain < plan.domains; ++domain) {
     for (std::size_t index = 0; index < plan.engines_per_domain; ++index) {
       engine made;
@@ -243,14 +242,6 @@
   }
 }
 
-void hub_fleet::EndEvacuation(std::size_t domain) {
-  for (const auto& each : vms_) {
-    if (each->running) {
-      MarkDomainCold(*each->state, internal::DomainId(domain), clock_->now);
-    }
-  }
-}
-
 void hub_fleet::Stop(std::size_t vm) {
   vms_[vm]->running = false;
 }
--- a/src/acaciaferry/experiment/hub_fleet.hpp
+++ b/src/acaciaferry/experiment/hub_fleet.hpp
@@ -165,8 +165,6 @@
    * change every 1.2 s as long as they are cold. Responses say it, too.
    */
   void SetCold(const std::vector<std::size_t>& engines, duration cold_for);
-  /** @brief Ends the evacuation of a failure domain on all VMs. */
-  void EndEvacuation(std::size_t domain);
   /** @return Largest number of requests that reached an engine within a second
    * from `since` on, without those after `until`. */
   [[nodiscard]] std::size_t MostInASecond(std::size_t engine,
--- a/test/acaciaferry/entry/entry_settings_test.cpp
+++ b/test/acaciaferry/entry/entry_settings_test.cpp
@@ -54,8 +54,9 @@
   CHECK_TRUE(ParseEntrySettings(kRequired, faults).admits_by_slots);
   CHECK_TRUE(ParseEntrySettings(kRequired + "[admission]\nslots = on\n", faults)
                  .admits_by_slots);
-  CHECK_FALSE(ParseEntrySettings(kRequired + "[admission]\nslots = off\n", faults)
-                  .admits_by_slots);
+  CHECK_FALSE(
+      ParseEntrySettings(kRequired + "[admission]\nslots = off\n", faults)
+          .admits_by_slots);
   LONGS_EQUAL(0, faults.size());
   static_cast<void>(
       ParseEntrySettings(kRequired + "[admission]\nslots = yes\n", faults));
--- a/test/acaciaferry/experiment/hub_fleet_test.cpp
+++ b/test/acaciaferry/experiment/hub_fleet_test.cpp
@@ -737,9 +737,13 @@
     hub_fleet& fleet = started.fleet;
     fleet.Run(seconds(3), kBurstCallsPerS, kShortPrompt);
     const auto cold = EnginesOf(plan, kColdDomain);
+    if (by_evacuation) {
+      fleet.SetEvacuated({kColdDomain}, kSeenAfter);
+      fleet.Run(seconds(1), kBurstCallsPerS, kShortPrompt);
+    }
     const time_point since = fleet.Now() + kSeenAfter;
     if (by_evacuation) {
-      fleet.EndEvacuation(kColdDomain);
+      fleet.SetEvacuated({}, kSeenAfter);
     } else {
       fleet.SetCold(cold, kColdTime);
     }
