Count comparisons of views only if their fetch begins

Cause: a VM that has just started compares its view with peers' three times. Heartbeats that arrive while another view is fetched used these up, so it could miss an evacuation that an older copy of the service lacks. Besides, a report of a limit whose VM has observed none took the time since the boot as its age. Change: the handler returns whether the fetch begins; such reports have the largest age. Result: PeerProtocol.OnlyFetchesThatBeginCountAsComparisons fails without it.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -150,7 +150,7 @@
                     views_.IsComplete()};
               },
               [this](const mesh::view_source& source) {
-                views_.FetchFrom(source);
+                return views_.FetchFrom(source);
               },
               [this] {
                 views_.SetShortWatches(peers_.Protocol().IsDesignatedWatcher());
--- a/src/acaciaferry/entry/peer_exchange.hpp
+++ b/src/acaciaferry/entry/peer_exchange.hpp
@@ -26,7 +26,7 @@
   struct handlers {
     std::function<void(const forwarding::event&)> post;
     std::function<mesh::local_status()> status;
-    std::function<void(const mesh::view_source& source)> on_newer_view;
+    std::function<bool(const mesh::view_source& source)> on_newer_view;
     std::function<void()> on_heartbeat_interval;
   };
 
--- a/src/acaciaferry/entry/view_keeper.cpp
+++ b/src/acaciaferry/entry/view_keeper.cpp
@@ -359,9 +359,9 @@
   OnViewUpdated(changed);
 }
 
-void view_keeper::FetchFrom(const mesh::view_source& source) {
+bool view_keeper::FetchFrom(const mesh::view_source& source) {
   if (fetch_) {
-    return;
+    return false;
   }
   const auto body = std::make_shared<std::string>();
   const auto status = std::make_shared<int>(0);
@@ -407,6 +407,7 @@
   const net::request_head head{"GET", target, {{"Host", source.address}}};
   fetch_->Start(source.address, net::Serialize(head, 0),
                 internal::kFetchConnectTimeout);
+  return true;
 }
 
 }  // namespace acaciaferry::entry
--- a/src/acaciaferry/entry/view_keeper.hpp
+++ b/src/acaciaferry/entry/view_keeper.hpp
@@ -95,7 +95,7 @@
    * @brief Fetches from a peer what its view has and this one lacks, unless a
    * fetch is already in progress.
    */
-  void FetchFrom(const mesh::view_source& source);
+  bool FetchFrom(const mesh::view_source& source);
 
   /** @return The response to a peer that fetches this view.
    * @param target Path and query of the request. */
--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -176,6 +176,7 @@
   handlers.status = [this, vm] { return StatusOf(vm); };
   handlers.on_newer_view = [this, vm](const mesh::view_source& source) {
     Fetch(vm, source);
+    return true;
   };
   handlers.on_heartbeat_interval = [this, vm] {
     auto& owner = *vms_[vm];
--- a/src/acaciaferry/forwarding/limits/target_limits.cpp
+++ b/src/acaciaferry/forwarding/limits/target_limits.cpp
@@ -403,8 +403,11 @@
   std::vector<limit_report> reports;
   for (const auto& [id, known] : entries_) {
     // A report without a limit, of a VM that has heard of none, ends none.
-    reports.push_back({id, known.incarnation, known.requests_per_s,
-                       std::min(now - known.observed_at, internal::kMaxAge),
+    const duration age =
+        known.observed_at == time_point{}
+            ? internal::kMaxAge
+            : std::min(now - known.observed_at, internal::kMaxAge);
+    reports.push_back({id, known.incarnation, known.requests_per_s, age,
                        DebtAt(known, now), ColdFor(id, now)});
   }
   return reports;
--- a/src/acaciaferry/mesh/peer_protocol.hpp
+++ b/src/acaciaferry/mesh/peer_protocol.hpp
@@ -76,8 +76,9 @@
     /** Submits an event to the reducer. */
     std::function<void(const forwarding::event&)> post;
     std::function<local_status()> status;
-    /** A peer has a newer view, or one that differs. */
-    std::function<void(const view_source& source)> on_newer_view;
+    /** A peer has a newer view, or one that differs. Returns whether it is
+     * fetched now: one view is fetched at a time. */
+    std::function<bool(const view_source& source)> on_newer_view;
     /** Called at each heartbeat interval. */
     std::function<void()> on_heartbeat_interval;
     std::function<void(std::string_view event, const log_fields& fields)> log;
--- a/src/acaciaferry/mesh/peer_protocol_receive.cpp
+++ b/src/acaciaferry/mesh/peer_protocol_receive.cpp
@@ -98,9 +98,9 @@
       !started_at_ || now - *started_at_ < internal::kCompareTime;
   if (has_just_started && status.view.era > 0 &&
       heartbeat.view_digest != status.view_digest &&
-      views_compared_ < internal::kMaxViewsCompared) {
+      views_compared_ < internal::kMaxViewsCompared &&
+      handlers_.on_newer_view({heartbeat.view_address, false, false, true})) {
     ++views_compared_;
-    handlers_.on_newer_view({heartbeat.view_address, false, false, true});
   }
 }
 
--- a/test/acaciaferry/mesh/peer_protocol_test.cpp
+++ b/test/acaciaferry/mesh/peer_protocol_test.cpp
@@ -48,6 +48,7 @@
     made.status = [this] { return status; };
     made.on_newer_view = [this](const view_source& source) {
       fetches.push_back(source);
+      return fetches_begin;
     };
     made.on_heartbeat_interval = [] {};
     made.log = [](std::string_view, const peer_protocol::log_fields&) {};
@@ -87,6 +88,8 @@
   local_status status;
   std::vector<std::string> sent;
   std::vector<view_source> fetches;
+  /** Whether no other fetch is in progress. */
+  bool fetches_begin{true};
   std::uint64_t peak_vm_count{2};
   peer_protocol protocol;
 };
@@ -207,3 +210,17 @@
   CHECK_COMPARE(started.fetches.size(), <=, 3U);
   CHECK_FALSE(started.fetches[0].serves_changes);
 }
+
+// Guards against heartbeats that arrive during another fetch and use up the
+// comparisons of a process that has just started.
+TEST(PeerProtocol, OnlyFetchesThatBeginCountAsComparisons) {
+  one_vm started(milliseconds(0));
+  started.fetches_begin = false;
+  for (int i = 0; i < 10; ++i) {
+    started.Hear(30, 88, true);
+  }
+  started.fetches_begin = true;
+  started.fetches.clear();
+  started.Hear(30, 88, true);
+  CHECK_FALSE(started.fetches.empty());
+}
