Split bounds, control requests and draining from the entry daemon

Change: entry_bounds.cpp has the bounds on memory, descriptors and connections, entry_control.cpp the answers to readiness, view and metrics requests, and entry_drain.cpp the end of the process. What the constructor needs of the bounds is declared in entry_bounds.hpp. Functions are moved unchanged.

--- a/src/acaciaferry/entry/entry_daemon.cpp
+++ b/src/acaciaferry/entry/entry_daemon.cpp
@@ -1,80 +1,23 @@
 #include "acaciaferry/entry/entry_daemon.hpp"
 
 #include <signal.h>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <fstream>
-#include <limits>
 #include <random>
 #include <sstream>
 #include <utility>
 
-#include "acaciaferry/forwarding/evacuation/evacuate.hpp"
+#include "acaciaferry/entry/entry_bounds.hpp"
 
 namespace acaciaferry::entry {
 namespace internal {
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-// The load balancer probes readiness once a second and removes a VM after two
-// failed probes. Calls that arrive until then are still accepted; later ones
-// might not finish before the process has to exit.
-constexpr duration kDrainAcceptPeriod = std::chrono::milliseconds(3'000);
-// Requests that callers send before they see that the VM has stopped accepting
-// are refused within this time.
-constexpr duration kLastRefusals = std::chrono::milliseconds(250);
-// Part of the grace period reserved for process shutdown.
-constexpr duration kExitMargin = std::chrono::milliseconds(500);
-// Calls without an answer are ended this long before the process stops, so that
-// their replies can be written.
-constexpr duration kLastAnswers = std::chrono::milliseconds(250);
-constexpr duration kDrainCheckInterval = std::chrono::milliseconds(50);
 // Maximum age of a view that neither the service nor a peer has confirmed. An
 // older view may lack routes and keys, so unknown ones are refused as
 // retryable.
 constexpr duration kMaxUnconfirmedViewAge = std::chrono::milliseconds(3'000);
 
-// Of all answers that have arrived and were not passed on, a fifth of the
-// memory of the smallest VM. Buffers that grow take up to twice of it.
-constexpr std::size_t kMaxAnswerMemory = 32U << 20U;
-
-// Of the VM's memory, requests may take three tenths.
-constexpr std::size_t kRequestTenths = 3;
-// Room for a request of the largest size besides small ones.
-constexpr std::size_t kMinRequestMemory = 8U << 20U;
-// Listeners, the event loop, the log, and exchanges with the configuration
-// service and peers.
-constexpr std::size_t kOwnDescriptors = 32;
-constexpr std::size_t kMaxReadinessConnections = 64;
-constexpr std::size_t kMaxControlConnections = 256;
-// A tunnel takes two descriptors, so all tunnels take a quarter.
-constexpr std::size_t kTunnelDescriptorPart = 8;
-constexpr std::size_t kReadinessDescriptorPart = 8;
-constexpr std::size_t kControlDescriptorPart = 4;
-// Requests at these addresses have no bodies.
-constexpr std::uint64_t kMaxControlBodyBytes = 1'024;
-constexpr duration kDropLogInterval = std::chrono::seconds(1);
-
-std::size_t RequestMemory(const entry_settings& settings) {
-  constexpr std::size_t kTenth = 10;
-  const std::size_t vm_bytes =
-      static_cast<std::size_t>(settings.memory_limit_mb) << 20U;
-  return std::max(vm_bytes / kTenth * kRequestTenths, kMinRequestMemory);
-}
-
-std::size_t DescriptorLimit(const entry_settings& settings) {
-  rlimit system{};
-  std::size_t limit = static_cast<std::size_t>(settings.descriptor_limit);
-  if (getrlimit(RLIMIT_NOFILE, &system) == 0 &&
-      system.rlim_cur != RLIM_INFINITY) {
-    const auto allowed = static_cast<std::size_t>(system.rlim_cur);
-    limit = limit == 0 ? allowed : std::min(limit, allowed);
-  }
-  return limit == 0 ? std::numeric_limits<std::size_t>::max() : limit;
-}
-
 // Start time in milliseconds above 16 random bits, so that a restarted process
 // has a higher incarnation.
 std::uint64_t GenerateIncarnation() {
@@ -170,60 +113,6 @@
   SetBounds();
 }
 
-void entry_daemon::SetBounds() {
-  callers_.SetMemory(answer_memory_);
-  control_.SetMemory(answer_memory_);
-  callers_.SetRequestMemory(request_memory_, true);
-  tunnels_.SetRequestMemory(request_memory_);
-  net::server_limits limits;
-  limits.body_bytes = internal::kMaxControlBodyBytes;
-  for (const auto& [server, part, most] :
-       {std::tuple(&readiness_, internal::kReadinessDescriptorPart,
-                   internal::kMaxReadinessConnections),
-        std::tuple(&control_, internal::kControlDescriptorPart,
-                   internal::kMaxControlConnections)}) {
-    limits.max_connections =
-        std::clamp<std::size_t>(descriptor_limit_ / part, 1, most);
-    server->SetLimits(limits);
-    // Probes and heartbeats don't wait for callers.
-    server->SetRequestMemory(request_memory_, false);
-  }
-  callers_.SetRoomForConnections(
-      [this] { return DescriptorsInUse() < descriptor_limit_; });
-  const auto on_drop = [this](net::drop_reason reason) {
-    metrics_.CountDrop(reason);
-    LogDropped(std::string(ToString(reason)));
-  };
-  callers_.SetDropHandler(on_drop);
-  readiness_.SetDropHandler(on_drop);
-  control_.SetDropHandler(on_drop);
-  callers_.SetRefusalHandler([this](int status) {
-    metrics_.CountReadRefusal(status);
-    LogDropped(std::to_string(status));
-  });
-}
-
-std::size_t entry_daemon::DescriptorsInUse() const {
-  return internal::kOwnDescriptors + callers_.ConnectionCount() +
-         readiness_.ConnectionCount() + control_.ConnectionCount() +
-         relays_.size() + 2 * tunnels_.Count();
-}
-
-void entry_daemon::LogDropped(const std::string& reason) {
-  ++unlogged_drops_[reason];
-  const time_point now = clock_.Now();
-  if (now - drops_logged_at_ < internal::kDropLogInterval) {
-    return;
-  }
-  drops_logged_at_ = now;
-  log_fields fields;
-  for (const auto& [name, count] : unlogged_drops_) {
-    fields.emplace_back(name, std::to_string(count));
-  }
-  log_.WriteEvent("callers_dropped", fields);
-  unlogged_drops_.clear();
-}
-
 entry_daemon::~entry_daemon() {
   views_.Stop();
 }
@@ -321,74 +210,6 @@
          (!age || *age > internal::kMaxUnconfirmedViewAge);
 }
 
-void entry_daemon::OnReadiness(const exchange& request) {
-  const bool is_known_path = request->head.target == protocol_->ReadinessPath();
-  const int status = !is_known_path ? internal::kNotFound
-                     : IsReady()    ? internal::kOk
-                                    : internal::kUnavailable;
-  request->Reply(status, {}, "");
-}
-
-void entry_daemon::OnControl(const exchange& request) {
-  const std::string_view target = request->head.target;
-  if (target.substr(0, target.find('?')) == view_keeper::kViewPath) {
-    request->Reply(internal::kOk, {}, views_.ServePeer(target));
-  } else if (request->head.target == "/metrics") {
-    const auto age_of = [this](std::optional<time_point> since) {
-      return since ? ToSeconds(clock_.Now() - *since) : -1;
-    };
-    const auto age = views_.ServiceResponseAge();
-    const entry_gauges gauges{
-        relays_.size(),
-        state_.ledger.JobCount(),
-        state_.targets.size(),
-        state_.limits.Count(),
-        state_.limits.ColdCount(clock_.Now()),
-        state_.targets.SaidToLeave().size(),
-        state_.refusals.Refusing(clock_.Now()).size(),
-        state_.reach.IsAnyOutOfReach(),
-        state_.reach.Tunnels().size(),
-        tunnels_.Count(),
-        callers_.ConnectionCount(),
-        answer_memory_.Held(),
-        answer_memory_.Dropped(),
-        {request_memory_.Held(net::request_kind::kReading),
-         request_memory_.Held(net::request_kind::kComplete),
-         request_memory_.Held(net::request_kind::kTunnel)},
-        request_memory_.Limit(),
-        request_memory_.WaitingCount(),
-        DescriptorsInUse(),
-        descriptor_limit_,
-        peers_.Protocol().Roster().PeakVmCount(),
-        table_ ? table_->version : 0,
-        age ? ToSeconds(*age) : -1,
-        views_.ServiceEra(),
-        views_.ServiceCalls(),
-        age_of(table_accepted_at_),
-        age_of(peers_.Protocol().LastLoadReceivedAt()),
-        age_of(peers_.Protocol().Roster().OldestHeartbeatTime()),
-        EvacuationGauges(),
-        views_.IsComplete(),
-        views_.MissingEntries(),
-        state_.admission.Counts(),
-        state_.admission.WaitingCount(),
-        state_.admission.RememberedCount()};
-    request->Reply(internal::kOk,
-                   {{"Content-Type", "text/plain; version=0.0.4"}},
-                   metrics_.ToPrometheusText(log_, gauges));
-  } else {
-    request->Reply(internal::kNotFound, {}, "");
-  }
-}
-
-std::vector<evacuation_gauge> entry_daemon::EvacuationGauges() const {
-  std::vector<evacuation_gauge> gauges;
-  for (const failure_domain_id& each : state_.evacuations.Domains()) {
-    gauges.push_back({each, forwarding::CountAttemptsIn(state_, each)});
-  }
-  return gauges;
-}
-
 void entry_daemon::OnTunnelDialed(std::string_view address,
                                   bool reached,
                                   duration took) {
@@ -525,59 +346,4 @@
   });
 }
 
-void entry_daemon::Drain() {
-  if (draining_since_) {
-    return;
-  }
-  draining_since_ = clock_.Now();
-  log_.WriteEvent("draining", {{"in_flight", std::to_string(relays_.size())}});
-  callers_.CloseAfterReplies();
-  for (auto& [id, pending] : state_.pending_calls) {
-    pending.deadline = std::min(pending.deadline, LastAnswerTime());
-  }
-  ScheduleWake();
-  CheckDrained();
-}
-
-time_point entry_daemon::LastAnswerTime() const {
-  return *draining_since_ +
-         std::max(settings_.drain_grace - internal::kExitMargin -
-                      internal::kLastAnswers,
-                  duration::zero());
-}
-
-duration entry_daemon::DrainAcceptPeriod() const {
-  return std::min(internal::kDrainAcceptPeriod,
-                  LastAnswerTime() - *draining_since_);
-}
-
-void entry_daemon::CheckDrained() {
-  if (!draining_since_) {
-    return;
-  }
-  const duration since = clock_.Now() - *draining_since_;
-  const bool grace_expired =
-      since >= settings_.drain_grace - internal::kExitMargin;
-  if (since >= DrainAcceptPeriod() && !stopped_accepting_) {
-    stopped_accepting_ = true;
-    callers_.StopListening();
-    tunnels_.StopListening();
-  }
-  const bool may_stop = since >= DrainAcceptPeriod() + internal::kLastRefusals;
-  if (may_stop) {
-    callers_.CloseIdle();
-  }
-  if (grace_expired || (may_stop && relays_.empty() &&
-                        !callers_.HasRequests() && tunnels_.Count() == 0)) {
-    loop_.stop();
-    return;
-  }
-  drain_timer_.expires_after(internal::kDrainCheckInterval);
-  drain_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      CheckDrained();
-    }
-  });
-}
-
 }  // namespace acaciaferry::entry
