Split publications and effects from the fleet model

Change: hub_fleet_publications.cpp has what is published to the VMs, and hub_fleet_effects.cpp carries out the effects of their reducers. The delay of a fetch and the names of failure domains, which several files use, are now in hub_fleet_parts.hpp. Functions are moved unchanged.

--- a/src/acaciaferry/experiment/hub_fleet.cpp
+++ b/src/acaciaferry/experiment/hub_fleet.cpp
@@ -14,11 +14,6 @@
 constexpr std::size_t kSeeds = 3;
 constexpr std::size_t kSeedStep = 7;
 constexpr duration kStartSpread = std::chrono::milliseconds(300);
-constexpr duration kOrderDelay = std::chrono::milliseconds(2);
-constexpr duration kProbeTime = std::chrono::milliseconds(400);
-constexpr duration kFetchDelay = std::chrono::milliseconds(20);
-// VMs see a change of the documents within this time.
-constexpr duration kWatchDelay = std::chrono::milliseconds(100);
 
 forwarding::engine_properties Engine(const hub_fleet_plan& plan) {
   forwarding::engine_properties engine;
@@ -51,10 +46,6 @@
   return mesh::Encode(old, now).front();
 }
 
-failure_domain_id DomainId(std::size_t domain) {
-  return {"domain-" + std::to_string(domain)};
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -207,62 +198,10 @@
   OnInterval(vm);
 }
 
-std::vector<forwarding::target> hub_fleet::PublishedTargets() const {
-  std::vector<forwarding::target> targets;
-  for (std::size_t index = 0; index < engines_.size(); ++index) {
-    if (engines_[index].withdrawn) {
-      continue;
-    }
-    forwarding::target made;
-    made.id = engines_[index].id;
-    made.pool = internal::kHubFleetPool;
-    made.address = made.id.value + ":1";
-    made.failure_domain = internal::DomainId(
-        index / std::max<std::size_t>(plan_.engines_per_domain, 1));
-    made.slots = plan_.slots;
-    made.incarnation = engines_[index].incarnation;
-    made.cold_for = engines_[index].published_cold;
-    targets.push_back(std::move(made));
-  }
-  return targets;
-}
-
-void hub_fleet::PublishTargets() {
-  const auto targets = PublishedTargets();
-  const std::uint64_t publication = ++publications_;
-  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
-    const auto seen_after = static_cast<std::int64_t>(DrawBelow(
-        random_, static_cast<std::uint64_t>(internal::kWatchDelay.count())));
-    AfterAt(vm, duration(seen_after), [this, vm, targets, publication] {
-      if (vms_[vm]->publication < publication) {
-        vms_[vm]->publication = publication;
-        Post(vm, forwarding::targets_published{targets});
-      }
-    });
-  }
-}
-
 void hub_fleet::Stop(std::size_t vm) {
   vms_[vm]->running = false;
 }
 
-void hub_fleet::SetEvacuated(const std::vector<std::size_t>& domains,
-                             duration spread) {
-  evacuated_.clear();
-  for (const std::size_t each : domains) {
-    evacuated_.push_back(internal::DomainId(each));
-  }
-  for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
-    if (vms_[vm]->running) {
-      const auto heard_after = duration(static_cast<std::int64_t>(
-          DrawBelow(random_, static_cast<std::uint64_t>(spread.count()) + 1)));
-      AfterAt(vm, heard_after, [this, vm, domains = evacuated_] {
-        Post(vm, forwarding::domains_evacuated{domains});
-      });
-    }
-  }
-}
-
 std::uint64_t hub_fleet::Refusals(failure_code code) const {
   const auto at = refusals_by_code_.find(code);
   return at == refusals_by_code_.end() ? 0 : at->second;
@@ -323,125 +262,6 @@
           });
 }
 
-void hub_fleet::Fetch(std::size_t vm, const mesh::view_source& source) {
-  const std::size_t from = IndexOf(source.address);
-  AfterAt(vm, internal::kFetchDelay,
-          [this, vm, from, is_complete = source.reads_evacuations] {
-            if (!vms_[from]->running) {
-              return;
-            }
-            auto& self = *vms_[vm];
-            if (is_complete || vms_[from]->revision > self.revision) {
-              self.is_complete = is_complete;
-            }
-            self.revision = std::max(self.revision, vms_[from]->revision);
-          });
-}
-
-// Carries out the effects of one VM's reducer.
-struct hub_fleet::effect_carrier {
-  hub_fleet& fleet;
-  std::size_t vm;
-
-  void operator()(const forwarding::send_attempt& effect) const {
-    fleet.Connect(vm, effect);
-  }
-  void operator()(const forwarding::probe_target& effect) const {
-    fleet.Probe(vm, effect.target, internal::kProbeTime);
-  }
-  void operator()(const forwarding::refuse_call& effect) const {
-    ++fleet.refusals_;
-    ++fleet.refusals_by_code_[effect.why.code];
-    fleet.first_tries_[fleet.vms_[vm]->first_tries.at(effect.id)].retry_after =
-        effect.why.retry_after;
-  }
-  void operator()(const forwarding::abort_response& /*effect*/) const {
-    ++fleet.broken_off_;
-  }
-  void operator()(const forwarding::check_target& effect) const {
-    fleet.AfterAt(vm, internal::kFetchDelay, [self = *this, effect] {
-      const bool up =
-          self.fleet.FindEngine(effect.target).down_until <= self.fleet.Now();
-      self.fleet.Post(self.vm, forwarding::target_checked{
-                                   effect.target, effect.incarnation, up});
-    });
-  }
-  void operator()(const forwarding::reserve_memory& effect) const {
-    fleet.AfterAt(vm, internal::kOrderDelay, [self = *this, effect] {
-      self.fleet.Post(self.vm,
-                      forwarding::ticket_order_settled{
-                          effect.id,
-                          effect.attempt,
-                          effect.ticket,
-                          effect.renewal ? forwarding::ticket_order::kRenew
-                                         : forwarding::ticket_order::kReserve,
-                          forwarding::order_result::kDone,
-                          effect.target,
-                          {}});
-    });
-  }
-  void operator()(const forwarding::notify_peers& effect) const {
-    Protocol().ShareLoad(effect);
-  }
-  void operator()(const forwarding::share_suspects& effect) const {
-    Protocol().Broadcast(suspect_reports_received{effect.reports});
-  }
-  void operator()(const forwarding::share_part_crashes& effect) const {
-    Protocol().Broadcast(part_crashes_received{effect.crashes});
-  }
-  void operator()(const forwarding::share_begun_parts& effect) const {
-    Protocol().Broadcast(begun_parts_received{effect.parts});
-  }
-  void operator()(const forwarding::share_limits& effect) const {
-    Protocol().Broadcast(forwarding::limit_reports_received{effect.reports});
-  }
-  void operator()(const forwarding::announce_reach& /*effect*/) const {
-    Protocol().AnnounceReach();
-  }
-  void operator()(const forwarding::ask_planner& effect) const {
-    Protocol().SendTo(effect.planner, effect.query);
-  }
-  void operator()(const forwarding::answer_query& effect) const {
-    Protocol().SendTo(effect.asker, effect.answer);
-  }
-  void operator()(const forwarding::ask_about_target& effect) const {
-    Protocol().SendTo(effect.planner, effect.query);
-  }
-  void operator()(const forwarding::answer_about_target& effect) const {
-    Protocol().SendTo(effect.asker, effect.report);
-  }
-  template <typename Other>
-  void operator()(const Other& /*effect*/) const {}
-
-  [[nodiscard]] mesh::peer_protocol& Protocol() const {
-    return *fleet.vms_[vm]->protocol;
-  }
-};
-
-void hub_fleet::Post(std::size_t vm, const forwarding::event& happened) {
-  const auto caused =
-      forwarding::Reduce(*vms_[vm]->state, happened, clock_->now);
-  for (const forwarding::effect& each : caused) {
-    std::visit(effect_carrier{*this, vm}, each);
-  }
-  ScheduleWake(vm);
-}
-
-void hub_fleet::ScheduleWake(std::size_t vm) {
-  auto& self = *vms_[vm];
-  const time_point next = forwarding::NextWake(*self.state, clock_->now);
-  if (next >= self.wake_at && self.wake_at > clock_->now) {
-    return;
-  }
-  self.wake_at = std::max(next, clock_->now);
-  AfterAt(vm, self.wake_at - clock_->now, [this, vm, at = self.wake_at] {
-    if (vms_[vm]->wake_at == at) {
-      vms_[vm]->wake_at = {};
-      Post(vm, forwarding::timer_fired{});
-    }
-  });
-}
-
 void hub_fleet::Run(duration length,
                     double calls_per_s,
                     std::uint64_t prompt_tokens) {
--- a/src/acaciaferry/experiment/hub_fleet_parts.hpp
+++ b/src/acaciaferry/experiment/hub_fleet_parts.hpp
@@ -16,6 +16,11 @@
 namespace internal {
 
 inline const pool_id kHubFleetPool{"pool"};
+inline constexpr duration kFetchDelay = std::chrono::milliseconds(20);
+
+inline failure_domain_id DomainId(std::size_t domain) {
+  return {"domain-" + std::to_string(domain)};
+}
 
 }  // namespace internal
 
