Refuse no calls for slots on a VM that hears few others

Cause: a VM that hears no others assumes 16 and counted on that share of the slots; so did a member of a large fleet whose planner is silent. Change: admission by slots decides only on VMs that hear at least half.

--- a/src/acaciaferry/forwarding/admission/admit_call.cpp
+++ b/src/acaciaferry/forwarding/admission/admit_call.cpp
@@ -10,6 +10,10 @@
 namespace acaciaferry::forwarding::internal {
 namespace {
 
+// A VM that hears a smaller part of the VMs knows too little of the load to
+// refuse calls for it: one that has just started hears none, and a member of a
+// large fleet that places a call itself knows of its own only.
+constexpr double kMinHeardShare = 0.5;
 // Share of the slots up to which a pool is calm, whatever else is known.
 constexpr double kCalmShare = 0.75;
 // Passes between the time at which a prompt gets a slot and its first event:
@@ -162,6 +166,7 @@
                const pending_call& pending,
                const std::vector<const target*>& candidates) {
   return current.admits_by_slots && !WasSent(pending) &&
+         current.SlotShare() >= kMinHeardShare &&
          !IsCalm(current, pending.request.pool, candidates.size());
 }
 
