--- a/src/acaciaferry/forwarding/admission/admit_call.cpp
+++ b/src/acaciaferry/forwarding/admission/admit_call.cpp
@@ -56,6 +56,15 @@
   return kept;
 }
 
+// In a large fleet each failure domain has a planner, and a VM that is no hub
+// counts on a part of the slots that is its own. Otherwise each VM decides.
+std::size_t DecidersOf(const state& current, std::size_t domains) {
+  if (!current.is_large_fleet) {
+    return std::max<std::size_t>(current.heard_vm_count, 1);
+  }
+  return current.is_hub ? std::max<std::size_t>(domains, 1) : 1;
+}
+
 slot_supply SupplyOf(const state& current,
                      const pending_call& pending,
                      const engine_properties* engine,
@@ -74,9 +83,7 @@
     // Dispatches of VMs that aren't heard any more may have ended.
     supply.held = current.admission.HeldByPlaced(pending.request.pool);
   }
-  supply.domains = current.is_large_fleet && !current.is_hub
-                       ? 1
-                       : std::max<std::size_t>(domains.size(), 1);
+  supply.deciders = DecidersOf(current, domains.size());
   // A plain service responds within its objective most of the time.
   supply.usual_hold = pending.request.latency_objective / 2;
   if (engine != nullptr && pending.request.prompt_tokens > 0) {
@@ -231,7 +238,7 @@
   }
   const auto counted = WithoutLimit(current, candidates);
   const slot_demand demand = DemandOf(current, pending, &engine, now);
-  if (counted.empty() || demand.is_long) {
+  if (counted.empty() || demand.is_long || current.admission.IsOwed(demand)) {
     return std::nullopt;
   }
   const slot_supply supply = SupplyOf(current, pending, &engine, counted);
--- a/src/acaciaferry/forwarding/admission/slot_admission.cpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.cpp
@@ -47,6 +47,11 @@
 constexpr double kEarlyShare = 0.7;
 // For how long after that time a caller is still recognised.
 constexpr duration kRememberedFor = std::chrono::seconds(3);
+// A caller that was refused so many times and returned when told waits this
+// long, so that none is refused for ever: a late answer is worth less than one
+// in time, but more than none.
+constexpr std::uint32_t kOwedRefusals = 2;
+constexpr duration kOwedPatience = std::chrono::milliseconds(1'000);
 constexpr std::size_t kMaxRemembered = 32'768;
 constexpr std::size_t kMaxWorkspaces = 4'096;
 
@@ -134,14 +139,17 @@
                   internal::kMinHoldS);
 }
 
-// The part of the calls of a pool that this VM places.
+// The part of the slots that become free which this VM may expect to get: that
+// of the calls that it placed, and no less than an equal one. With little load
+// it has few calls that wait, of which the first goes as soon as others' first.
 double slot_admission::OwnShare(const pool_use& pool,
                                 const slot_supply& supply,
                                 time_point now) {
-  return std::min(
-      1.0, (pool.placed_here.At(now) + internal::kPriorPlaced) /
-               (pool.placed.At(now) +
-                internal::kPriorPlaced * static_cast<double>(supply.domains)));
+  const auto deciders = static_cast<double>(supply.deciders);
+  const double placed =
+      (pool.placed_here.At(now) + internal::kPriorPlaced) /
+      (pool.placed.At(now) + internal::kPriorPlaced * deciders);
+  return std::clamp(placed, 1 / deciders, 1.0);
 }
 
 // Slots that become free a second, as far as this VM may expect to get them:
@@ -238,7 +246,7 @@
     return;
   }
   const auto [at, is_new] = refused_.try_emplace(demand.fingerprint);
-  at->second = {now, now + retry_after, 0};
+  at->second = {now, now + retry_after, 0, at->second.refusals + 1};
   if (!is_new) {
     return;
   }
@@ -299,7 +307,11 @@
   }
   const double freed_per_s = FreedPerS(pool, supply, now);
   const duration predicted = FromSeconds(missing / freed_per_s);
-  if (predicted <= demand.patience &&
+  const duration patience =
+      IsOwed(demand) ? std::max(demand.patience,
+                                demand.arrived - now + internal::kOwedPatience)
+                     : demand.patience;
+  if (predicted <= patience &&
       (is_known || pool.waiting.size() < internal::kMaxWaiting)) {
     // It is decided on once more while it is in time.
     const duration wait = std::min(
@@ -307,7 +319,7 @@
             ToSeconds(std::clamp(predicted, internal::kShortestWait,
                                  internal::kLongestWait)) *
             (1 - internal::kWaitJitter * internal::DrawFraction(random_))),
-        std::max(demand.patience, duration{1}));
+        std::max(patience, duration{1}));
     waiting_call& kept = pool.waiting[demand.key];
     kept = own;
     kept.order = own_rank;
@@ -325,6 +337,13 @@
   return refused;
 }
 
+bool slot_admission::IsOwed(const slot_demand& demand) const {
+  const auto at = refused_.find(demand.fingerprint);
+  return demand.fingerprint != 0 && at != refused_.end() &&
+         at->second.returned_as == demand.key &&
+         at->second.refusals >= internal::kOwedRefusals;
+}
+
 slot_refused slot_admission::RefuseLate(const slot_demand& demand,
                                         const slot_supply& supply,
                                         time_point now) {
--- a/src/acaciaferry/forwarding/admission/slot_admission.hpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.hpp
@@ -42,9 +42,8 @@
   double slots{};
   /** Dispatches that hold slots or wait for them. */
   held_slots held;
-  /** Number of failure domains of the targets, each of which may have a VM that
-   * decides. */
-  std::size_t domains{1};
+  /** Number of VMs that decide on calls of the pool, as far as known. */
+  std::size_t deciders{1};
   /** Duration of a dispatch while none has been observed. */
   duration usual_hold{};
 };
@@ -126,6 +125,10 @@
                                         const slot_supply& supply,
                                         time_point now);
 
+  /** @return Whether a call's caller was refused several times and has returned
+   * when told. It is served though late, rather than refused again. */
+  [[nodiscard]] bool IsOwed(const slot_demand& demand) const;
+
   /** @brief Records that a call was placed by this VM.
    * @param first_event Predicted time to its first event; 0 if unknown. */
   void RecordPlaced(const slot_demand& demand,
@@ -245,6 +248,7 @@
     time_point returns_at{};
     /** The call with which it returned. */
     dispatch_id returned_as{};
+    std::uint32_t refusals{};
   };
 
   [[nodiscard]] static fair_share ShareOf(const pool_use& pool, time_point now);
--- a/test/acaciaferry/experiment/slot_overload_test.cpp
+++ b/test/acaciaferry/experiment/slot_overload_test.cpp
@@ -185,7 +185,8 @@
     caller.returns_at = time_point::max();
   };
   std::set<time_point> told;
-  for (int step = 0; step < 700; ++step) {
+  // Callers honour at most a third of 10 s, so each returns three times.
+  for (int step = 0; step < 1'300; ++step) {
     fleet.Run(kStep, 4 * kCapacityPerS, kPrompt);
     if (callers.size() < kCallers) {
       callers.push_back({0, callers.size() % fleet.VmCount(), {}, 0});
--- a/test/acaciaferry/forwarding/admission/slot_admission_test.cpp
+++ b/test/acaciaferry/forwarding/admission/slot_admission_test.cpp
@@ -5,10 +5,10 @@
 #include <algorithm>
 #include <set>
 
-#include <CppUTest/TestHarness.h>
-
 #include "forwarding/admission/slot_pool.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 using namespace acaciaferry;
 using namespace acaciaferry::forwarding;
 using std::chrono::milliseconds;
