Give granted requests time to send, and judge bodies by their own size

Cause: a request that was granted memory after a wait never counted as stalled if its caller then sent nothing, and a small body was judged by the memory that it takes besides, so one in time could be dropped. Each error of accept closed an idle connection, also one that has nothing to do with descriptors. Change: time counts from the grant, the pace by the body's size, and only a lack of descriptors closes connections.

--- a/src/acaciaferry/net/connection.hpp
+++ b/src/acaciaferry/net/connection.hpp
@@ -70,6 +70,7 @@
   void UpdateRoom();
   void MakeRoom();
   [[nodiscard]] std::shared_ptr<const request_room::handlers> RoomHandlers();
+  void OnGranted();
   void OnDropped(drop_reason reason);
   void Dispatch();
   void RejectRequest(int status);
--- a/src/acaciaferry/net/connection_reading.cpp
+++ b/src/acaciaferry/net/connection_reading.cpp
@@ -66,12 +66,20 @@
     };
   };
   return std::make_shared<const request_room::handlers>(
-      request_room::handlers{post([](connection& self) { self.Read(); }),
+      request_room::handlers{post([](connection& self) { self.OnGranted(); }),
                              post([](connection& self, drop_reason reason) {
                                self.OnDropped(reason);
                              })});
 }
 
+// The client has the time of a stalled one from now on: it could not send before.
+void connection::OnGranted() {
+  if (head_started_) {
+    room_->Advance(body_.size(), steady_clock_source().Now());
+  }
+  Read();
+}
+
 void connection::MakeRoom() {
   room_ = std::make_unique<request_room>(
       server_->request_memory_, request_kind::kReading, room_handlers_);
@@ -141,6 +149,7 @@
   }
   if (parser_->body_bytes) {
     const std::size_t size = MaxBodyBytes();
+    room_->ExpectBody(size);
     if (!AskForRoom(other + internal::WithCopy(size), size > kSmallBodyBytes)) {
       return 0;
     }
@@ -155,6 +164,7 @@
                                ? MaxBodyBytes()
                                : std::max(body_.capacity(), 2 * body_.size()) +
                                      internal::kMaxReadAhead;
+  room_->ExpectBody(size);
   const std::size_t read =
       is_large ? kReadBufferBytes : internal::kMaxReadAhead;
   const std::size_t needed = other + internal::WithCopy(size) + read;
--- a/src/acaciaferry/net/request_memory.cpp
+++ b/src/acaciaferry/net/request_memory.cpp
@@ -266,7 +266,7 @@
   const duration since = now - granted_at_ - internal::kStallPeriod;
   return since > duration::zero() && allowed_ > duration::zero() &&
          static_cast<double>(received_) <
-             static_cast<double>(bytes_) *
+             static_cast<double>(body_bytes_ > 0 ? body_bytes_ : bytes_) *
                  (ToSeconds(since) / ToSeconds(allowed_));
 }
 
--- a/src/acaciaferry/net/request_memory.hpp
+++ b/src/acaciaferry/net/request_memory.hpp
@@ -130,6 +130,9 @@
   [[nodiscard]] bool AskOrWait(std::size_t bytes,
                                bool is_large,
                                duration allowed);
+  /** @brief Sets the size of the body, or what it may become; until then all
+   * that is held counts as body. */
+  void ExpectBody(std::size_t bytes) noexcept { body_bytes_ = bytes; }
   /** @brief Sets what is held now, whether there is room or not. */
   void Set(std::size_t bytes);
   /** @brief Reports how much of the request's body has arrived. Before the
@@ -154,6 +157,8 @@
   std::size_t bytes_{};
   std::size_t asked_{};
   std::size_t received_{};
+  /** Size of the body, 0 if unknown. */
+  std::size_t body_bytes_{};
   time_point granted_at_{};
   time_point advanced_at_{};
   duration allowed_{};
--- a/src/acaciaferry/net/server.cpp
+++ b/src/acaciaferry/net/server.cpp
@@ -166,8 +166,9 @@
       return;
     }
     if (error) {
-      // Most likely there are no descriptors.
-      static_cast<void>(CloseLongestIdle());
+      if (error == boost::asio::error::no_descriptors) {
+        static_cast<void>(CloseLongestIdle());
+      }
       accept_retry_timer_.expires_after(internal::kAcceptRetryDelay);
       accept_retry_timer_.async_wait(
           [this](const boost::system::error_code& wait_error) {
