Bound predicted times and free the slots of ended dispatches in admission

Cause: output_tokens comes from callers and peers without a bound, and a predicted time could exceed its integer, which is undefined. A slot of a call that this VM had placed counted as held until 3 s after its deadline if the ledger had removed its target, or had ended the dispatch on its own (lost process, list of live dispatches, expiry), or if a repeated query was not placed again. A refused caller that was admitted and refused again had two places in the order of eviction, of which the older one evicted it.

Change: At most a million output tokens count, and no predicted time exceeds an hour. EndDispatch frees the slot in any case and also ends the dispatch of a repeated query; after the ledger has ended dispatches on its own, those that it doesn't know any more are ended in slot_admission as well. Each refused caller has one place, at its last refusal; slot_admission can't be copied any more, since it refers to that place. Calls that wait lapse when shares are refreshed, not at each decision. Decide is split, MeanHold and MeanHoldS share their formula, DrawFraction is in core/random.hpp, and the list of candidates isn't copied to see whether one is limited. Names are the usual ones; the log field patience_ms is max_wait_ms now.

--- a/src/acaciaferry/core/random.hpp
+++ b/src/acaciaferry/core/random.hpp
@@ -30,4 +30,15 @@
   return draw % bound;
 }
 
+/**
+ * @brief Draws a fraction in steps of a millionth.
+ * @param engine The random engine.
+ * @return A number in [0, 1).
+ */
+[[nodiscard]] inline double DrawFraction(random_engine& engine) {
+  constexpr std::uint64_t kSteps = 1'000'000;
+  return static_cast<double>(DrawBelow(engine, kSteps)) /
+         static_cast<double>(kSteps);
+}
+
 }  // namespace acaciaferry
--- a/src/acaciaferry/forwarding/admission/admit_call.cpp
+++ b/src/acaciaferry/forwarding/admission/admit_call.cpp
@@ -17,10 +17,13 @@
 constexpr double kPassesToFirstEvent = 1.5;
 // A call may wait for this share of its objective even if it will be late then
 // by its prediction.
-constexpr double kMinPatienceShare = 0.2;
+constexpr double kMinWaitShare = 0.2;
 // Callers wait for this share of their remaining time.
 constexpr std::int64_t kReturnDivisor = 3;
 constexpr std::int64_t kMaxParts = 17;
+// Callers and peers may state any number of tokens, with which the predicted
+// duration of a stream would overflow.
+constexpr std::uint64_t kMaxOutputTokens = 1'000'000;
 
 // The slots that this VM may count on. One that hears a part of the VMs knows
 // of a part of the dispatches, so it leaves the other slots to those that it
@@ -82,10 +85,10 @@
   // A plain service responds within its objective most of the time.
   supply.usual_hold = pending.request.latency_objective / 2;
   if (engine != nullptr && pending.request.prompt_tokens > 0) {
-    supply.usual_hold =
-        PassTime(*engine, engine->slots, 0) *
-        static_cast<std::int64_t>(pending.request.output_tokens) /
-        std::max(engine->steps_per_pass, 1U);
+    supply.usual_hold = PassTime(*engine, engine->slots, 0) *
+                        static_cast<std::int64_t>(std::min(
+                            pending.request.output_tokens, kMaxOutputTokens)) /
+                        std::max(engine->steps_per_pass, 1U);
   }
   return supply;
 }
@@ -177,7 +180,7 @@
        {"held", std::to_string(supply.held.all)},
        {"ahead", std::to_string(refused.ahead)},
        {"wait_ms", ToMillisText(refused.predicted)},
-       {"patience_ms", ToMillisText(demand.patience)},
+       {"max_wait_ms", ToMillisText(demand.max_wait)},
        {"return_ms", ToMillisText(refused.retry_after)}});
   return {failure_code::kShed, refused.retry_after};
 }
@@ -194,21 +197,23 @@
   if (!DecidesOn(current, pending, candidates)) {
     return std::nullopt;
   }
-  const auto counted = WithoutLimit(current, candidates, now);
-  // A candidate with a limit has room for a request now.
-  if (counted.size() < candidates.size()) {
+  // A candidate with a limit is in this list only if its limit leaves room.
+  if (std::any_of(candidates.begin(), candidates.end(),
+                  [&](const target* each) {
+                    return current.limits.IsLimited(each->id, now);
+                  })) {
     return std::nullopt;
   }
   slot_demand demand = DemandOf(current, pending, engine, now);
-  const slot_supply supply = SupplyOf(current, pending, engine, counted);
+  const slot_supply supply = SupplyOf(current, pending, engine, candidates);
   const duration objective = pending.request.latency_objective > duration{}
                                  ? pending.request.latency_objective
                                  : pending.deadline - pending.arrived;
   const duration with_slot = TimeWithSlot(
       current, pending, engine, supply, demand.is_long, candidates.size(), now);
-  demand.patience =
+  demand.max_wait =
       std::max(objective - with_slot, std::chrono::duration_cast<duration>(
-                                          objective * kMinPatienceShare)) -
+                                          objective * kMinWaitShare)) -
       (now - pending.arrived);
   const slot_verdict verdict = current.admission.Decide(demand, supply, now);
   if (const auto* awaited = std::get_if<slot_awaited>(&verdict)) {
@@ -255,7 +260,16 @@
   if (const auto used = current.ledger.SlotOf(key)) {
     current.admission.RecordFreed(used->pool, key, now - used->since, now);
   }
+  // The ledger doesn't know the slots of targets that are gone.
+  current.admission.EndPlaced(key);
   current.ledger.End(key, now);
 }
 
+void EndPlacedOutsideLedger(state& current) {
+  for (const dispatch_id key :
+       current.ledger.FindUnknown(current.admission.PlacedDispatches())) {
+    current.admission.EndPlaced(key);
+  }
+}
+
 }  // namespace acaciaferry::forwarding::internal
--- a/src/acaciaferry/forwarding/admission/slot_admission.cpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.cpp
@@ -23,6 +23,8 @@
 // Weight of the usual duration of a dispatch in the observed mean.
 constexpr double kPriorEnded = 4;
 constexpr double kMinHoldS = 1e-3;
+// Longest time that is predicted.
+constexpr double kMaxPredictedS = 3'600;
 // Weight of the mean rate in that of the last moments. Streams that began
 // together end together: in between, slots become free far below the mean.
 constexpr double kPriorJustEnded = 4;
@@ -50,10 +52,9 @@
 constexpr std::size_t kMaxRemembered = 32'768;
 constexpr std::size_t kMaxWorkspaces = 4'096;
 
-double DrawFraction(random_engine& random) {
-  constexpr std::uint64_t kSteps = 1'000'000;
-  return static_cast<double>(DrawBelow(random, kSteps)) /
-         static_cast<double>(kSteps);
+// Rates may be next to 0, and a duration holds no more than 2^63 microseconds.
+duration FromBoundedSeconds(double seconds) {
+  return FromSeconds(std::clamp(seconds, 0.0, kMaxPredictedS));
 }
 
 // Calls of the other class that go before those of this one.
@@ -101,11 +102,12 @@
   return {total / static_cast<double>(active), active};
 }
 
-slot_admission::rank slot_admission::RankOf(const workspace_use& use,
-                                            const fair_share& share,
-                                            const slot_demand& demand,
-                                            caller_kind caller,
-                                            time_point now) {
+slot_admission::admission_order slot_admission::OrderOf(
+    const workspace_use& use,
+    const fair_share& share,
+    const slot_demand& demand,
+    caller_kind caller,
+    time_point now) {
   const double admitted = use.admitted.At(now);
   return {
       admitted > share.admitted * internal::kOverShare + internal::kShareSlack,
@@ -119,25 +121,24 @@
                                   duration usual,
                                   time_point now) const {
   const auto at = pools_.find(pool);
-  const double ended = at == pools_.end() ? 0 : at->second.ended.At(now);
-  const double held_s = at == pools_.end() ? 0 : at->second.held_s.At(now);
-  return FromSeconds((held_s + internal::kPriorEnded * ToSeconds(usual)) /
-                     (ended + internal::kPriorEnded));
+  return at == pools_.end()
+             ? usual
+             : internal::FromBoundedSeconds(MeanHoldS(at->second, usual, now));
 }
 
 double slot_admission::MeanHoldS(const pool_use& pool,
-                                 const slot_supply& supply,
+                                 duration usual,
                                  time_point now) {
-  return std::max((pool.held_s.At(now) +
-                   internal::kPriorEnded * ToSeconds(supply.usual_hold)) /
-                      (pool.ended.At(now) + internal::kPriorEnded),
-                  internal::kMinHoldS);
+  return std::max(
+      (pool.held_s.At(now) + internal::kPriorEnded * ToSeconds(usual)) /
+          (pool.ended.At(now) + internal::kPriorEnded),
+      internal::kMinHoldS);
 }
 
 // The part of the calls of a pool that this VM places.
-double slot_admission::OwnShare(const pool_use& pool,
-                                const slot_supply& supply,
-                                time_point now) {
+double slot_admission::PlacementShare(const pool_use& pool,
+                                      const slot_supply& supply,
+                                      time_point now) {
   return std::min(
       1.0, (pool.placed_here.At(now) + internal::kPriorPlaced) /
                (pool.placed.At(now) +
@@ -150,22 +151,21 @@
                                  const slot_supply& supply,
                                  time_point now) {
   const double mean =
-      std::max(supply.slots, 1.0) / MeanHoldS(pool, supply, now);
+      std::max(supply.slots, 1.0) / MeanHoldS(pool, supply.usual_hold, now);
   const double freed =
       (pool.just_ended.At(now) + internal::kPriorJustEnded) /
       (pool.just_ended.WindowS() + internal::kPriorJustEnded / mean);
-  return freed * OwnShare(pool, supply, now);
+  return freed * PlacementShare(pool, supply, now);
 }
 
-// Slots that workspaces within their share are expected to need, as their calls
-// of the last seconds show, and don't hold. Others leave them free: streams
-// that began together would leave nothing for those who come between.
+// Slots that workspaces are expected to need, up to an equal share each, and
+// don't hold.
 double slot_admission::KeptForOthers(const pool_use& pool,
                                      const fair_share& share,
                                      const slot_supply& supply,
                                      time_point now) {
-  const double hold_s = MeanHoldS(pool, supply, now);
-  const double own = supply.slots * OwnShare(pool, supply, now) /
+  const double hold_s = MeanHoldS(pool, supply.usual_hold, now);
+  const double own = supply.slots * PlacementShare(pool, supply, now) /
                      static_cast<double>(share.workspaces);
   double kept = 0;
   for (const auto& [name, use] : pool.workspaces) {
@@ -190,8 +190,9 @@
              : nullptr;
 }
 
-slot_admission::caller_kind slot_admission::Recognise(const slot_demand& demand,
-                                                      time_point now) {
+slot_admission::caller_kind slot_admission::ClassifyCaller(
+    const slot_demand& demand,
+    time_point now) {
   const auto at = refused_.find(demand.fingerprint);
   if (demand.fingerprint == 0 || at == refused_.end()) {
     return caller_kind::kNew;
@@ -214,114 +215,146 @@
   return caller_kind::kReturned;
 }
 
-duration slot_admission::Promise(const slot_demand& demand,
-                                 workspace_use& workspace,
-                                 duration predicted,
-                                 duration spacing,
-                                 time_point now) {
+duration slot_admission::AssignReturnTime(const slot_demand& demand,
+                                          workspace_use& workspace,
+                                          duration predicted,
+                                          duration spacing,
+                                          time_point now) {
   const time_point latest = now + demand.longest_return;
   const time_point next = std::max(now + predicted, workspace.promised);
   // All that refuse callers of a pool count from about the same time, so their
   // callers are spread.
   const time_point turn =
-      next + FromSeconds(ToSeconds(spacing) * internal::DrawFraction(random_));
+      next + FromSeconds(ToSeconds(spacing) * DrawFraction(random_));
   if (turn <= latest) {
     workspace.promised = next + spacing;
   }
   return std::min(turn, latest) - now;
 }
 
-void slot_admission::Remember(const slot_demand& demand,
-                              duration retry_after,
-                              time_point now) {
+void slot_admission::RecordRefusal(const slot_demand& demand,
+                                   duration retry_after,
+                                   time_point now) {
   if (demand.fingerprint == 0) {
     return;
   }
   const auto [at, is_new] = refused_.try_emplace(demand.fingerprint);
-  at->second = {now, now + retry_after, 0};
   if (!is_new) {
-    return;
+    refused_order_.erase(at->second.place);
   }
-  refused_order_.push_back(demand.fingerprint);
+  at->second = {
+      now, now + retry_after, 0,
+      refused_order_.insert(refused_order_.end(), demand.fingerprint)};
   while (refused_.size() > internal::kMaxRemembered) {
     refused_.erase(refused_order_.front());
     refused_order_.pop_front();
   }
 }
 
-slot_verdict slot_admission::Decide(const slot_demand& demand,
-                                    const slot_supply& supply,
-                                    time_point now) {
-  pool_use& pool = pools_[demand.pool];
-  ++counts_.scarce;
+// Recalculates what depends on all workspaces and waiting calls of a pool, so
+// that the cost of a decision doesn't.
+void slot_admission::RefreshShare(pool_use& pool,
+                                  const slot_supply& supply,
+                                  time_point now) {
+  if (pool.share_at + internal::kShareRefresh > now) {
+    return;
+  }
   std::erase_if(pool.waiting,
                 [&](const auto& each) { return each.second.lapses_at < now; });
-  const bool is_known = pool.waiting.contains(demand.key);
-  workspace_use unlisted;
-  workspace_use* use = UseOf(pool, demand.workspace);
-  use = use == nullptr ? &unlisted : use;
-  use->last_asked = now;
-  if (!is_known) {
-    use->asked.Add(1, now);
-  }
-  if (pool.share_at + internal::kShareRefresh <= now) {
-    pool.share_at = now;
-    pool.share = ShareOf(pool, now);
-    pool.kept_for_others = KeptForOthers(pool, pool.share, supply, now);
-  }
-  const fair_share share = pool.share;
-  waiting_call own{Recognise(demand, now), demand.is_long, {}, {}};
-  const rank own_rank = RankOf(*use, share, demand, own.caller, now);
-  std::size_t ahead = 0;
-  std::size_t others = 0;
+  pool.share_at = now;
+  pool.share = ShareOf(pool, now);
+  pool.kept_for_others = KeptForOthers(pool, pool.share, supply, now);
+}
+
+slot_admission::waiting_count slot_admission::CountWaiting(
+    const pool_use& pool,
+    const slot_demand& demand,
+    const admission_order& order) {
+  waiting_count waiting;
   for (const auto& [key, each] : pool.waiting) {
     if (key == demand.key) {
       continue;
     }
     if (each.is_long != demand.is_long) {
-      ++others;
-    } else if (each.order < own_rank) {
-      ++ahead;
+      ++waiting.other_class;
+    } else if (each.order < order) {
+      ++waiting.ahead;
     }
   }
+  return waiting;
+}
+
+double slot_admission::MissingSlots(const pool_use& pool,
+                                    const slot_demand& demand,
+                                    const slot_supply& supply,
+                                    bool over_share,
+                                    const waiting_count& waiting,
+                                    time_point now) {
   double free = supply.slots - supply.held.all;
-  if (own_rank.over_share) {
+  if (over_share) {
     // The other part is left to the workspaces that others serve: this VM
     // doesn't know what these need.
-    free = std::min(free, free * OwnShare(pool, supply, now)) -
+    free = std::min(free, free * PlacementShare(pool, supply, now)) -
            pool.kept_for_others;
   }
+  return static_cast<double>(waiting.ahead) +
+         internal::OtherClassAhead(supply, demand.is_long,
+                                   waiting.other_class) +
+         1 - free;
+}
+
+slot_awaited slot_admission::Await(pool_use& pool,
+                                   const slot_demand& demand,
+                                   const admission_order& order,
+                                   duration predicted,
+                                   time_point now) {
+  // It is decided on once more while it is in time.
+  const duration wait = std::min(
+      FromSeconds(ToSeconds(std::clamp(predicted, internal::kShortestWait,
+                                       internal::kLongestWait)) *
+                  (1 - internal::kWaitJitter * DrawFraction(random_))),
+      std::max(demand.max_wait, duration{1}));
+  pool.waiting[demand.key] = {demand.is_long, order,
+                              now + wait + internal::kLapseSlack};
+  return {wait};
+}
+
+slot_verdict slot_admission::Decide(const slot_demand& demand,
+                                    const slot_supply& supply,
+                                    time_point now) {
+  pool_use& pool = pools_[demand.pool];
+  ++counts_.scarce;
+  const bool is_known = pool.waiting.contains(demand.key);
+  workspace_use unlisted;
+  workspace_use* use = UseOf(pool, demand.workspace);
+  use = use == nullptr ? &unlisted : use;
+  use->last_asked = now;
+  if (!is_known) {
+    use->asked.Add(1, now);
+  }
+  RefreshShare(pool, supply, now);
+  const admission_order order =
+      OrderOf(*use, pool.share, demand, ClassifyCaller(demand, now), now);
+  const waiting_count waiting = CountWaiting(pool, demand, order);
   const double missing =
-      static_cast<double>(ahead) +
-      internal::OtherClassAhead(supply, demand.is_long, others) + 1 - free;
+      MissingSlots(pool, demand, supply, order.over_share, waiting, now);
   if (missing <= 0) {
     return slot_granted{};
   }
-  const double freed_per_s = FreedPerS(pool, supply, now);
-  const duration predicted = FromSeconds(missing / freed_per_s);
-  if (predicted <= demand.patience &&
+  const duration predicted =
+      internal::FromBoundedSeconds(missing / FreedPerS(pool, supply, now));
+  if (predicted <= demand.max_wait &&
       (is_known || pool.waiting.size() < internal::kMaxWaiting)) {
-    // It is decided on once more while it is in time.
-    const duration wait = std::min(
-        FromSeconds(
-            ToSeconds(std::clamp(predicted, internal::kShortestWait,
-                                 internal::kLongestWait)) *
-            (1 - internal::kWaitJitter * internal::DrawFraction(random_))),
-        std::max(demand.patience, duration{1}));
-    waiting_call& kept = pool.waiting[demand.key];
-    kept = own;
-    kept.order = own_rank;
-    kept.lapses_at = now + wait + internal::kLapseSlack;
-    return slot_awaited{wait};
+    return Await(pool, demand, order, predicted, now);
   }
   slot_refusal why = slot_refusal::kNoSlot;
-  if (own.caller == caller_kind::kEarly) {
+  if (order.caller == caller_kind::kEarly) {
     why = slot_refusal::kReturnedEarly;
-  } else if (own_rank.over_share) {
+  } else if (order.over_share) {
     why = slot_refusal::kWorkspaceShare;
   }
   slot_refused refused = Refuse(demand, supply, *use, why, predicted, now);
-  refused.ahead = ahead;
+  refused.ahead = waiting.ahead;
   return refused;
 }
 
@@ -331,7 +364,7 @@
   workspace_use unlisted;
   workspace_use* use = UseOf(pools_[demand.pool], demand.workspace);
   return Refuse(demand, supply, use == nullptr ? unlisted : *use,
-                Recognise(demand, now) == caller_kind::kEarly
+                ClassifyCaller(demand, now) == caller_kind::kEarly
                     ? slot_refusal::kReturnedEarly
                     : slot_refusal::kPrefill,
                 {}, now);
@@ -352,11 +385,12 @@
     refused.retry_after = std::max(known.returns_at - now, duration{});
   } else {
     // Each workspace has an equal part of the slots that become free.
-    const duration spacing =
-        FromSeconds(static_cast<double>(pool.share.workspaces) /
-                    FreedPerS(pool, supply, now));
-    refused.retry_after = Promise(demand, use, predicted, spacing, now);
-    Remember(demand, refused.retry_after, now);
+    const duration spacing = internal::FromBoundedSeconds(
+        static_cast<double>(pool.share.workspaces) /
+        FreedPerS(pool, supply, now));
+    refused.retry_after =
+        AssignReturnTime(demand, use, predicted, spacing, now);
+    RecordRefusal(demand, refused.retry_after, now);
   }
   ++counts_.refusals[static_cast<std::size_t>(why)];
   return refused;
@@ -371,7 +405,8 @@
   const double predicted = at->second.predicted.At(now);
   return predicted < internal::kMinPredicted
              ? duration{}
-             : FromSeconds(at->second.first_event_s.At(now) / predicted);
+             : internal::FromBoundedSeconds(at->second.first_event_s.At(now) /
+                                            predicted);
 }
 
 void slot_admission::RecordPlaced(const slot_demand& demand,
@@ -387,7 +422,7 @@
   if (returned != refused_.end() && demand.fingerprint != 0) {
     if (returned->second.returned_as == demand.key) {
       ++counts_.admitted_on_return;
-      // Its place in the order stays, which evicts nothing then.
+      refused_order_.erase(returned->second.place);
       refused_.erase(returned);
     }
   }
@@ -437,6 +472,15 @@
   use.held_s.Add(ToSeconds(held), now);
 }
 
+std::vector<dispatch_id> slot_admission::PlacedDispatches() const {
+  std::vector<dispatch_id> keys;
+  keys.reserve(placed_.size());
+  for (const auto& [key, each] : placed_) {
+    keys.push_back(key);
+  }
+  return keys;
+}
+
 held_slots slot_admission::HeldByPlaced(const pool_id& pool) const {
   const auto at = pools_.find(pool);
   return at == pools_.end() ? held_slots{} : at->second.held;
@@ -474,11 +518,14 @@
              each.second.promised < now && each.second.held == 0;
     });
   }
-  std::erase_if(refused_, [&](const auto& each) {
-    return each.second.returns_at + internal::kRememberedFor < now;
+  std::erase_if(refused_order_, [&](std::uint64_t fingerprint) {
+    const auto at = refused_.find(fingerprint);
+    const bool is_over = at->second.returns_at + internal::kRememberedFor < now;
+    if (is_over) {
+      refused_.erase(at);
+    }
+    return is_over;
   });
-  std::erase_if(refused_order_,
-                [&](std::uint64_t each) { return !refused_.contains(each); });
 }
 
 }  // namespace acaciaferry::forwarding
--- a/src/acaciaferry/forwarding/admission/slot_admission.hpp
+++ b/src/acaciaferry/forwarding/admission/slot_admission.hpp
@@ -4,11 +4,12 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
+#include <list>
 #include <map>
 #include <string_view>
 #include <unordered_map>
 #include <variant>
+#include <vector>
 
 #include "acaciaferry/core/name.hpp"
 #include "acaciaferry/core/random.hpp"
@@ -29,7 +30,7 @@
   bool is_long{};
   time_point arrived{};
   /** For how much longer it can wait for a slot and be in time. */
-  duration patience{};
+  duration max_wait{};
   /** Longest time after which its caller returns if it is refused. */
   duration longest_return{};
   /** When it ends at the latest. */
@@ -115,6 +116,12 @@
 class slot_admission {
  public:
   explicit slot_admission(std::uint64_t seed) : random_(seed) {}
+  // Refused callers refer to places in a list.
+  slot_admission(const slot_admission&) = delete;
+  slot_admission& operator=(const slot_admission&) = delete;
+  slot_admission(slot_admission&&) = default;
+  slot_admission& operator=(slot_admission&&) = default;
+  ~slot_admission() = default;
 
   /** @brief Decides on a call; a call that waits is decided on again. */
   [[nodiscard]] slot_verdict Decide(const slot_demand& demand,
@@ -139,6 +146,12 @@
                    duration held,
                    time_point now);
 
+  /** @brief Frees the slot of a dispatch without counting its duration, as that
+   * of a dispatch whose process is lost. */
+  void EndPlaced(dispatch_id key);
+  /** @return The dispatches that this VM has placed and that hold slots. */
+  [[nodiscard]] std::vector<dispatch_id> PlacedDispatches() const;
+
   /** @return The slots of a pool that calls hold which this VM has placed. */
   [[nodiscard]] held_slots HeldByPlaced(const pool_id& pool) const;
   /** @return Whether calls of a pool wait for slots. */
@@ -180,7 +193,7 @@
   enum class caller_kind { kReturned, kNew, kEarly };
 
   /** The order in which calls get slots; the least goes first. */
-  struct rank {
+  struct admission_order {
     bool over_share{};
     caller_kind caller{caller_kind::kNew};
     /** Admissions of its workspace in quarters of an equal share. */
@@ -188,19 +201,25 @@
     time_point arrived{};
     dispatch_id key{};
 
-    [[nodiscard]] auto operator<=>(const rank&) const = default;
+    [[nodiscard]] auto operator<=>(const admission_order&) const = default;
   };
 
   struct waiting_call {
-    caller_kind caller{};
     bool is_long{};
     /** As it was when the call was last decided on. */
-    rank order;
+    admission_order order;
     /** It has ended, or is placed elsewhere, if it isn't asked for again by
      * then. */
     time_point lapses_at{};
   };
 
+  /** Calls that wait besides the one that is decided on. */
+  struct waiting_count {
+    /** Of its class, those that go before it. */
+    std::size_t ahead{};
+    std::size_t other_class{};
+  };
+
   struct fair_share {
     double admitted{};
     std::size_t workspaces{1};
@@ -245,20 +264,22 @@
     time_point returns_at{};
     /** The call with which it returned. */
     dispatch_id returned_as{};
+    /** In `refused_order_`. */
+    std::list<std::uint64_t>::iterator place;
   };
 
   [[nodiscard]] static fair_share ShareOf(const pool_use& pool, time_point now);
-  [[nodiscard]] static rank RankOf(const workspace_use& use,
-                                   const fair_share& share,
-                                   const slot_demand& demand,
-                                   caller_kind caller,
-                                   time_point now);
+  [[nodiscard]] static admission_order OrderOf(const workspace_use& use,
+                                               const fair_share& share,
+                                               const slot_demand& demand,
+                                               caller_kind caller,
+                                               time_point now);
   [[nodiscard]] static double MeanHoldS(const pool_use& pool,
-                                        const slot_supply& supply,
+                                        duration usual,
                                         time_point now);
-  [[nodiscard]] static double OwnShare(const pool_use& pool,
-                                       const slot_supply& supply,
-                                       time_point now);
+  [[nodiscard]] static double PlacementShare(const pool_use& pool,
+                                             const slot_supply& supply,
+                                             time_point now);
   [[nodiscard]] static double FreedPerS(const pool_use& pool,
                                         const slot_supply& supply,
                                         time_point now);
@@ -267,30 +288,46 @@
                                             const slot_supply& supply,
                                             time_point now);
   workspace_use* UseOf(pool_use& pool, const workspace_id& workspace);
-  void EndPlaced(dispatch_id key);
-  [[nodiscard]] caller_kind Recognise(const slot_demand& demand,
-                                      time_point now);
+  [[nodiscard]] caller_kind ClassifyCaller(const slot_demand& demand,
+                                           time_point now);
+  static void RefreshShare(pool_use& pool,
+                           const slot_supply& supply,
+                           time_point now);
+  [[nodiscard]] static waiting_count CountWaiting(const pool_use& pool,
+                                                  const slot_demand& demand,
+                                                  const admission_order& order);
+  [[nodiscard]] static double MissingSlots(const pool_use& pool,
+                                           const slot_demand& demand,
+                                           const slot_supply& supply,
+                                           bool over_share,
+                                           const waiting_count& waiting,
+                                           time_point now);
+  [[nodiscard]] slot_awaited Await(pool_use& pool,
+                                   const slot_demand& demand,
+                                   const admission_order& order,
+                                   duration predicted,
+                                   time_point now);
   [[nodiscard]] slot_refused Refuse(const slot_demand& demand,
                                     const slot_supply& supply,
                                     workspace_use& use,
                                     slot_refusal why,
                                     duration predicted,
                                     time_point now);
-  [[nodiscard]] duration Promise(const slot_demand& demand,
-                                 workspace_use& workspace,
-                                 duration predicted,
-                                 duration spacing,
-                                 time_point now);
-  void Remember(const slot_demand& demand,
-                duration retry_after,
-                time_point now);
+  [[nodiscard]] duration AssignReturnTime(const slot_demand& demand,
+                                          workspace_use& workspace,
+                                          duration predicted,
+                                          duration spacing,
+                                          time_point now);
+  void RecordRefusal(const slot_demand& demand,
+                     duration retry_after,
+                     time_point now);
 
   std::map<pool_id, pool_use> pools_;
   std::unordered_map<dispatch_id, placed_dispatch> placed_;
   /** By fingerprint; bounded. */
   std::unordered_map<std::uint64_t, refused_caller> refused_;
   /** Fingerprints in the order in which they were refused. */
-  std::deque<std::uint64_t> refused_order_;
+  std::list<std::uint64_t> refused_order_;
   random_engine random_;
   slot_counts counts_;
 };
--- a/src/acaciaferry/forwarding/flights.hpp
+++ b/src/acaciaferry/forwarding/flights.hpp
@@ -79,6 +79,10 @@
 /** @brief Ends a dispatch, which frees its slot. */
 void EndDispatch(state& current, dispatch_id key, time_point now);
 
+/** @brief Frees the slots of the dispatches that the ledger has ended on its
+ * own, since their process is lost, is not running them or is overdue. */
+void EndPlacedOutsideLedger(state& current);
+
 /** @brief Decides on a prompt as PlanCall does.
  * @param candidates Not empty. */
 [[nodiscard]] placement_verdict PlanPrompt(
--- a/src/acaciaferry/forwarding/limits/target_limits.cpp
+++ b/src/acaciaferry/forwarding/limits/target_limits.cpp
@@ -32,12 +32,6 @@
 
 namespace {
 
-double DrawFraction(random_engine& random) {
-  constexpr std::uint64_t kSteps = 1'000'000;
-  return static_cast<double>(DrawBelow(random, kSteps)) /
-         static_cast<double>(kSteps);
-}
-
 double ColdRate(double requests_per_s,
                 time_point until,
                 time_point ramp_end,
@@ -213,11 +207,11 @@
   }
   // All VMs learn of it within a short time, and of each other's requests
   // later.
-  known.cold = cold_limit{requests_per_s, until, ramp_end,
-                          1 + internal::DrawFraction(random_)};
+  known.cold =
+      cold_limit{requests_per_s, until, ramp_end, 1 + DrawFraction(random_)};
   if (!was_limited) {
-    known.debt = std::max(
-        known.debt, 1 + (share_ < 1 ? internal::DrawFraction(random_) : 0));
+    known.debt =
+        std::max(known.debt, 1 + (share_ < 1 ? DrawFraction(random_) : 0));
   }
   return true;
 }
@@ -267,8 +261,8 @@
   if (changed == change::kNamed) {
     // Others may have sent to the target just now, unheard if this VM hears
     // only some of them.
-    known.debt = std::max(
-        known.debt, 1 + (share_ < 1 ? internal::DrawFraction(random_) : 0));
+    known.debt =
+        std::max(known.debt, 1 + (share_ < 1 ? DrawFraction(random_) : 0));
   }
   return changed;
 }
@@ -332,7 +326,7 @@
     Settle(known, now);
     // The VMs that are not heard any more would use up what is left, too.
     if (lost_some) {
-      known.debt = std::max(known.debt, internal::DrawFraction(random_));
+      known.debt = std::max(known.debt, DrawFraction(random_));
     }
   }
   share_ = share;
@@ -389,9 +383,8 @@
                                       time_point latest) {
   time_point& promised = promised_room_[pool];
   // All VMs count from the same time, so their callers are spread.
-  const duration spread(
-      static_cast<std::int64_t>(internal::DrawFraction(random_) *
-                                static_cast<double>(vm_spacing.count())));
+  const duration spread(static_cast<std::int64_t>(
+      DrawFraction(random_) * static_cast<double>(vm_spacing.count())));
   const time_point turn = std::max(next_room, promised) + spread;
   if (turn <= latest) {
     promised = std::max(next_room, promised) + vm_spacing;
--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -247,7 +247,7 @@
     return;
   }
   // A query that is repeated replaces the load of the first one.
-  current.ledger.End(query.key, now);
+  EndDispatch(current, query.key, now);
   const pending_call pending = ToPendingCall(query, now);
   placement_answer answer{query.key, PlanCall(current, pending, now, out)};
   if (const auto* placed = std::get_if<placed_call>(&answer.verdict)) {
--- a/src/acaciaferry/forwarding/reduce.cpp
+++ b/src/acaciaferry/forwarding/reduce.cpp
@@ -287,12 +287,14 @@
 
   void operator()(const peer_lost& happened) {
     current.ledger.EndProcess(ProcessPrefix(happened.incarnation), now);
+    EndPlacedOutsideLedger(current);
   }
 
   void operator()(const peer_live_dispatches& happened) {
     const std::size_t dropped = current.ledger.Reconcile(
         ProcessPrefix(happened.incarnation), happened.dispatches, now);
     if (dropped > 0) {
+      EndPlacedOutsideLedger(current);
       LogDecision(out, decision_kind::kLoadCorrected,
                   std::to_string(happened.incarnation),
                   {{"dropped", std::to_string(dropped)},
--- a/src/acaciaferry/forwarding/timeouts.cpp
+++ b/src/acaciaferry/forwarding/timeouts.cpp
@@ -62,6 +62,7 @@
     if (current.next_sweep <= now) {
       current.next_sweep = now + kSweepInterval;
       current.ledger.Expire(now);
+      EndPlacedOutsideLedger(current);
       ExpireSuspects(current.quarantine, now);
       ApplyVerdicts(ExpireParts(current.parts, now), out);
       ExpireLimits(current, now, out);
--- a/test/acaciaferry/forwarding/admission/slot_admission_test.cpp
+++ b/test/acaciaferry/forwarding/admission/slot_admission_test.cpp
@@ -232,7 +232,7 @@
     demand.key = call;
     demand.fingerprint = call;
     demand.workspace.value = std::to_string(call % 10'000);
-    demand.patience = call < 10'000 ? duration(seconds(100'000)) : duration{};
+    demand.max_wait = call < 10'000 ? duration(seconds(100'000)) : duration{};
     static_cast<void>(admission.Decide(demand, supply, now));
     if (call == 10'000) {
       CHECK_COMPARE(admission.WaitingCount(), <=, 1'024U);
@@ -244,6 +244,59 @@
   LONGS_EQUAL(0, admission.WaitingCount());
 }
 
+// Guards against a time that doesn't fit its integer when streams are predicted
+// to be very long.
+TEST(SlotAdmission, PredictedTimesAreBounded) {
+  slot_admission admission(7);
+  const time_point now{seconds(10)};
+  const slot_supply supply{1, {1'000'000, 0}, 1, std::chrono::hours(24 * 365)};
+  slot_demand demand;
+  demand.key = 1;
+  demand.pool = {"pool"};
+  demand.arrived = now;
+  demand.longest_return = seconds(3);
+  const auto verdict = admission.Decide(demand, supply, now);
+  const auto* refused = std::get_if<slot_refused>(&verdict);
+  CHECK_TRUE(refused != nullptr);
+  CHECK_TRUE(refused->predicted == std::chrono::hours(1));
+  CHECK_TRUE(refused->retry_after == demand.longest_return);
+}
+
+// Guards against a caller that is forgotten before those that were refused
+// earlier, since it had been refused and admitted once before them.
+TEST(SlotAdmission, CallerThatIsRefusedAgainIsEvictedAsTheNewest) {
+  constexpr std::uint64_t kRemembered = 32'768;
+  slot_admission admission(7);
+  slot_supply supply{10, {10, 0}, 1, kHold};
+  time_point now{seconds(10)};
+  slot_demand demand;
+  demand.pool = {"pool"};
+  demand.longest_return = seconds(1);
+  const auto decide = [&](std::uint64_t fingerprint) {
+    ++demand.key;
+    demand.fingerprint = fingerprint;
+    demand.arrived = now;
+    return admission.Decide(demand, supply, now);
+  };
+  CHECK_TRUE(std::holds_alternative<slot_refused>(decide(1)));
+  now += seconds(1);
+  supply.held.all = 0;
+  CHECK_TRUE(std::holds_alternative<slot_granted>(decide(1)));
+  admission.RecordPlaced(demand, {}, now);
+  LONGS_EQUAL(1, admission.Counts().admitted_on_return);
+  supply.held.all = 10;
+  CHECK_TRUE(std::holds_alternative<slot_refused>(decide(2)));
+  CHECK_TRUE(std::holds_alternative<slot_refused>(decide(1)));
+  // The last one evicts the oldest, which is 2.
+  for (std::uint64_t call = 3; call <= kRemembered + 1; ++call) {
+    static_cast<void>(decide(call));
+  }
+  LONGS_EQUAL(kRemembered, admission.RememberedCount());
+  const auto verdict = decide(1);
+  CHECK_TRUE(std::get<slot_refused>(verdict).why ==
+             slot_refusal::kReturnedEarly);
+}
+
 // Guards against more calls than slots, slots that stay free while calls wait,
 // and calls without a verdict, for any order of arrivals.
 TEST(SlotAdmission, AnyOrderOfArrivalsKeepsTheSlots) {
--- a/test/acaciaferry/forwarding/admission/slot_pool.hpp
+++ b/test/acaciaferry/forwarding/admission/slot_pool.hpp
@@ -91,7 +91,7 @@
  private:
   void Decide(std::size_t index) {
     slot_call& call = calls_[index];
-    call.demand.patience = call.objective - (now_ - call.demand.arrived);
+    call.demand.max_wait = call.objective - (now_ - call.demand.arrived);
     const slot_supply supply{static_cast<double>(slots_), held_, 1, hold_};
     const auto verdict = admission_.Decide(call.demand, supply, now_);
     if (const auto* awaited = std::get_if<slot_awaited>(&verdict)) {
