--- a/src/acaciaferry/forwarding/planning.cpp
+++ b/src/acaciaferry/forwarding/planning.cpp
@@ -247,6 +247,7 @@
     return;
   }
   // A query that is repeated replaces the load of the first one.
+  current.admission.EndPlaced(query.key);
   current.ledger.End(query.key, now);
   const pending_call pending = ToPendingCall(query, now);
   placement_answer answer{query.key, PlanCall(current, pending, now, out)};
--- a/src/acaciaferry/net/connection_reading.cpp
+++ b/src/acaciaferry/net/connection_reading.cpp
@@ -72,7 +72,8 @@
                              })});
 }
 
-// The client has the time of a stalled one from now on: it could not send before.
+// The client has the time of a stalled one from now on: it could not send
+// before.
 void connection::OnGranted() {
   if (head_started_) {
     room_->Advance(body_.size(), steady_clock_source().Now());
--- a/test/acaciaferry/forwarding/admission/admit_call_test.cpp
+++ b/test/acaciaferry/forwarding/admission/admit_call_test.cpp
@@ -200,8 +200,8 @@
   }
 }
 
-// Guards against parts of a fleet that are cut off from each other and each take
-// all slots.
+// Guards against parts of a fleet that are cut off from each other and each
+// take all slots.
 TEST(AdmitCall, VmsThatHearHalfOfTheOthersTakeTheirPartOfTheSlots) {
   single_vm vm;
   constexpr int kSlots = 96;
--- a/test/acaciaferry/net/request_memory_test.cpp
+++ b/test/acaciaferry/net/request_memory_test.cpp
@@ -181,6 +181,30 @@
   }
 }
 
+// Guards against a small body in time that is dropped since the memory that it
+// takes besides is expected to arrive, too.
+TEST(RequestMemory, OnlyTheBodyIsExpectedToArrive) {
+  constexpr std::size_t kBody = 60'000;
+  constexpr std::size_t kOverhead = 100'000;
+  for (const bool is_told : {false, true}) {
+    request_memory memory(kMegabyte);
+    caller sender(memory, kBody);
+    CHECK_TRUE(sender.room->AskOrWait(kOverhead + kBody, false, kAllowed));
+    if (is_told) {
+      sender.room->ExpectBody(kBody);
+    }
+    sender.Send(kBody / 2, At(0));
+    sender.Send(1, At(1'300));
+    caller waiting(memory, kBody);
+    CHECK_FALSE(waiting.room->AskOrWait(kMegabyte - kBody, false, kAllowed));
+    memory.Review(At(1'400));
+    // The largest one goes for a small request, also if it is in time.
+    LONGS_EQUAL(1, sender.dropped.size());
+    CHECK_TRUE(sender.dropped.front() ==
+               (is_told ? drop_reason::kLargest : drop_reason::kStalled));
+  }
+}
+
 // Guards against bodies that are dropped although nobody needs their room.
 TEST(RequestMemory, NobodyIsDroppedWhileNobodyWaits) {
   request_memory memory(12 * kMegabyte);
