Reject responses whose status is none of HTTP

Cause: the parser takes any three digits. Statuses below 200 counted as interim and were skipped, except 101, and all others were passed on.

The parser of responses now rejects statuses outside of 100 to 599, and 101, which no request asks for. This holds for targets, tunnels, the configuration service and peers, since all of them use it. Such a response counts as malformed: the attempt fails at once, the call is repeated where it may be, and "not run" is not believed.

With the change they pass, and so do all tests of NetClient, CallRelay and NetTunnel.

--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10U;
 // Interim responses and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
-constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
@@ -268,9 +267,8 @@
       return false;
     }
     if (!had_head && parser_->is_header_done()) {
-      const int status = parser_->response.status;
-      const bool interim = status < internal::kFirstFinalStatus &&
-                           status != internal::kSwitchingProtocols;
+      const bool interim =
+          parser_->response.status < internal::kFirstFinalStatus;
       skipping_ = interim;
       if (!interim) {
         skipping_ = handlers_.on_head && !handlers_.on_head(parser_->response);
--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -12,8 +12,17 @@
     "proxy-authorization", "te",         "trailer",
     "transfer-encoding",   "upgrade",    "content-length"};
 
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kLastStatus = 599;
+
 }  // namespace internal
 
+bool IsValidStatus(int status) noexcept {
+  return status >= internal::kFirstStatus && status <= internal::kLastStatus &&
+         status != internal::kSwitchingProtocols;
+}
+
 bool HeaderNamesEqual(std::string_view a, std::string_view b) noexcept {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
     return std::tolower(static_cast<unsigned char>(x)) ==
--- a/src/acaciaferry/net/message.hpp
+++ b/src/acaciaferry/net/message.hpp
@@ -25,6 +25,12 @@
   header_fields fields;
 };
 
+/**
+ * @return Whether a response may have this status: 100 to 599 (RFC 9110,
+ * section 15), except 101, since no request asks for another protocol.
+ */
+[[nodiscard]] bool IsValidStatus(int status) noexcept;
+
 /** @brief Compares two header field names, ignoring case. */
 [[nodiscard]] bool HeaderNamesEqual(std::string_view a,
                                     std::string_view b) noexcept;
--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -55,7 +55,11 @@
   void on_response_impl(int code,
                         text /*reason*/,
                         int /*version*/,
-                        error_code& /*error*/) override {
+                        error_code& error) override {
+    if (!IsValidStatus(code)) {
+      error = boost::beast::http::error::bad_status;
+      return;
+    }
     response.status = code;
   }
 
--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -380,6 +380,25 @@
   }
 }
 
+// Guards against an answer whose status is none of HTTP, or of another
+// protocol, that is delivered or believed when it says that the request has not
+// run.
+TEST(CallRelay, AnAnswerWithAnInvalidStatusIsNoAnswer) {
+  for (const std::string status : {"000", "101", "700"}) {
+    for (const std::string field : {"", "Acaciaferry-Not-Executed: 1\r\n"}) {
+      fixture call(forwarding::call_kind::kNonIdempotent);
+      auto target = call.Attempt(1);
+      target.Send("HTTP/1.1 " + status + " X\r\n" + kStamp + field +
+                  "Content-Length: 4\r\n\r\nbody");
+      CHECK_TRUE(call.Reported<forwarding::attempt_failed>());
+      CHECK_TRUE(call.All<forwarding::attempt_failed>().front().how ==
+                 forwarding::attempt_failure::kBroken);
+      LONGS_EQUAL(0, call.All<forwarding::response_started>().size());
+      STRCMP_EQUAL("", call.caller->Received().c_str());
+    }
+  }
+}
+
 // Guards against an answer without end that takes the memory of the VM: it
 // fails when all answers together hold too much, long before its own bound.
 TEST(CallRelay, AnAnswerWithoutEndFailsWhenMemoryRunsOut) {
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -136,6 +136,35 @@
   CHECK_TRUE(*fixture.failure == exchange_failure::kMalformed);
 }
 
+// Guards against statuses outside of HTTP that are passed on, or skipped like
+// interim ones so that the exchange waits for another response, and against the
+// 101 of another protocol, which no request asks for.
+TEST(NetClient, ResponsesWithAnInvalidStatusAreMalformed) {
+  const std::vector<std::string> statuses{"000", "001", "099",
+                                          "101", "600", "999"};
+  for (const std::string& status : statuses) {
+    client_fixture fixture;
+    auto server = fixture.Connect();
+    server.Send("HTTP/1.1 " + status + " X\r\nContent-Length: 0\r\n\r\n" +
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(fixture.Finished());
+    CHECK_TRUE(fixture.failure == exchange_failure::kMalformed);
+    LONGS_EQUAL(0, fixture.heads.size());
+  }
+}
+
+// Guards against statuses at the ends of the valid range that are rejected.
+TEST(NetClient, ResponsesWithAValidStatusArePassedOn) {
+  for (const std::string status : {"200", "299", "418", "599"}) {
+    client_fixture fixture;
+    auto server = fixture.Connect();
+    server.Send("HTTP/1.1 199 X\r\n\r\nHTTP/1.1 " + status +
+                " X\r\nContent-Length: 0\r\n\r\n");
+    CHECK_TRUE(fixture.Finished());
+    CHECK_TRUE(fixture.heads == std::vector<int>{std::stoi(status)});
+  }
+}
+
 // Bytes that are no response may come without end. They must neither fill the
 // memory nor keep the exchange open until its caller gives up.
 TEST(NetClient, EndsExchangesWhoseBytesHaveNoEnd) {
--- /dev/null
+++ b/test/process/entry_broken_answers.py
@@ -0,0 +1,54 @@
+"""Runs an entry daemon before a target whose answers are broken, and looks at what
+callers get."""
+
+import subprocess
+
+from entry_daemon import (STAMP, Fleet, call, check, command_of, documents, free_ports, is_ready,
+                          make_store, serve, settings_file, wait_for, with_process)
+from raw_target import head_of, raw_target
+
+BODY = b"body"
+LENGTH = "Content-Length: %d" % len(BODY)
+
+
+def send(connection, request, **head):
+    connection.sendall(head_of(request, **head) + b"\r\n" + BODY)
+    # The connection stays open until the daemon closes it.
+    connection.recv(1)
+
+
+def invalid_statuses():
+    """Statuses that are none of HTTP, and 101, which no request asks for. One answer
+    says "not run" besides, which only a sound answer may say."""
+    fields = {"": [LENGTH], "-refusal": [LENGTH, "Acaciaferry-Not-Executed: 1"]}
+    return {"status-%03d%s" % (status, suffix): dict(status="%03d Odd" % status, fields=more)
+            for status in (0, 1, 99, 101, 600, 999) for suffix, more in fields.items()}
+
+
+BROKEN = {**invalid_statuses()}
+
+
+def answer(connection, request, _):
+    send(connection, request, **BROKEN[request.name])
+
+
+def scenario(callers, ready):
+    wait_for(lambda: is_ready(ready), "readiness")
+    # Guards against a broken answer that its caller gets as one, that says "not run",
+    # or that is waited for until the deadline.
+    for name in BROKEN:
+        status, body, head = call(callers, "/once/" + name, label=name)
+        check((status, body, head.getheader(STAMP)) == (502, b"", None),
+              "%s is no answer: %s %s" % (name, status, body))
+
+
+def main():
+    _, store = serve(make_store(documents([raw_target(answer)])))
+    ports = tuple(free_ports(4))
+    with settings_file("127.0.0.1", ports, store) as file:
+        with_process(subprocess.Popen(command_of(file), stdout=subprocess.DEVNULL), Fleet(),
+                     lambda _: scenario(*ports[:2]))
+
+
+if __name__ == "__main__":
+    main()
