Test that responses with an invalid field name are rejected

Reported from other systems: a head in which the name of a field held a blank or a control byte was passed on, or its body was read with another length than the target's. It can't happen here: the parser takes tokens only, in heads and trailers, and fails the response otherwise.

--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -165,6 +165,49 @@
   }
 }
 
+// Guards against a field whose name is no token (RFC 9110, section 5.1) that is
+// passed on or ignored: a line "Content-Length : 2" that one recipient ignores
+// and another one reads ends the body at different places. Names of a trailer
+// are checked too.
+TEST(NetClient, ResponsesWithAnInvalidFieldNameAreRejected) {
+  const std::vector<std::string> lines{"Foo Bar: x",
+                                       "Foo : x",
+                                       "Foo\t: x",
+                                       "Fo\x01o: x",
+                                       "Fo\x7fo: x",
+                                       "Fo\x80o: x",
+                                       "Fo\ro: x",
+                                       "Fo\no: x",
+                                       std::string("Fo\0o: x", 7),
+                                       "Fo(o: x",
+                                       ": x",
+                                       "Foo",
+                                       "Foo\x01: x",
+                                       "Content-Length : 2",
+                                       "Transfer-Encoding\x01: chunked",
+                                       "\x0b"
+                                       "Foo: x"};
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string trailer =
+      start + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n";
+  for (const std::string& line : lines) {
+    const std::vector<std::string> responses{
+        start + line + "\r\n" + length + "\r\nab",
+        start + length + line + "\r\n\r\nab", trailer + line + "\r\n\r\n"};
+    for (const std::string& response : responses) {
+      client_fixture fixture;
+      auto server = fixture.Connect();
+      server.Send(response);
+      CHECK_TRUE(fixture.Finished());
+      CHECK_FALSE(fixture.ended);
+      CHECK_TRUE(fixture.failure == (response.starts_with(trailer)
+                                         ? exchange_failure::kBroken
+                                         : exchange_failure::kMalformed));
+    }
+  }
+}
+
 // Bytes that are no response may come without end. They must neither fill the
 // memory nor keep the exchange open until its caller gives up.
 TEST(NetClient, EndsExchangesWhoseBytesHaveNoEnd) {
--- a/test/process/entry_broken_answers.py
+++ b/test/process/entry_broken_answers.py
@@ -25,7 +25,18 @@
             for status in (0, 1, 99, 101, 600, 999) for suffix, more in fields.items()}
 
 
-BROKEN = {**invalid_statuses()}
+def invalid_names():
+    """Lines whose name holds a blank, a control byte or another one that is no part of
+    a token, in front of the field that frames the body and behind it."""
+    lines = ["Foo Bar: x", "Foo : x", "Foo\t: x", "Fo\x00o: x", "Fo\x01o: x", "Fo\x7fo: x",
+             "Fo\x80o: x", "Fo\ro: x", "Fo\no: x", ": x", "Foo", "Content-Length : 2",
+             "Transfer-Encoding\x01: chunked"]
+    return {"name-%d-%s" % (number, place): dict(fields=fields)
+            for number, line in enumerate(lines)
+            for place, fields in (("first", [line, LENGTH]), ("last", [LENGTH, line]))}
+
+
+BROKEN = {**invalid_statuses(), **invalid_names()}
 
 
 def answer(connection, request, _):
