Reject responses in a transfer coding that is not undone

Callers got a 200 whose body was not the target's: with "Transfer-Encoding: gzip, chunked" the chunks were joined and the coding was no longer named; with "gzip", "identity", "chunked, gzip", an unknown or an empty name, the heads of the chunks stood in the body. Cause: the parser undoes "chunked" only and ignores other names, and the field itself concerns one connection only, so it is not passed on.

A response is now malformed unless each such field is "chunked" alone (RFC 9112, section 6.1), for all that read responses with this parser.

Evidence, on the code before: process_entry_broken_answers failed ("coding-0 is no answer: 200 b'body'"), and so did NetClient.ResponsesWithAnotherTransferCodingAreMalformed. Both pass now; NetClient.ResponsesInChunksArePassedOn holds before and after.

--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -63,7 +63,7 @@
     response.status = code;
   }
 
-  void on_field_impl(boost::beast::http::field /*field*/,
+  void on_field_impl(boost::beast::http::field field,
                      text name,
                      text value,
                      error_code& error) override {
@@ -73,6 +73,12 @@
       error = boost::beast::http::error::header_limit;
       return;
     }
+    // The parser undoes "chunked" only, and ignores the names of other codings.
+    if (!IsRequest && field == boost::beast::http::field::transfer_encoding &&
+        !HeaderNamesEqual({value.data(), value.size()}, "chunked")) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+      return;
+    }
     fields.push_back({Copy(name), Copy(value)});
   }
 
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -208,6 +208,43 @@
   }
 }
 
+// Guards against a body that is not the server's: a coding that is not undone,
+// or the heads of the chunks as a part of it.
+TEST(NetClient, ResponsesWithAnotherTransferCodingAreMalformed) {
+  const std::vector<std::string> codings{"gzip, chunked",
+                                         "chunked, gzip",
+                                         "chunked, chunked",
+                                         "gzip",
+                                         "identity",
+                                         "xchunked",
+                                         "chunked;x",
+                                         "",
+                                         "gzip\r\nTransfer-Encoding: chunked"};
+  for (const std::string& coding : codings) {
+    client_fixture fixture;
+    auto server = fixture.Connect();
+    server.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    CHECK_TRUE(fixture.Finished());
+    CHECK_TRUE(fixture.failure == exchange_failure::kMalformed);
+    LONGS_EQUAL(0, fixture.heads.size());
+  }
+}
+
+// Guards against a body in chunks that is rejected because of the case of the
+// coding's name, blanks around it, or a trailer.
+TEST(NetClient, ResponsesInChunksArePassedOn) {
+  for (const std::string coding : {"chunked", "Chunked", " \tCHUNKED \t"}) {
+    client_fixture fixture;
+    auto server = fixture.Connect();
+    server.Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n1;x=y\r\na\r\n1\r\nb\r\n0\r\nSum: 1\r\n\r\n");
+    CHECK_TRUE(fixture.Finished());
+    CHECK_TRUE(fixture.ended);
+    STRCMP_EQUAL("ab", fixture.body.c_str());
+  }
+}
+
 // Bytes that are no response may come without end. They must neither fill the
 // memory nor keep the exchange open until its caller gives up.
 TEST(NetClient, EndsExchangesWhoseBytesHaveNoEnd) {
--- a/test/process/entry_broken_answers.py
+++ b/test/process/entry_broken_answers.py
@@ -5,16 +5,18 @@
 
 from entry_daemon import (STAMP, Fleet, call, check, command_of, documents, free_ports, is_ready,
                           make_store, serve, settings_file, wait_for, with_process)
-from raw_target import head_of, raw_target
+from raw_target import head_of, raw_target, read_bytes
 
-BODY = b"body"
+# Also a chunk with a last one behind it.
+BODY = b"4\r\nbody\r\n0\r\n\r\n"
 LENGTH = "Content-Length: %d" % len(BODY)
 
 
 def send(connection, request, **head):
     connection.sendall(head_of(request, **head) + b"\r\n" + BODY)
-    # The connection stays open until the daemon closes it.
-    connection.recv(1)
+    if LENGTH in head["fields"]:
+        # Otherwise the body ends with the connection.
+        connection.recv(1)
 
 
 def invalid_statuses():
@@ -36,10 +38,18 @@
             for place, fields in (("first", [line, LENGTH]), ("last", [LENGTH, line]))}
 
 
-BROKEN = {**invalid_statuses(), **invalid_names()}
+def other_codings():
+    """Transfer codings that are unknown here, behind which the body is not the target's."""
+    codings = ["gzip, chunked", "chunked, gzip", "gzip", "identity", "xchunked", ""]
+    return {"coding-%d" % number: dict(fields=["Transfer-Encoding: " + coding])
+            for number, coding in enumerate(codings)}
 
 
-def answer(connection, request, _):
+BROKEN = {**invalid_statuses(), **invalid_names(), **other_codings()}
+
+
+def answer(connection, request, left):
+    read_bytes(connection, left)
     send(connection, request, **BROKEN[request.name])
 
 
--- a/test/process/raw_target.py
+++ b/test/process/raw_target.py
@@ -33,6 +33,15 @@
     return data.split(b"\r\n\r\n", 1)
 
 
+def read_bytes(connection, count):
+    """Reads on and drops what it gets; less if the caller leaves."""
+    while count > 0:
+        more = connection.recv(min(count, 65536))
+        if not more:
+            return
+        count -= len(more)
+
+
 def head_of(request, status="200 OK", fields=(), stamp=True):
     """The head of an answer, without the empty line that ends it."""
     lines = ["HTTP/1.1 " + status, "Acaciaferry-Attempt-Id: " + request.attempt]
@@ -42,15 +51,17 @@
 
 
 def raw_target(answer):
-    """Calls answer(connection, request, body) in a thread of its own for each
-    connection; body is what has arrived with the head. Returns the address."""
+    """Calls answer(connection, request, left) in a thread of its own for each
+    connection; left is the number of bytes of the body that are not read yet.
+    Returns the address."""
     listener = socket.create_server(("127.0.0.1", 0), backlog=256)
 
     def handle(connection):
         with contextlib.suppress(OSError), connection:
             arrived = read_head(connection)
             if arrived:
-                answer(connection, Request(arrived[0]), arrived[1])
+                request = Request(arrived[0])
+                answer(connection, request, request.body_bytes - len(arrived[1]))
 
     def accept():
         while True:
