Tell a reset from an orderly close while the request is written

Callers got a part of an answer as a complete one: a target answered a long upload at once with a 200 that had no length, sent a part of its body, read some of the upload and reset the connection.

Cause: the kernel hands the error of a reset to the operation that asks first. A write of the request took it, and the read saw the end of the stream, as after an orderly close. The write's failure was looked at, but it waits in the event loop's queue, and the read's result may be handled before it: always when writes succeed one after the other, which needs a target that reads. When the write waits for the socket instead, both results come from one event in the right order, so the test of a blocked write passed.

An end of the stream that would complete a response now waits while the request is still written: a write that fails makes the response broken, one that ends completes it. An answer whose server closes the connection, so that a reset follows the end of its stream, is broken too.

NetClient.AResponseThatIsResetWhileTheRequestIsWrittenIsBroken (each of 16 moments of the event loop) and .AResponseWhoseServerClosesWhileTheRequestIsWrittenIsBroken failed before. .AResponseThatEndsInGoodOrderDuringTheRequestIsComplete holds before and after.

--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -151,16 +151,9 @@
   connected_ = true;
   timer_.cancel();
   const auto on_written = [self = shared_from_this()](
-                              const boost::system::error_code& failed,
+                              const boost::system::error_code& error,
                               std::size_t /*bytes*/) {
-    // A write error is left to the read, which fails too, but only after it
-    // has returned a response that the server sent early.
-    if (failed) {
-      self->write_failed_ = true;
-    } else {
-      std::string().swap(self->request_);
-      self->body_.reset();
-    }
+    self->OnWritten(error);
   };
   if (body_) {
     const std::array<boost::asio::const_buffer, 2> parts{
@@ -175,6 +168,21 @@
   }
 }
 
+// A write error is left to the read, which fails too, but only after it has
+// returned a response that the server sent early.
+void client_exchange::OnWritten(const boost::system::error_code& error) {
+  if (error) {
+    write_state_ = write_state::kFailed;
+  } else {
+    write_state_ = write_state::kWritten;
+    std::string().swap(request_);
+    body_.reset();
+  }
+  if (awaits_write_ && !closed_) {
+    error ? Fail(exchange_failure::kBroken) : End();
+  }
+}
+
 void client_exchange::Read() {
   // A pause concerns the response, not the setting up of a tunnel.
   if (closed_ || reading_ || (paused_ && connected_)) {
@@ -223,19 +231,48 @@
     Fail(exchange_failure::kNoTunnel);
     return;
   }
-  // A body delimited by the end of the connection is complete only after an
-  // orderly close, not after a reset. A write that failed has taken the error
-  // of a reset connection, and the read then returns the end of the stream.
-  if (error == boost::asio::error::eof && !write_failed_ &&
-      parser_->is_header_done()) {
-    boost::beast::error_code failed;
-    parser_->put_eof(failed);
-    if (!failed && parser_->is_done() && !skipping_) {
-      End();
-      return;
-    }
+  OnConnectionEnded(error);
+}
+
+// A body delimited by the end of the connection is complete only after an
+// orderly close, not after a reset. A write of the request that fails takes the
+// error of a reset, and the read then returns the end of the stream, maybe
+// before that write has reported its failure.
+void client_exchange::OnConnectionEnded(
+    const boost::system::error_code& error) {
+  const bool is_orderly =
+      error == boost::asio::error::eof && write_state_ != write_state::kFailed;
+  if (!is_orderly || !CompletesAtEnd()) {
+    Fail(head_seen_ ? exchange_failure::kBroken
+                    : exchange_failure::kNoResponse);
+  } else if (write_state_ == write_state::kWriting) {
+    AwaitWrite();
+  } else {
+    End();
   }
-  Fail(head_seen_ ? exchange_failure::kBroken : exchange_failure::kNoResponse);
+}
+
+bool client_exchange::CompletesAtEnd() {
+  if (!parser_->is_header_done() || skipping_) {
+    return false;
+  }
+  boost::beast::error_code error;
+  parser_->put_eof(error);
+  return !error && parser_->is_done();
+}
+
+// A server that reads nothing more, but has closed nothing either, would keep
+// the write waiting.
+void client_exchange::AwaitWrite() {
+  awaits_write_ = true;
+  timer_.expires_after(kResetTimeout);
+  timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->closed_) {
+          self->End();
+        }
+      });
 }
 
 void client_exchange::ResetParser() {
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -101,12 +101,18 @@
   void Resume();
 
  private:
+  enum class write_state { kWriting, kWritten, kFailed };
+
   void OnConnect(const boost::system::error_code& error);
   void RequestTunnel();
   void ParseTunnelReply();
   void Send();
+  void OnWritten(const boost::system::error_code& error);
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  void OnConnectionEnded(const boost::system::error_code& error);
+  [[nodiscard]] bool CompletesAtEnd();
+  void AwaitWrite();
   [[nodiscard]] bool Parse();
   [[nodiscard]] exchange_failure ConnectFailure() const noexcept;
   void ResetParser();
@@ -132,7 +138,9 @@
   bool closed_{};
   bool paused_{};
   bool reading_{};
-  bool write_failed_{};
+  write_state write_state_{write_state::kWriting};
+  /** Whether the response is complete if the request is not reset. */
+  bool awaits_write_{};
   bool head_seen_{};
   bool skipping_{};
   std::uint32_t skipped_responses_{};
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t kUploadBytes = 40U << 20U;
+
 // A client exchange whose server side is driven by the test.
 struct client_fixture {
   client_fixture() : listener(loop) {
@@ -35,6 +37,23 @@
     return listener.Accept();
   }
 
+  // Returns when the client has the response "ab" as far as it has arrived, and
+  // writes a request that is larger than what the sockets buffer.
+  raw_connection ConnectDuringUpload() {
+    client->Start(
+        listener.Address(),
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kUploadBytes) +
+            "\r\n\r\n" + std::string(kUploadBytes, 'x'),
+        std::chrono::seconds(2));
+    loop.run_one();
+    auto server = listener.Accept();
+    server.Send("HTTP/1.1 200 OK\r\n\r\nab");
+    while (body != "ab") {
+      loop.run_one();
+    }
+    return server;
+  }
+
   bool Finished() {
     return RunUntil(loop, [this] { return ended || failure.has_value(); });
   }
@@ -245,6 +264,51 @@
   }
 }
 
+// Guards against a part of a response that counts as complete: a write of the
+// request takes the error of the reset, and the read, which then sees the end
+// of the stream, is handled before that write.
+TEST(NetClient, AResponseThatIsResetWhileTheRequestIsWrittenIsBroken) {
+  constexpr int kMaxTurns = 16;
+  for (int turns = 0; turns < kMaxTurns; ++turns) {
+    client_fixture fixture;
+    auto server = fixture.ConnectDuringUpload();
+    for (int turn = 0; turn < turns; ++turn) {
+      fixture.loop.run_one();
+    }
+    server.Reset();
+    CHECK_TRUE(fixture.Finished());
+    CHECK_FALSE(fixture.ended);
+    CHECK_TRUE(fixture.failure == exchange_failure::kBroken);
+  }
+}
+
+// Guards against the same when the server has read all that had arrived, so
+// that the reset follows the end of its stream.
+TEST(NetClient, AResponseWhoseServerClosesWhileTheRequestIsWrittenIsBroken) {
+  client_fixture fixture;
+  auto server = fixture.ConnectDuringUpload();
+  CHECK_TRUE(server.Has("POST"));
+  server.Close();
+  CHECK_TRUE(fixture.Finished());
+  CHECK_TRUE(fixture.failure == exchange_failure::kBroken);
+}
+
+// Guards against a whole response that counts as broken, or is waited for in
+// vain, because its server ended its stream before it had read the request: it
+// may read on, or not.
+TEST(NetClient, AResponseThatEndsInGoodOrderDuringTheRequestIsComplete) {
+  for (const bool reads_on : {true, false}) {
+    client_fixture fixture;
+    auto server = fixture.ConnectDuringUpload();
+    server.EndStream();
+    CHECK_TRUE(RunUntil(fixture.loop, [&] {
+      return fixture.ended || fixture.failure || (reads_on && server.Ended());
+    }));
+    CHECK_TRUE(fixture.ended);
+    STRCMP_EQUAL("ab", fixture.body.c_str());
+  }
+}
+
 // Bytes that are no response may come without end. They must neither fill the
 // memory nor keep the exchange open until its caller gives up.
 TEST(NetClient, EndsExchangesWhoseBytesHaveNoEnd) {
--- a/test/acaciaferry/net/loopback.hpp
+++ b/test/acaciaferry/net/loopback.hpp
@@ -71,6 +71,10 @@
     return ended_;
   }
   void Close() { socket_.close(); }
+  /** Ends the own stream and goes on reading. */
+  void EndStream() {
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  }
   /** Closes the connection with a reset. */
   void Reset() {
     socket_.set_option(boost::asio::socket_base::linger(true, 0));
--- a/test/process/entry_broken_answers.py
+++ b/test/process/entry_broken_answers.py
@@ -5,11 +5,13 @@
 
 from entry_daemon import (STAMP, Fleet, call, check, command_of, documents, free_ports, is_ready,
                           make_store, serve, settings_file, wait_for, with_process)
-from raw_target import head_of, raw_target, read_bytes
+from raw_target import head_of, raw_target, read_bytes, reset
 
 # Also a chunk with a last one behind it.
 BODY = b"4\r\nbody\r\n0\r\n\r\n"
 LENGTH = "Content-Length: %d" % len(BODY)
+# More than what the sockets buffer.
+UPLOAD_BYTES = 16 << 20
 
 
 def send(connection, request, **head):
@@ -45,26 +47,42 @@
             for number, coding in enumerate(codings)}
 
 
-BROKEN = {**invalid_statuses(), **invalid_names(), **other_codings()}
+def resets_during_upload():
+    """Answers without a length that are reset while the request is still written, after
+    some of it was read."""
+    return {"reset-%d" % count: dict(fields=[], reset_after=count)
+            for count in (0, 300_000, UPLOAD_BYTES // 2)}
+
+
+BROKEN = {**invalid_statuses(), **invalid_names(), **other_codings(),
+          **resets_during_upload()}
 
 
 def answer(connection, request, left):
-    read_bytes(connection, left)
-    send(connection, request, **BROKEN[request.name])
+    head = dict(BROKEN[request.name])
+    reset_after = head.pop("reset_after", None)
+    read_bytes(connection, left if reset_after is None else 0)
+    send(connection, request, **head)
+    if reset_after is not None:
+        read_bytes(connection, reset_after)
+        reset(connection)
 
 
 def scenario(callers, ready):
     wait_for(lambda: is_ready(ready), "readiness")
     # Guards against a broken answer that its caller gets as one, that says "not run",
     # or that is waited for until the deadline.
-    for name in BROKEN:
-        status, body, head = call(callers, "/once/" + name, label=name)
-        check((status, body, head.getheader(STAMP)) == (502, b"", None),
+    for name, sent in BROKEN.items():
+        request = bytes(UPLOAD_BYTES) if "reset_after" in sent else b"b"
+        status, body, got = call(callers, "/once/" + name, body=request, label=name)
+        check((status, body, got.getheader(STAMP)) == (502, b"", None),
               "%s is no answer: %s %s" % (name, status, body))
 
 
 def main():
-    _, store = serve(make_store(documents([raw_target(answer)])))
+    published = documents([raw_target(answer)])
+    published["op/config"]["limits"]["max_body_bytes"] = UPLOAD_BYTES
+    _, store = serve(make_store(published))
     ports = tuple(free_ports(4))
     with settings_file("127.0.0.1", ports, store) as file:
         with_process(subprocess.Popen(command_of(file), stdout=subprocess.DEVNULL), Fleet(),
--- a/test/process/raw_target.py
+++ b/test/process/raw_target.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import struct
 import threading
 
 from entry_daemon import STAMP
@@ -42,6 +43,11 @@
         count -= len(more)
 
 
+def reset(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
 def head_of(request, status="200 OK", fields=(), stamp=True):
     """The head of an answer, without the empty line that ends it."""
     lines = ["HTTP/1.1 " + status, "Acaciaferry-Attempt-Id: " + request.attempt]
