Pass a reset on through a tunnel while the request is written

The same fault as in exchanges, one VM further on: a VM without targets connects through a tunnel, the target resets that connection during a long upload, and the tunnel passes the end of the stream on, so that the caller gets a part of an answer as a complete one.

Cause: the failed write to the target had taken the error of the reset, and the end of the stream was handled before it. After the end of the stream the tunnel also closed its connection to the target and dropped what the client still wrote, so a reset that followed could not be seen.

--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -72,8 +72,10 @@
   void ReadClient();
   void OnClientRead(const boost::system::error_code& error, std::size_t bytes);
   void WriteTarget(boost::asio::const_buffer bytes);
+  void OnTargetWritten(const boost::system::error_code& error);
   void ReadTarget();
   void OnTargetRead(const boost::system::error_code& error, std::size_t bytes);
+  void OnTargetEnded();
   void WriteClient(boost::asio::const_buffer bytes);
   void FinishClient();
   void SetTimer(duration delay);
@@ -95,7 +97,10 @@
   std::array<char, internal::kTunnelBufferBytes> from_target_{};
   phase phase_{phase::kReadingHead};
   bool reading_client_{};
+  bool writing_target_{};
   bool target_write_failed_{};
+  /** Whether the target has ended its stream. */
+  bool target_ended_{};
   bool refused_{};
   bool closed_{};
 };
@@ -206,7 +211,7 @@
   } else if (phase_ == phase::kReadingHead) {
     head_.append(from_client_.data(), bytes);
     ParseHead();
-  } else if (phase_ == phase::kOpen && !target_write_failed_) {
+  } else if (!refused_ && !target_write_failed_) {
     WriteTarget(boost::asio::buffer(from_client_, bytes));
   } else {
     ReadClient();
@@ -214,17 +219,36 @@
 }
 
 void tunnel::WriteTarget(boost::asio::const_buffer bytes) {
+  writing_target_ = true;
   boost::asio::async_write(
       target_, bytes,
       [self = shared_from_this()](const boost::system::error_code& error,
                                   std::size_t /*bytes*/) {
-        // The error is left to the read, which fails too, but only after it has
-        // returned what the target sent before.
-        self->target_write_failed_ = self->target_write_failed_ || error;
-        self->ReadClient();
+        self->OnTargetWritten(error);
       });
 }
 
+// An error is left to the read, which fails too, but only after it has returned
+// what the target sent before. After the end of the target's stream there is no
+// read, and the client is told by a reset.
+void tunnel::OnTargetWritten(const boost::system::error_code& error) {
+  writing_target_ = false;
+  target_write_failed_ = target_write_failed_ || error;
+  if (closed_) {
+    return;
+  }
+  if (target_ended_ && error) {
+    boost::system::error_code ignored;
+    client_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    Close();
+    return;
+  }
+  if (target_ended_ && phase_ == phase::kOpen) {
+    FinishClient();
+  }
+  ReadClient();
+}
+
 void tunnel::ReadTarget() {
   target_.async_read_some(
       boost::asio::buffer(from_target_),
@@ -242,14 +266,24 @@
   if (!error) {
     WriteClient(boost::asio::buffer(from_target_, bytes));
   } else if (error == boost::asio::error::eof && !target_write_failed_) {
-    FinishClient();
+    OnTargetEnded();
   } else {
-    // A write that failed has taken the error of a reset connection, and the
-    // read then returns the end of the stream.
     Close();
   }
 }
 
+// A write that fails takes the error of a reset connection, and the read then
+// returns the end of the stream, maybe before that write has reported its
+// failure.
+void tunnel::OnTargetEnded() {
+  target_ended_ = true;
+  if (writing_target_) {
+    SetTimer(kResetTimeout);
+  } else {
+    FinishClient();
+  }
+}
+
 void tunnel::WriteClient(boost::asio::const_buffer bytes) {
   boost::asio::async_write(
       client_, bytes,
@@ -279,11 +313,12 @@
   ReadClient();
 }
 
+// The client may still write its request: the target reads on, or resets its
+// connection.
 void tunnel::FinishClient() {
   phase_ = phase::kFinishing;
   SetTimer(internal::kClientCloseTimeout);
   boost::system::error_code ignored;
-  target_.close(ignored);
   client_.set_option(boost::asio::socket_base::linger(false, 0), ignored);
   client_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
 }
@@ -330,6 +365,9 @@
       break;
     }
     case phase::kOpen:
+      if (target_ended_) {
+        FinishClient();
+      }
       break;
     case phase::kFinishing:
       Close();
--- a/test/acaciaferry/net/tunnel_test.cpp
+++ b/test/acaciaferry/net/tunnel_test.cpp
@@ -84,6 +84,18 @@
     return listener.Accept();
   }
 
+  // As Connect. Returns when the exchange has the response "ab" as far as it
+  // has arrived, and writes a request that is larger than what the sockets
+  // buffer.
+  raw_connection ConnectDuringUpload(recorded_exchange& exchange) {
+    auto target = Connect(exchange, "POST / HTTP/1.1\r\n\r\n" + LargeBody());
+    target.Send("HTTP/1.1 200 OK\r\n\r\nab");
+    while (exchange.body != "ab") {
+      loop.run_one();
+    }
+    return target;
+  }
+
   // Runs an exchange that fails before it is sent.
   exchange_failure FailureTo(const std::string& address) {
     recorded_exchange exchange(loop);
@@ -221,6 +233,53 @@
   }
 }
 
+// Guards against a part of a response that counts as complete since the tunnel
+// passes a reset on as the end of the stream: a write to the target takes the
+// error of the reset, and the read is handled before that write.
+TEST(NetTunnel, PassesOnAResetWhileTheRequestIsWritten) {
+  constexpr int kMaxTurns = 16;
+  for (int turns = 0; turns < kMaxTurns; ++turns) {
+    tunnel_fixture fixture;
+    recorded_exchange exchange(fixture.loop);
+    auto target = fixture.ConnectDuringUpload(exchange);
+    for (int turn = 0; turn < turns; ++turn) {
+      fixture.loop.run_one();
+    }
+    target.Reset();
+    CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.Finished(); }));
+    CHECK_FALSE(exchange.ended);
+    CHECK_TRUE(exchange.failure == exchange_failure::kBroken);
+  }
+}
+
+// Guards against the same when the target has read all that had arrived, so
+// that its reset follows the end of its stream.
+TEST(NetTunnel, PassesOnAResetAfterTheEndOfTheStream) {
+  tunnel_fixture fixture;
+  recorded_exchange exchange(fixture.loop);
+  auto target = fixture.ConnectDuringUpload(exchange);
+  CHECK_TRUE(target.Has("POST"));
+  target.Close();
+  CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.Finished(); }));
+  CHECK_TRUE(exchange.failure == exchange_failure::kBroken);
+}
+
+// Guards against a whole response that counts as broken because its target
+// ended its stream before it had read the request: it may read on, or not.
+TEST(NetTunnel, PassesOnAnOrderlyEndWhileTheRequestIsWritten) {
+  for (const bool reads_on : {true, false}) {
+    tunnel_fixture fixture;
+    recorded_exchange exchange(fixture.loop);
+    auto target = fixture.ConnectDuringUpload(exchange);
+    target.EndStream();
+    CHECK_TRUE(RunUntil(fixture.loop, [&] {
+      return exchange.Finished() || (reads_on && target.Ended());
+    }));
+    CHECK_TRUE(exchange.ended);
+    STRCMP_EQUAL("ab", exchange.body.c_str());
+  }
+}
+
 // A job that the target goes on with after its caller has left wastes it, also
 // when the target reads nothing of a large request.
 TEST(NetTunnel, EndsTheTargetsConnectionOfACancelledExchange) {
