Reject responses with a folded line in their head

Callers got an answer with a field that was not the target's: a line that begins with a blank, as in a name with a blank in front of it, was joined to the field before it, so that the target's stamp read "s1 Foo: x".

Cause: the parser undoes folded lines, which have been obsolete since RFC 7230. A gateway may do so or discard the response (RFC 9112, section 5.2); senders must not fold, so such a line is more likely a broken head. Responses with one are now malformed.

Evidence: process_entry_broken_answers ("name-13-first is no answer: 200") and NetClient.ResponsesWithAFoldedLineAreMalformed failed before and pass now.

--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -298,8 +298,10 @@
     if (closed_) {
       return false;
     }
+    // The parser joins folded lines, and the field would not be the server's.
+    const bool is_folded = !had_head && HasFoldedLine({unparsed_.data(), used});
     unparsed_.erase(0, used);
-    if (error && error != boost::beast::http::error::need_more) {
+    if (is_folded || (error && error != boost::beast::http::error::need_more)) {
       FailMalformed();
       return false;
     }
--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -40,6 +40,11 @@
   return {};
 }
 
+bool HasFoldedLine(std::string_view head) noexcept {
+  return head.find("\r\n ") != std::string_view::npos ||
+         head.find("\r\n\t") != std::string_view::npos;
+}
+
 bool IsHopByHop(std::string_view name) noexcept {
   return std::any_of(
       internal::kHopByHop.begin(), internal::kHopByHop.end(),
--- a/src/acaciaferry/net/message.hpp
+++ b/src/acaciaferry/net/message.hpp
@@ -42,6 +42,12 @@
 [[nodiscard]] std::string_view FindField(const header_fields& fields,
                                          std::string_view name) noexcept;
 
+/**
+ * @return Whether a line of a head begins with a blank, so that it continues
+ * the field before it (RFC 9112, section 5.2) or has a blank in its name.
+ */
+[[nodiscard]] bool HasFoldedLine(std::string_view head) noexcept;
+
 /**
  * @return Whether a field must not be forwarded, because it is hop-by-hop (RFC
  * 9110, section 7.6.1) or frames the body.
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -227,6 +227,26 @@
   }
 }
 
+// Guards against a line that begins with a blank and is taken for a part of the
+// field before it, whose value is then not the server's.
+TEST(NetClient, ResponsesWithAFoldedLineAreMalformed) {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 0\r\n";
+  for (const std::string line : {" Foo: x", "\tFoo: x", " x", " "}) {
+    for (const std::string& head :
+         {start + "Id: ours\r\n" + line + "\r\n" + length,
+          start + line + "\r\n" + length, start + length + line + "\r\n",
+          start + length + "Id:\r\n" + line + "\r\n"}) {
+      client_fixture fixture;
+      auto server = fixture.Connect();
+      server.Send(head + "\r\n");
+      CHECK_TRUE(fixture.Finished());
+      CHECK_TRUE(fixture.failure == exchange_failure::kMalformed);
+      LONGS_EQUAL(0, fixture.heads.size());
+    }
+  }
+}
+
 // Guards against a body that is not the server's: a coding that is not undone,
 // or the heads of the chunks as a part of it.
 TEST(NetClient, ResponsesWithAnotherTransferCodingAreMalformed) {
--- a/test/process/entry_broken_answers.py
+++ b/test/process/entry_broken_answers.py
@@ -34,7 +34,7 @@
     a token, in front of the field that frames the body and behind it."""
     lines = ["Foo Bar: x", "Foo : x", "Foo\t: x", "Fo\x00o: x", "Fo\x01o: x", "Fo\x7fo: x",
              "Fo\x80o: x", "Fo\ro: x", "Fo\no: x", ": x", "Foo", "Content-Length : 2",
-             "Transfer-Encoding\x01: chunked"]
+             "Transfer-Encoding\x01: chunked", " Foo: x", "\tFoo: x"]
     return {"name-%d-%s" % (number, place): dict(fields=fields)
             for number, line in enumerate(lines)
             for place, fields in (("first", [line, LENGTH]), ("last", [LENGTH, line]))}
