Read no body behind the head of a response to HEAD

A sound answer to a HEAD request with "Content-Length: 4" was waited for until the deadline (504), and bytes that followed it on the connection would have been taken for its body. Cause: the parser was not told that such a response has no body, whatever length it states (RFC 9112, section 6.3).

The exchange now tells it. NetClient.ResponsesWithoutABodyEndWithTheirHead failed before for HEAD and passes now; 204 and 304 were right already.

--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -53,6 +53,7 @@
                             const std::string& via,
                             std::shared_ptr<const std::string> body) {
   request_ = std::move(request);
+  is_head_request_ = request_.starts_with("HEAD ");
   body_ = std::move(body);
   held_.emplace(memory_, [this] {
     boost::asio::post(socket_.get_executor(),
@@ -285,6 +286,7 @@
       });
   parser_->header_limit(internal::kMaxHeadBytes);
   parser_->body_limit(internal::kMaxBodyBytes);
+  parser_->skip(is_head_request_);
   // Without eager parsing, on_body is called only after on_head.
   parser_->eager(false);
 }
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -142,6 +142,7 @@
   /** Whether the response is complete if the request is not reset. */
   bool awaits_write_{};
   bool head_seen_{};
+  bool is_head_request_{};
   bool skipping_{};
   std::uint32_t skipped_responses_{};
 };
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -247,6 +247,30 @@
   }
 }
 
+// Guards against an exchange that waits for the body of a response that has
+// none, whatever length it states, and against bytes behind it that are taken
+// for one.
+TEST(NetClient, ResponsesWithoutABodyEndWithTheirHead) {
+  struct bodiless_case {
+    std::string method;
+    std::string status;
+  };
+  const std::vector<bodiless_case> cases{
+      {"HEAD", "200"}, {"HEAD", "404"}, {"GET", "204"}, {"GET", "304"}};
+  for (const bodiless_case& each : cases) {
+    for (const std::string framing :
+         {"", "Content-Length: 4\r\n", "Transfer-Encoding: chunked\r\n"}) {
+      client_fixture fixture;
+      auto server = fixture.Connect(each.method + " / HTTP/1.1\r\n\r\n");
+      server.Send("HTTP/1.1 103 X\r\n\r\nHTTP/1.1 " + each.status + " X\r\n" +
+                  framing + "\r\nabcd");
+      CHECK_TRUE(fixture.Finished());
+      CHECK_TRUE(fixture.ended);
+      STRCMP_EQUAL("", fixture.body.c_str());
+    }
+  }
+}
+
 // Guards against a body that is not the server's: a coding that is not undone,
 // or the heads of the chunks as a part of it.
 TEST(NetClient, ResponsesWithAnotherTransferCodingAreMalformed) {
