Keep the stated length of responses without a body

Callers got "Content-Length: 0" with each answer to HEAD, 204 and 304: for HEAD and 304 that is another length than the target's, which names that of the body of a GET, and a 204 must have none (RFC 9110, section 8.6). A HEAD answer that stated over 16 MB was failed as too long to collect. Cause: the reply always states the size of the collected body.

The server adds no length to a reply that has no body; the relay passes on what the target states, but for 204, and bounds only bodies that come.

Evidence: process_entry_broken_answers failed before ("head is an answer: (502, b'', '0')") and passes now.

--- a/src/acaciaferry/entry/call_relay.cpp
+++ b/src/acaciaferry/entry/call_relay.cpp
@@ -12,6 +12,8 @@
 // another target.
 constexpr duration kConnectTimeout = std::chrono::milliseconds(600);
 constexpr std::size_t kMaxCollectedBytes = 16U << 20U;
+constexpr std::string_view kContentLength = "Content-Length";
+constexpr int kNoContent = 204;
 
 forwarding::attempt_failure ToAttemptFailure(net::exchange_failure failure) {
   switch (failure) {
@@ -35,6 +37,12 @@
   return length;
 }
 
+// Whether the length that a response states is that of a body which it doesn't
+// have (RFC 9110, section 8.6).
+bool StatesOtherLength(std::string_view method, int status) {
+  return net::HasNoBody(method, status) && status != kNoContent;
+}
+
 // A stream that has begun goes on only with a response of the same kind: any
 // other one would end it as complete, or add bytes that are no events of it.
 bool IsSameKind(const net::response_head& begun,
@@ -142,10 +150,11 @@
         classified.verdict == forwarding::response_verdict::kServed &&
         request_.call.kind == forwarding::call_kind::kStreaming;
     const std::string_view length =
-        net::FindField(head.fields, "Content-Length");
+        net::FindField(head.fields, internal::kContentLength);
     at->second.has_length = !length.empty();
     // What is known to be too long is not collected first.
     if (!at->second.is_stream &&
+        !net::HasNoBody(caller_->head.method, head.status) &&
         internal::ParseLength(length) > internal::kMaxCollectedBytes) {
       classified.verdict = forwarding::response_verdict::kUnusable;
     }
@@ -254,9 +263,13 @@
 }
 
 net::header_fields call_relay::ForwardedFields() const {
+  const bool states_length =
+      internal::StatesOtherLength(caller_->head.method, response_head_.status);
   net::header_fields fields;
   for (const net::header_field& field : response_head_.fields) {
-    if (!net::IsHopByHop(field.name)) {
+    const bool is_length =
+        net::HeaderNamesEqual(field.name, internal::kContentLength);
+    if (!net::IsHopByHop(field.name) || (is_length && states_length)) {
       fields.push_back(field);
     }
   }
--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -14,6 +14,9 @@
 
 constexpr int kFirstStatus = 100;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
 constexpr int kLastStatus = 599;
 
 }  // namespace internal
@@ -23,6 +26,11 @@
          status != internal::kSwitchingProtocols;
 }
 
+bool HasNoBody(std::string_view method, int status) noexcept {
+  return method == "HEAD" || status < internal::kFirstFinalStatus ||
+         status == internal::kNoContent || status == internal::kNotModified;
+}
+
 bool HeaderNamesEqual(std::string_view a, std::string_view b) noexcept {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](char x, char y) {
     return std::tolower(static_cast<unsigned char>(x)) ==
--- a/src/acaciaferry/net/message.hpp
+++ b/src/acaciaferry/net/message.hpp
@@ -31,6 +31,12 @@
  */
 [[nodiscard]] bool IsValidStatus(int status) noexcept;
 
+/**
+ * @return Whether the response to a method has no body, whatever its fields say
+ * (RFC 9112, section 6.3).
+ */
+[[nodiscard]] bool HasNoBody(std::string_view method, int status) noexcept;
+
 /** @brief Compares two header field names, ignoring case. */
 [[nodiscard]] bool HeaderNamesEqual(std::string_view a,
                                     std::string_view b) noexcept;
--- a/src/acaciaferry/net/server.cpp
+++ b/src/acaciaferry/net/server.cpp
@@ -60,9 +60,13 @@
   complete_ = true;
   std::string text =
       internal::SerializeHead(status, fields, owner->WillClose());
-  text += "Content-Length: " + std::to_string(reply_body.size()) + "\r\n\r\n";
+  const bool has_body = !HasNoBody(head.method, status);
+  if (has_body) {
+    text += "Content-Length: " + std::to_string(reply_body.size()) + "\r\n";
+  }
+  text += "\r\n";
   owner->Write(std::move(text));
-  if (head.method != "HEAD") {
+  if (has_body) {
     owner->Write(std::move(reply_body));
   }
   owner->OnReplyComplete(true);
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -57,7 +57,10 @@
    */
   std::function<void()> on_writable;
 
-  /** @brief Sends a complete reply. */
+  /**
+   * @brief Sends a complete reply. Its length is added to the fields, and the
+   * body is left out, if the method and the status allow none.
+   */
   void Reply(int status, const header_fields& fields, std::string body);
 
   /** @brief Starts a reply whose body follows in chunks. */
--- a/test/process/entry_daemon.py
+++ b/test/process/entry_daemon.py
@@ -182,11 +182,12 @@
     raise AssertionError("not within %d s: %s" % (BOUND_S, what))
 
 
-def call(port, path, key="key1", body=b"b", label="a1", read=True, ip="127.0.0.1"):
+def call(port, path, key="key1", body=b"b", label="a1", read=True, ip="127.0.0.1",
+         method="POST"):
     connection = http.client.HTTPConnection(ip, port, timeout=BOUND_S)
     headers = {"Host": "h.example", "Acaciaferry-Attempt-Id": label,
                "Authorization": "Token " + key, "Acaciaferry-Deadline-Ms": "14000"}
-    connection.request("POST", path, body, headers)
+    connection.request(method, path, body, headers)
     answer = connection.getresponse()
     return (answer.status, answer.read(), answer) if read else (answer.status, connection, answer)
 
