Reject requests in a transfer coding that is not undone

Found beside the responses, in the same parser: a request with an unknown coding counted as one without a body, and its body was read as the next request of the connection; one with "gzip, chunked" reached a target without the name of its coding. Such requests now get 400 (RFC 9112, section 6.1).

NetServer.RejectsOtherTransferCodings failed before and passes now.

--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -74,7 +74,7 @@
       return;
     }
     // The parser undoes "chunked" only, and ignores the names of other codings.
-    if (!IsRequest && field == boost::beast::http::field::transfer_encoding &&
+    if (field == boost::beast::http::field::transfer_encoding &&
         !HeaderNamesEqual({value.data(), value.size()}, "chunked")) {
       error = boost::beast::http::error::bad_transfer_encoding;
       return;
--- a/test/acaciaferry/net/server_test.cpp
+++ b/test/acaciaferry/net/server_test.cpp
@@ -78,6 +78,21 @@
   }
 }
 
+// Guards against a body whose end is not known, so that its bytes are read as
+// the next request, and against one that is passed on without its coding's
+// name.
+TEST(NetServer, RejectsOtherTransferCodings) {
+  for (const std::string coding :
+       {"gzip, chunked", "chunked, gzip", "identity", "xchunked", ""}) {
+    server_fixture fixture;
+    auto client = fixture.Connect();
+    client.Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n" + kGet);
+    CHECK_TRUE(fixture.Wait([&] { return client.Has("HTTP/1.1 400"); }));
+    CHECK_TRUE(fixture.exchanges.empty());
+  }
+}
+
 // A chunk header without end must not fill the memory.
 TEST(NetServer, RejectsChunkHeadersWithoutEnd) {
   server_fixture fixture;
