Check the heads of targets' answers in the API daemon, too

The daemon of the product's own API reads answers with another library, which takes any number for a status and any bytes for a name, uses the first of several lengths and leaves unknown transfer codings in the body. Callers got such answers as the service's, with statuses like 099 or 999, a body cut to the first length, or "not run" from a head that was broken.

A response whose status is not final and of HTTP, or that has a name which is no token, is now malformed before anything in it is believed; the answer of a service must be framed by one length alone. Streams of completions have an end marker and offsets of their own and needed no more.

Evidence: TargetClient.RejectsAnswersWithAnInvalidHead and .RejectsBodiesThatAreNotFramedByOneLength failed before and pass now; process tests service_call, failover, completion and engine_dies pass.

--- a/src/acaciaferry/target_client/target_client.cpp
+++ b/src/acaciaferry/target_client/target_client.cpp
@@ -15,6 +15,7 @@
 #include <istream>
 #include <ostream>
 
+#include "acaciaferry/target_client/response_check.hpp"
 #include "acaciaferry/target_client/wire.hpp"
 
 namespace acaciaferry {
@@ -51,6 +52,9 @@
 // Thrown before any byte of the request is sent.
 class connect_error final : public std::exception {};
 
+// Thrown for a response whose head is not valid: nothing in it is believed.
+class invalid_head_error final : public std::exception {};
+
 Poco::Net::StreamSocket Connect(const std::string& address) {
   try {
     Poco::Net::StreamSocket socket;
@@ -63,6 +67,15 @@
   }
 }
 
+std::istream& ReceiveResponse(Poco::Net::HTTPClientSession& session,
+                              HTTPResponse& response) {
+  std::istream& body = session.receiveResponse(response);
+  if (!HasValidHead(response)) {
+    throw invalid_head_error();
+  }
+  return body;
+}
+
 bool IsRefusedBeforeExecution(const HTTPResponse& response) {
   const bool refusing_status =
       response.getStatus() == HTTPResponse::HTTP_TOO_MANY_REQUESTS ||
@@ -210,6 +223,8 @@
       function();
     } catch (const internal::connect_error&) {
       PostFailure(transport_error::kConnectFailed);
+    } catch (const internal::invalid_head_error&) {
+      PostFailure(transport_error::kMalformedAnswer);
     } catch (const std::exception&) {
       PostFailure(transport_error::kConnectionLost);
     }
@@ -388,7 +403,8 @@
   connection->Session().sendRequest(request)
       << request_exchange.body << std::flush;
   internal::HTTPResponse response;
-  std::istream& answer = connection->Session().receiveResponse(response);
+  std::istream& answer =
+      internal::ReceiveResponse(connection->Session(), response);
   if (!internal::IsSuccess(response) &&
       !internal::IsRefusedBeforeExecution(response)) {
     connection->PostFailure(transport_error::kServerError);
@@ -425,12 +441,13 @@
   connection->Session().sendRequest(request)
       << request_exchange.body << std::flush;
   internal::HTTPResponse response;
-  std::istream& answer = connection->Session().receiveResponse(response);
+  std::istream& answer =
+      internal::ReceiveResponse(connection->Session(), response);
   if (!connection->ReportStatus(response)) {
     return;
   }
   // POCO cannot distinguish a truncated chunked body from a complete one.
-  if (!response.hasContentLength()) {
+  if (!HasOneLength(response)) {
     connection->PostFailure(transport_error::kMalformedAnswer);
     return;
   }
@@ -461,7 +478,8 @@
                                 internal::HTTPRequest::HTTP_1_1);
   connection->Session().sendRequest(request);
   internal::HTTPResponse response;
-  std::istream& answer = connection->Session().receiveResponse(response);
+  std::istream& answer =
+      internal::ReceiveResponse(connection->Session(), response);
   if (!internal::IsSuccess(response)) {
     connection->PostFailure(transport_error::kUnknownStream);
     return;
