Keep the parser of messages free of other sources

The fuzz target of requests includes the parser only, and did not link any more: the checks of statuses and transfer codings call functions of another source. The check of statuses is now in the header, where the API daemon's check uses it as well, and codings are compared by the parser's library. Everything builds; NetServer, NetClient, TargetClient and the fuzz target pass.

--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -12,20 +12,12 @@
     "proxy-authorization", "te",         "trailer",
     "transfer-encoding",   "upgrade",    "content-length"};
 
-constexpr int kFirstStatus = 100;
-constexpr int kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
-constexpr int kLastStatus = 599;
 
 }  // namespace internal
 
-bool IsValidStatus(int status) noexcept {
-  return status >= internal::kFirstStatus && status <= internal::kLastStatus &&
-         status != internal::kSwitchingProtocols;
-}
-
 bool HasNoBody(std::string_view method, int status) noexcept {
   return method == "HEAD" || status < internal::kFirstFinalStatus ||
          status == internal::kNoContent || status == internal::kNotModified;
--- a/src/acaciaferry/net/message.hpp
+++ b/src/acaciaferry/net/message.hpp
@@ -29,7 +29,12 @@
  * @return Whether a response may have this status: 100 to 599 (RFC 9110,
  * section 15), except 101, since no request asks for another protocol.
  */
-[[nodiscard]] bool IsValidStatus(int status) noexcept;
+[[nodiscard]] constexpr bool IsValidStatus(int status) noexcept {
+  constexpr int kFirst = 100;
+  constexpr int kLast = 599;
+  constexpr int kSwitchingProtocols = 101;
+  return status >= kFirst && status <= kLast && status != kSwitchingProtocols;
+}
 
 /**
  * @return Whether the response to a method has no body, whatever its fields say
--- a/src/acaciaferry/net/parser.hpp
+++ b/src/acaciaferry/net/parser.hpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 // Boost 1.74 needs <utility> before its own headers with g++ 12.
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
 #include <functional>
@@ -75,7 +76,7 @@
     }
     // The parser undoes "chunked" only, and ignores the names of other codings.
     if (field == boost::beast::http::field::transfer_encoding &&
-        !HeaderNamesEqual({value.data(), value.size()}, "chunked")) {
+        !boost::beast::iequals(value, "chunked")) {
       error = boost::beast::http::error::bad_transfer_encoding;
       return;
     }
