Test resets during the request through the relay, one handler at a time

The tests of resets now run single handlers with a bound, so that a regression fails them instead of letting them wait.

--- a/test/acaciaferry/entry/call_relay_test.cpp
+++ b/test/acaciaferry/entry/call_relay_test.cpp
@@ -17,6 +17,8 @@
     "Acaciaferry-Engine-Stamp: s1\r\nAcaciaferry-Attempt-Id: a1\r\n";
 // Of all answers of a fixture together.
 constexpr std::size_t kMaxMemory = 1U << 20U;
+// Of the body that the caller sends at a time.
+constexpr std::size_t kBlockBytes = 1U << 16U;
 const std::string kStreamHead =
     "HTTP/1.1 200 OK\r\n" + kStamp +
     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -38,7 +40,8 @@
 // targets, and decides on attempts in place of the reducer.
 struct fixture {
   explicit fixture(
-      forwarding::call_kind kind = forwarding::call_kind::kStreaming)
+      forwarding::call_kind kind = forwarding::call_kind::kStreaming,
+      std::size_t body_bytes = 0)
       : listener(loop),
         server(loop,
                [this, kind](std::shared_ptr<net::server_exchange> caller) {
@@ -58,13 +61,17 @@
     static_cast<void>(server.Listen("127.0.0.1:0"));
     caller = std::make_unique<net::raw_connection>(
         net::raw_connection::To(loop, server.Port()));
-    caller->Send("POST /s/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    caller->Send("POST /s/ HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                 std::to_string(body_bytes) + "\r\n\r\n");
+    const std::string block(kBlockBytes, 'x');
+    for (std::size_t sent = 0; sent < body_bytes; sent += kBlockBytes) {
+      caller->Send(block);
+      loop.poll();
+    }
     CHECK_TRUE(net::RunUntil(loop, [this] { return relay != nullptr; }));
   }
 
-  // Starts an attempt and returns the target's side of its connection.
-  net::raw_connection Attempt(std::uint32_t number,
-                              std::uint64_t resume_after = 0) {
+  void Send(std::uint32_t number, std::uint64_t resume_after = 0) {
     forwarding::send_attempt attempt;
     attempt.id = 1;
     attempt.attempt = number;
@@ -72,6 +79,12 @@
     attempt.address = listener.Address();
     attempt.resume_after = resume_after;
     relay->SendAttempt(attempt);
+  }
+
+  // Starts an attempt and returns the target's side of its connection.
+  net::raw_connection Attempt(std::uint32_t number,
+                              std::uint64_t resume_after = 0) {
+    Send(number, resume_after);
     loop.restart();
     loop.run_for(std::chrono::milliseconds(5));
     return listener.Accept();
@@ -244,6 +257,38 @@
   }
 }
 
+// Guards against a part of an answer that reaches its caller as complete
+// because its target resets the connection while the request is written.
+TEST(CallRelay, AnAnswerThatIsResetDuringTheRequestIsNotComplete) {
+  constexpr std::size_t kUploadBytes = 64 * kBlockBytes;
+  constexpr int kMaxTurns = 8;
+  for (const auto kind : {forwarding::call_kind::kStreaming,
+                          forwarding::call_kind::kNonIdempotent}) {
+    for (int turns = 0; turns < kMaxTurns; ++turns) {
+      fixture call(kind, kUploadBytes);
+      call.Send(1);
+      CHECK_TRUE(net::RunOneByOneUntil(call.loop, [&] {
+        return !call.All<forwarding::attempt_sent>().empty();
+      }));
+      auto target = call.listener.Accept();
+      target.Send("HTTP/1.1 200 OK\r\n" + kStamp +
+                  "Content-Type: text/event-stream\r\n\r\n"
+                  "id: 1\ndata: x\n\n");
+      CHECK_TRUE(net::RunOneByOneUntil(call.loop, [&] {
+        return !call.All<forwarding::response_started>().empty();
+      }));
+      for (int turn = 0; turn < turns; ++turn) {
+        net::RunOne(call.loop);
+      }
+      target.Reset();
+      CHECK_TRUE(call.Reported<forwarding::attempt_failed>());
+      CHECK_TRUE(call.All<forwarding::attempt_failed>().front().how ==
+                 forwarding::attempt_failure::kBroken);
+      LONGS_EQUAL(0, call.All<forwarding::response_completed>().size());
+    }
+  }
+}
+
 // Guards against a collected answer that breaks off and reaches its caller.
 TEST(CallRelay, AnAnswerThatBreaksOffAnywhereIsNotDelivered) {
   const std::string whole = "HTTP/1.1 200 OK\r\n" + kStamp +
--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -45,12 +45,10 @@
         "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(kUploadBytes) +
             "\r\n\r\n" + std::string(kUploadBytes, 'x'),
         std::chrono::seconds(2));
-    loop.run_one();
+    RunOne(loop);
     auto server = listener.Accept();
     server.Send("HTTP/1.1 200 OK\r\n\r\nab");
-    while (body != "ab") {
-      loop.run_one();
-    }
+    CHECK_TRUE(RunOneByOneUntil(loop, [this] { return body == "ab"; }));
     return server;
   }
 
@@ -317,7 +315,7 @@
     client_fixture fixture;
     auto server = fixture.ConnectDuringUpload();
     for (int turn = 0; turn < turns; ++turn) {
-      fixture.loop.run_one();
+      RunOne(fixture.loop);
     }
     server.Reset();
     CHECK_TRUE(fixture.Finished());
--- a/test/acaciaferry/net/loopback.hpp
+++ b/test/acaciaferry/net/loopback.hpp
@@ -23,6 +23,25 @@
   return condition();
 }
 
+/** Runs the next handler of a loop, if one is ready soon. */
+inline void RunOne(boost::asio::io_context& loop) {
+  loop.restart();
+  loop.run_one_for(std::chrono::milliseconds(1));
+}
+
+/**
+ * Runs single handlers of a loop until the condition holds or the limit is
+ * reached, so that the test can act between two of them.
+ */
+inline bool RunOneByOneUntil(boost::asio::io_context& loop,
+                             const std::function<bool()>& condition) {
+  constexpr int kMaxHandlers = 4'000;
+  for (int count = 0; count < kMaxHandlers && !condition(); ++count) {
+    RunOne(loop);
+  }
+  return condition();
+}
+
 /**
  * A client or server socket that the test drives directly, outside the loop.
  */
--- a/test/acaciaferry/net/tunnel_test.cpp
+++ b/test/acaciaferry/net/tunnel_test.cpp
@@ -90,9 +90,7 @@
   raw_connection ConnectDuringUpload(recorded_exchange& exchange) {
     auto target = Connect(exchange, "POST / HTTP/1.1\r\n\r\n" + LargeBody());
     target.Send("HTTP/1.1 200 OK\r\n\r\nab");
-    while (exchange.body != "ab") {
-      loop.run_one();
-    }
+    CHECK_TRUE(RunOneByOneUntil(loop, [&] { return exchange.body == "ab"; }));
     return target;
   }
 
@@ -243,7 +241,7 @@
     recorded_exchange exchange(fixture.loop);
     auto target = fixture.ConnectDuringUpload(exchange);
     for (int turn = 0; turn < turns; ++turn) {
-      fixture.loop.run_one();
+      RunOne(fixture.loop);
     }
     target.Reset();
     CHECK_TRUE(RunUntil(fixture.loop, [&] { return exchange.Finished(); }));
