--- a/test/process/entry_memory.py
+++ b/test/process/entry_memory.py
@@ -1,15 +1,14 @@
 """Runs an entry daemon before targets that send bytes without end, many at a time,
 while callers read slowly, and looks at the daemon's memory."""
 
-import contextlib
 import http.client
-import socket
 import subprocess
 import threading
 import time
 
-from entry_daemon import (STAMP, Fleet, call, check, command_of, documents, free_ports,
-                          is_ready, make_store, serve, settings_file, wait_for, with_process)
+from entry_daemon import (Fleet, call, check, command_of, documents, free_ports, is_ready,
+                          make_store, serve, settings_file, wait_for, with_process)
+from raw_target import head_of, raw_target
 
 # Memory of the smallest VM. Instrumented programs need several times as much.
 VM_BYTES = 160 << 20
@@ -22,76 +21,48 @@
 BLOCK = b"x" * 65536
 
 
-def head(attempt, more, stamp=True):
-    lines = ["HTTP/1.1 200 OK", "Acaciaferry-Attempt-Id: " + attempt]
-    if stamp:
-        lines.append(STAMP + ": s1")
-    return ("\r\n".join(lines + more) + "\r\n").encode()
-
-
 CHUNKED = ["Transfer-Encoding: chunked"]
 CHUNK = b"%x\r\n%s\r\n" % (len(BLOCK), BLOCK)
 
 
-def parts_of(path, attempt):
+def parts_of(request):
     """The bytes that come once, and those that come again and again."""
-    kind = path.split("/")[-1].split("-")[0]
+    kind = request.name.split("-")[0]
     if kind == "garbage":
         return b"", BLOCK
     if kind == "head":
-        return head(attempt, []), b"Field: " + b"v" * 60 + b"\r\n"
+        return head_of(request), b"Field: " + b"v" * 60 + b"\r\n"
     if kind == "fields":
-        return head(attempt, []), b"a:\r\n" * 1000
+        return head_of(request), b"a:\r\n" * 1000
     if kind == "body":
-        return head(attempt, CHUNKED) + b"\r\n", CHUNK
+        return head_of(request, fields=CHUNKED) + b"\r\n", CHUNK
     if kind == "open":
-        return head(attempt, ["Connection: close"]) + b"\r\n", BLOCK
+        return head_of(request, fields=["Connection: close"]) + b"\r\n", BLOCK
     if kind == "extension":
-        return head(attempt, CHUNKED) + b"\r\n5;", BLOCK
+        return head_of(request, fields=CHUNKED) + b"\r\n5;", BLOCK
     if kind == "trailer":
-        return head(attempt, CHUNKED) + b"\r\n0\r\n", b"Field: " + b"v" * 60 + b"\r\n"
+        return head_of(request, fields=CHUNKED) + b"\r\n0\r\n", b"Field: " + b"v" * 60 + b"\r\n"
     if kind == "skipped":
-        return b"", head("other", CHUNKED) + b"\r\n" + CHUNK + b"0\r\n\r\n"
+        return b"", head_of(request, fields=CHUNKED, attempt="other") + b"\r\n" + CHUNK + b"0\r\n\r\n"
     if kind == "event":
-        return head(attempt, CHUNKED + ["Content-Type: text/event-stream"]) + b"\r\n", CHUNK
+        return head_of(request, fields=CHUNKED + ["Content-Type: text/event-stream"]) + b"\r\n", CHUNK
     sizes = {"largest": LARGEST, "large": LARGE, "small": 10}
     size = sizes[kind]
-    return head(attempt, ["Content-Length: %d" % size]) + b"\r\n" + b"y" * size, b""
+    return head_of(request, fields=["Content-Length: %d" % size]) + b"\r\n" + b"y" * size, b""
 
 
 ENDLESS = ["garbage", "head", "fields", "body", "open", "extension", "trailer", "skipped", "event"]
 
 
-def target():
-    """A target that answers by the path of the request."""
-    listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-
-    def answer(connection):
-        with contextlib.suppress(OSError), connection:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                more = connection.recv(65536)
-                if not more:
-                    return
-                data += more
-            lines = data.split(b"\r\n\r\n")[0].decode().split("\r\n")
-            fields = dict(line.lower().split(": ", 1) for line in lines[1:])
-            once, again = parts_of(lines[0].split()[1], fields["acaciaferry-attempt-id"])
-            connection.sendall(once)
-            sent = 0
-            while again and sent < ENDLESS_BYTES:
-                connection.sendall(again)
-                sent += len(again)
-            if not again:
-                connection.recv(1)
-
-    def accept():
-        while True:
-            connection, _ = listener.accept()
-            threading.Thread(target=answer, args=(connection,), daemon=True).start()
-
-    threading.Thread(target=accept, daemon=True).start()
-    return "127.0.0.1:%d" % listener.getsockname()[1]
+def answer(connection, request, _):
+    once, again = parts_of(request)
+    connection.sendall(once)
+    sent = 0
+    while again and sent < ENDLESS_BYTES:
+        connection.sendall(again)
+        sent += len(again)
+    if not again:
+        connection.recv(1)
 
 
 def peak_bytes(pid):
@@ -151,7 +122,7 @@
 
 
 def main():
-    targets = [target() for _ in range(2)]
+    targets = [raw_target(answer) for _ in range(2)]
     _, store = serve(make_store(documents(targets)))
     ports = tuple(free_ports(4))
     with settings_file("127.0.0.1", ports, store) as file:
--- a/test/process/raw_target.py
+++ b/test/process/raw_target.py
@@ -13,7 +13,8 @@
 
     def __init__(self, head):
         lines = head.decode().split("\r\n")
-        fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+        pairs = (line.split(": ", 1) for line in lines[1:])
+        fields = {name.lower(): value for name, value in pairs}
         self.method, self.path = lines[0].split()[:2]
         self.attempt = fields["acaciaferry-attempt-id"]
         self.body_bytes = int(fields.get("content-length", 0))
@@ -48,11 +49,11 @@
     connection.close()
 
 
-def head_of(request, status="200 OK", fields=(), stamp=True):
-    """The head of an answer, without the empty line that ends it."""
-    lines = ["HTTP/1.1 " + status, "Acaciaferry-Attempt-Id: " + request.attempt]
-    if stamp:
-        lines.append(STAMP + ": s1")
+def head_of(request, status="200 OK", fields=(), attempt=None):
+    """The head of an answer to the request, or to another one's attempt, without the
+    empty line that ends it."""
+    lines = ["HTTP/1.1 " + status, "Acaciaferry-Attempt-Id: " + (attempt or request.attempt),
+             STAMP + ": s1"]
     return "".join(line + "\r\n" for line in [*lines, *fields]).encode("latin-1")
 
 
