--- a/src/acaciaferry/net/client.cpp
+++ b/src/acaciaferry/net/client.cpp
@@ -16,7 +16,6 @@
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10U;
 // Interim responses and those to other requests.
 constexpr std::uint32_t kMaxSkippedResponses = 16;
-constexpr int kFirstFinalStatus = 200;
 constexpr int kOk = 200;
 constexpr int kBadGateway = 502;
 constexpr std::uint32_t kMaxTunnelReplyBytes = 4'096;
@@ -243,7 +242,7 @@
     const boost::system::error_code& error) {
   const bool is_orderly =
       error == boost::asio::error::eof && write_state_ != write_state::kFailed;
-  if (!is_orderly || !CompletesAtEnd()) {
+  if (!is_orderly || !ParseEnd()) {
     Fail(head_seen_ ? exchange_failure::kBroken
                     : exchange_failure::kNoResponse);
   } else if (write_state_ == write_state::kWriting) {
@@ -253,7 +252,7 @@
   }
 }
 
-bool client_exchange::CompletesAtEnd() {
+bool client_exchange::ParseEnd() {
   if (!parser_->is_header_done() || skipping_) {
     return false;
   }
@@ -308,8 +307,7 @@
       return false;
     }
     if (!had_head && parser_->is_header_done()) {
-      const bool interim =
-          parser_->response.status < internal::kFirstFinalStatus;
+      const bool interim = parser_->response.status < kFirstFinalStatus;
       skipping_ = interim;
       if (!interim) {
         skipping_ = handlers_.on_head && !handlers_.on_head(parser_->response);
--- a/src/acaciaferry/net/client.hpp
+++ b/src/acaciaferry/net/client.hpp
@@ -111,7 +111,8 @@
   void Read();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void OnConnectionEnded(const boost::system::error_code& error);
-  [[nodiscard]] bool CompletesAtEnd();
+  /** @return Whether the end of the stream completes the response. */
+  [[nodiscard]] bool ParseEnd();
   void AwaitWrite();
   [[nodiscard]] bool Parse();
   [[nodiscard]] exchange_failure ConnectFailure() const noexcept;
--- a/src/acaciaferry/net/message.cpp
+++ b/src/acaciaferry/net/message.cpp
@@ -12,14 +12,13 @@
     "proxy-authorization", "te",         "trailer",
     "transfer-encoding",   "upgrade",    "content-length"};
 
-constexpr int kFirstFinalStatus = 200;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
 }  // namespace internal
 
 bool HasNoBody(std::string_view method, int status) noexcept {
-  return method == "HEAD" || status < internal::kFirstFinalStatus ||
+  return method == "HEAD" || status < kFirstFinalStatus ||
          status == internal::kNoContent || status == internal::kNotModified;
 }
 
--- a/src/acaciaferry/net/message.hpp
+++ b/src/acaciaferry/net/message.hpp
@@ -6,6 +6,9 @@
 
 namespace acaciaferry::net {
 
+/** Lower statuses are those of interim responses. */
+inline constexpr int kFirstFinalStatus = 200;
+
 struct header_field {
   std::string name;
   std::string value;
--- a/src/acaciaferry/net/server.hpp
+++ b/src/acaciaferry/net/server.hpp
@@ -58,8 +58,8 @@
   std::function<void()> on_writable;
 
   /**
-   * @brief Sends a complete reply. Its length is added to the fields, and the
-   * body is left out, if the method and the status allow none.
+   * @brief Sends a complete reply with its length. Both the length and the body
+   * are left out if the method or the status allows no body.
    */
   void Reply(int status, const header_fields& fields, std::string body);
 
--- a/src/acaciaferry/net/tunnel.cpp
+++ b/src/acaciaferry/net/tunnel.cpp
@@ -365,6 +365,8 @@
       break;
     }
     case phase::kOpen:
+      // A target that ended its stream and reads nothing more keeps the write
+      // waiting.
       if (target_ended_) {
         FinishClient();
       }
--- a/src/acaciaferry/target_client/response_check.cpp
+++ b/src/acaciaferry/target_client/response_check.cpp
@@ -11,7 +11,6 @@
 namespace acaciaferry {
 namespace internal {
 
-constexpr int kFirstFinalStatus = 200;
 constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";
 
 bool IsToken(std::string_view text) {
@@ -28,7 +27,7 @@
 // any bytes before a colon for a name.
 bool HasValidHead(const Poco::Net::HTTPResponse& response) {
   const int status = response.getStatus();
-  return status >= internal::kFirstFinalStatus && net::IsValidStatus(status) &&
+  return status >= net::kFirstFinalStatus && net::IsValidStatus(status) &&
          std::all_of(response.begin(), response.end(), [](const auto& field) {
            return internal::IsToken(field.first);
          });
