Test that whole early responses survive a reset

Guards against an early refusal with a length, or in chunks, that is lost since its server closes without reading the request.

--- a/test/acaciaferry/net/client_test.cpp
+++ b/test/acaciaferry/net/client_test.cpp
@@ -399,6 +399,25 @@
   LONGS_EQUAL(503, fixture.heads.back());
 }
 
+// Guards against a whole early response that is lost because its server closes
+// without reading the request: its length says that it is complete, whatever
+// follows.
+TEST(NetClient, AcceptsEarlyResponsesBeforeAReset) {
+  const std::string request =
+      "POST / HTTP/1.1\r\n\r\n" + std::string(kUploadBytes, 'x');
+  for (const std::string framing :
+       {"Content-Length: 2\r\n\r\nab",
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"}) {
+    client_fixture fixture;
+    auto server = fixture.Connect(request);
+    server.Send("HTTP/1.1 413 X\r\n" + framing);
+    server.Reset();
+    CHECK_TRUE(fixture.Finished());
+    CHECK_TRUE(fixture.ended);
+    STRCMP_EQUAL("ab", fixture.body.c_str());
+  }
+}
+
 // No handler may be called after Cancel.
 TEST(NetClient, CancelledExchangesCallNoHandlers) {
   client_fixture fixture;
